Add the caller interface, engine client and dispatcher

The thin path needs a caller side (authentication, bounded and timed reading of bodies, server-sent events, error objects with step, peer and outcome), a backend side (pools, streams tied to a request id and token offset, cancel) and a dispatcher that resumes broken streams.

--- /dev/null
+++ b/papayarelay/backends/load.py
@@ -0,0 +1,40 @@
+"""Load reports of backend servers."""
+
+from __future__ import annotations
+
+import msgspec
+import urllib3
+
+from ..errors import BackendError, Outcome
+from .pool import BackendPool
+
+LOAD_TIMEOUT_S = 1.0
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """What a backend server says of itself; token counts, rates in tokens/s."""
+
+    boot_id: str = ""
+    state: str = "warm"
+    kv_capacity_tokens: int = 0
+    kv_used_tokens: int = 0
+    queued_prefill_tokens: int = 0
+    running: int = 0
+    prefill_tokens_per_s: float = 0.0
+
+
+def read_load(pool: BackendPool) -> LoadReport:
+    """Ask a backend server for its load; raises ``BackendError``."""
+    try:
+        response = pool.request("GET", "/load", read_timeout_s=LOAD_TIMEOUT_S)
+        if response.status != 200:
+            raise _error(pool, f"load report answered {response.status}")
+        return msgspec.json.decode(response.data, type=LoadReport)
+    except (urllib3.exceptions.HTTPError, OSError, msgspec.MsgspecError) as error:
+        raise _error(pool, f"no load report: {type(error).__name__}") from error
+
+
+def _error(pool: BackendPool, message: str) -> BackendError:
+    return BackendError(
+        message, step="load", peer=pool.backend_id, outcome=Outcome.NOT_RUN
+    )
--- /dev/null
+++ b/papayarelay/backends/table.py
@@ -0,0 +1,137 @@
+"""What a node knows about the backend servers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from ..circuit import Circuit
+from ..config import Backend, Config
+from ..cost import Cost
+from ..routing import BackendView
+from ..warmup import WarmUp
+from .load import LoadReport
+from .pool import BackendPool
+
+
+@dataclass
+class BackendEntry:
+    """One backend server: its configuration, connections, load and own work."""
+
+    id: str
+    config: Backend
+    pool: BackendPool
+    warm_up: WarmUp
+    circuit: Circuit = field(default_factory=Circuit)
+    load: LoadReport = LoadReport()
+    reported_s: float = 0.0
+    inflight: int = 0
+    prefill_tokens: int = 0
+
+
+class BackendTable:
+    """The backend servers of the configuration in force."""
+
+    def __init__(self):
+        self._entries: dict[str, BackendEntry] = {}
+        self._drained: frozenset[str] = frozenset()
+
+    @property
+    def entries(self) -> list[BackendEntry]:
+        """Return all backend servers, also those that take no new work."""
+        return list(self._entries.values())
+
+    def get(self, backend_id: str) -> BackendEntry | None:
+        """Return one backend server, or None."""
+        return self._entries.get(backend_id)
+
+    def apply(self, config: Config) -> None:
+        """Follow a new configuration; running requests keep their connections."""
+        drained = (n for n, dc in config.data_centres.items() if dc.state != "active")
+        self._drained = frozenset(drained)
+        for backend_id in set(self._entries) - set(config.backends):
+            self._entries.pop(backend_id).pool.close()
+        for backend_id, backend in config.backends.items():
+            entry = self._entries.get(backend_id)
+            if entry is not None and entry.config.url == backend.url:
+                entry.config = backend
+                continue
+            if entry is not None:
+                entry.pool.close()
+            self._entries[backend_id] = self._create(backend_id, backend)
+
+    def record_load(self, backend_id: str, load: LoadReport, now_s: float) -> bool:
+        """Keep a load report; return whether it shows that the server is cold."""
+        entry = self._entries.get(backend_id)
+        if entry is None:
+            return False
+        restarted = entry.load.boot_id not in ("", load.boot_id)
+        turned_cold = load.state == "cold" and entry.load.state != "cold"
+        if restarted or turned_cold:
+            entry.warm_up.turn_cold(now_s)
+        entry.load = load
+        entry.reported_s = now_s
+        return restarted or turned_cold
+
+    def views(self, target: str, name: str, now_s: float) -> list[BackendView]:
+        """Return the servers that may take new work.
+
+        ``name`` is the model for the target ``engine`` and the kind for
+        ``service``.
+        """
+        return [
+            self._view(entry)
+            for entry in self._entries.values()
+            if self._serves(entry.config, target, name) and entry.circuit.allow(now_s)
+        ]
+
+    @contextmanager
+    def hold(self, entry: BackendEntry, cost: Cost) -> Iterator[None]:
+        """Count a request as own work on a server while it runs."""
+        entry.inflight += 1
+        entry.prefill_tokens += cost.prefill_tokens
+        try:
+            yield
+        finally:
+            entry.inflight -= 1
+            entry.prefill_tokens -= cost.prefill_tokens
+
+    def close(self) -> None:
+        """Close all connections."""
+        for entry in self._entries.values():
+            entry.pool.close()
+        self._entries.clear()
+
+    def _create(self, backend_id: str, backend: Backend) -> BackendEntry:
+        pool = BackendPool(backend_id, backend.url)
+        pool.start()
+        return BackendEntry(
+            backend_id, backend, pool, WarmUp(backend.cold_bound_tokens)
+        )
+
+    def _serves(self, backend: Backend, target: str, name: str) -> bool:
+        if backend.target != target or backend.state != "active":
+            return False
+        if backend.data_centre in self._drained:
+            return False
+        return name in (backend.models if target == "engine" else backend.kinds)
+
+    def _view(self, entry: BackendEntry) -> BackendView:
+        load = entry.load
+        return BackendView(
+            id=entry.id,
+            data_centre=entry.config.data_centre,
+            target=entry.config.target,
+            models=tuple(entry.config.models),
+            state=load.state,
+            kv_capacity_tokens=load.kv_capacity_tokens,
+            kv_used_tokens=load.kv_used_tokens,
+            queued_prefill_tokens=load.queued_prefill_tokens,
+            running=load.running,
+            prefill_tokens_per_s=load.prefill_tokens_per_s,
+            reported_s=entry.reported_s,
+            own_inflight=entry.inflight,
+            own_prefill_tokens=entry.prefill_tokens,
+            bound=entry.warm_up.bound_tokens,
+        )
--- /dev/null
+++ b/papayarelay/callers/answer.py
@@ -0,0 +1,82 @@
+"""Answers and errors in the caller protocol."""
+
+from __future__ import annotations
+
+import socket
+
+import msgspec
+
+from ..backends.stream import Chunk
+from ..errors import RelayError
+from ..request import Request
+
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+def error_body(error: RelayError) -> bytes:
+    """Return the protocol's error object with step, peer and outcome."""
+    fields = {
+        "message": error.message,
+        "type": error.code,
+        "param": None,
+        "code": error.code,
+        "step": error.step,
+        "peer": error.peer,
+        "outcome": error.outcome.value,
+    }
+    if error.retry_after_s is not None:
+        fields["retry_after_s"] = error.retry_after_s
+    return msgspec.json.encode({"error": fields})
+
+
+def error_headers(error: RelayError) -> dict[str, str]:
+    """Return the headers of an error answer."""
+    if error.retry_after_s is None:
+        return {}
+    return {
+        "Retry-After": str(max(1, round(error.retry_after_s))),
+        "retry-after-ms": str(round(error.retry_after_s * 1000)),
+    }
+
+
+def error_event(error: RelayError) -> bytes:
+    """Return an error as the last event of a stream that has begun."""
+    return b"data: " + error_body(error) + b"\n\n"
+
+
+def whole_answer(request: Request, text: str, last: Chunk, now_s: int) -> bytes:
+    """Return the answer to a request that is not streamed.
+
+    ``last`` is the last chunk that carried an event, ``now_s`` the Unix time.
+    """
+    choice: dict = {"index": 0, "finish_reason": last.finish_reason or "stop"}
+    chat = request.path == "/v1/chat/completions"
+    if chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    usage = {
+        "prompt_tokens": request.prompt_tokens,
+        "completion_tokens": last.offset,
+        "total_tokens": request.prompt_tokens + last.offset,
+    }
+    return msgspec.json.encode(
+        {
+            "id": request.id,
+            "object": "chat.completion" if chat else "text_completion",
+            "created": now_s,
+            "model": request.model,
+            "choices": [choice],
+            "usage": usage,
+        }
+    )
+
+
+def is_gone(sock: socket.socket) -> bool:
+    """Return whether the caller has closed its connection."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- /dev/null
+++ b/papayarelay/callers/api.py
@@ -0,0 +1,234 @@
+"""The HTTP interface for callers, compatible with the OpenAI protocol."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
+
+import bottle
+
+from ..backends.stream import Chunk
+from ..config import Config
+from ..dispatch import Dispatcher
+from ..errors import BackendError, OverloadError, Outcome, RelayError
+from ..request import Request
+from . import answer
+from .body import BodyMemory, body_size, read_body
+from .gate import Gate
+from .parse import Caller, KeyIndex, parse_engine_request, parse_service_request
+
+JSON_TYPE = "application/json"
+STREAM_TYPE = "text/event-stream; charset=utf-8"
+
+
+class CallerGoneError(BackendError):
+    """The caller closed its connection before the answer was complete."""
+
+    code = "caller_gone"
+
+
+class CallerApi:
+    """Turns caller requests into dispatched requests and their answers."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        gate: Gate,
+        body_limit_bytes: int,
+        body_memory_bytes: int,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.body_memory = BodyMemory(body_memory_bytes)
+        self._dispatcher = dispatcher
+        self._gate = gate
+        self._body_limit_bytes = body_limit_bytes
+        self._clock = clock
+        self._config = Config()
+        self._keys = KeyIndex(self._config)
+
+    def apply(self, config: Config) -> None:
+        """Follow a new configuration."""
+        self._config = config
+        self._keys = KeyIndex(config)
+
+    def create_app(self) -> bottle.Bottle:
+        """Return the WSGI application."""
+        app = bottle.Bottle()
+        app.route("/v1/models", "GET", self._models)
+        for path in ("/v1/chat/completions", "/v1/completions"):
+            app.route(path, "POST", self._serve_engine)
+        app.route("/v1/services/<kind>", "POST", self._serve_service)
+        app.route("/healthz", "GET", lambda: "ok\n")
+        app.route("/readyz", "GET", self._ready)
+        app.default_error_handler = _bottle_error
+        return app
+
+    def _ready(self) -> bottle.HTTPResponse:
+        if self._gate.ready:
+            return bottle.HTTPResponse("ready\n")
+        return bottle.HTTPResponse("not ready\n", 503)
+
+    def _authenticate(self) -> Caller:
+        return self._keys.find(bottle.request.get_header("Authorization", ""))
+
+    def _models(self) -> bottle.HTTPResponse:
+        try:
+            self._authenticate()
+        except RelayError as error:
+            return _error_response(error)
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "papayarelay"}
+            for name in self._config.models
+        ]
+        return bottle.HTTPResponse({"object": "list", "data": models})
+
+    def _serve_engine(self):
+        """Answer one request to an engine."""
+        environ = bottle.request.environ
+        stack = ExitStack()
+        try:
+            request = self._admit(stack, environ, parse_engine_request, environ["PATH_INFO"])
+            if request.stream:
+                return self._stream_response(stack, request, environ)
+            with stack:
+                return self._whole_response(request, environ)
+        except RelayError as error:
+            stack.close()
+            return _error_response(error)
+        except BaseException:
+            stack.close()
+            raise
+
+    def _serve_service(self, kind: str):
+        """Answer one request to a plain service."""
+        with ExitStack() as stack:
+            try:
+                request = self._admit(
+                    stack, bottle.request.environ, parse_service_request, kind
+                )
+                reply = self._dispatcher.call(request)
+            except RelayError as error:
+                return _error_response(error)
+            headers = {"Content-Type": reply.content_type, "X-Request-Id": request.id}
+            return bottle.HTTPResponse(reply.body, reply.status, headers)
+
+    def _admit(
+        self, stack: ExitStack, environ: dict, parse: Callable, name: str
+    ) -> Request:
+        """Authenticate, read and validate a request.
+
+        What the request holds is given back when ``stack`` is closed.
+        """
+        caller = self._authenticate()
+        stack.enter_context(self._gate.enter())
+        size = body_size(environ, self._body_limit_bytes)
+        stack.enter_context(self.body_memory.reserve(size))
+        body = read_body(environ, size, self._body_limit_bytes)
+        headers = bottle.request.headers
+        return parse(self._config, caller, name, headers, body, self._clock())
+
+    def _whole_response(self, request: Request, environ: dict) -> bottle.HTTPResponse:
+        sock = environ["papayarelay.socket"]
+        parts: list[str] = []
+        last = Chunk(b"")
+        reason = None
+        for chunk in self._dispatcher.stream(request):
+            if chunk.event:
+                parts.append(chunk.content)
+                reason = chunk.finish_reason or reason
+                last = chunk
+            elif answer.is_gone(sock):
+                raise _caller_gone()
+        last = Chunk(b"", "", last.offset, reason)
+        body = answer.whole_answer(request, "".join(parts), last, int(time.time()))
+        headers = {"Content-Type": JSON_TYPE, "X-Request-Id": request.id}
+        return bottle.HTTPResponse(body, 200, headers)
+
+    def _stream_response(
+        self, stack: ExitStack, request: Request, environ: dict
+    ) -> bottle.HTTPResponse:
+        """Wait for the first chunk, so that a failure before it has a status."""
+        sock = environ["papayarelay.socket"]
+        chunks = self._dispatcher.stream(request)
+        stack.callback(chunks.close)
+        first = _wait_for_first(chunks, sock)
+        headers = {
+            "Content-Type": STREAM_TYPE,
+            "Cache-Control": "no-cache",
+            "X-Request-Id": request.id,
+        }
+        events = _EventBody(_events(first, chunks), stack)
+        return bottle.HTTPResponse(events, 200, headers)
+
+
+class _EventBody:
+    """The events of an answer; releases what the request holds at the end."""
+
+    def __init__(self, events: Iterator[bytes], stack: ExitStack):
+        self._events = events
+        self._stack = stack
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._events
+
+    def close(self) -> None:
+        """Give back what the request holds; called by the WSGI server."""
+        self._events.close()
+        self._stack.close()
+
+
+def _wait_for_first(chunks: Iterator[Chunk], sock) -> Chunk:
+    for chunk in chunks:
+        if chunk.event:
+            return chunk
+        if answer.is_gone(sock):
+            raise _caller_gone()
+    raise BackendError(
+        "engine sent an empty answer",
+        step="stream",
+        peer="backends",
+        outcome=Outcome.UNKNOWN,
+    )
+
+
+def _events(first: Chunk, chunks: Iterator[Chunk]) -> Iterator[bytes]:
+    """Yield the events for the caller, the last one an error if need be."""
+    yield first.event
+    try:
+        for chunk in chunks:
+            # The engine's comment is passed on, so that a caller that has gone
+            # is noticed while no token arrives.
+            yield chunk.event or b": keep-alive\n\n"
+        yield answer.DONE_EVENT
+    except RelayError as error:
+        yield answer.error_event(error)
+
+
+def _caller_gone() -> CallerGoneError:
+    return CallerGoneError(
+        "caller closed the connection",
+        step="wait",
+        peer="caller",
+        outcome=Outcome.UNKNOWN,
+    )
+
+
+def _error_response(error: RelayError) -> bottle.HTTPResponse:
+    headers = {"Content-Type": JSON_TYPE, **answer.error_headers(error)}
+    if isinstance(error, OverloadError) or error.step == "read_body":
+        headers["Connection"] = "close"
+    return bottle.HTTPResponse(answer.error_body(error), error.status, headers)
+
+
+def _bottle_error(error: bottle.HTTPError) -> bytes:
+    """Return errors of the routing layer in the protocol's format."""
+    failure = RelayError(
+        str(error.body or "request failed"), step="parse", peer="caller"
+    )
+    failure.code = "not_found" if error.status_code == 404 else "invalid_request"
+    if error.status_code >= 500:
+        failure.code = "internal_error"
+        failure.outcome = Outcome.UNKNOWN
+    error.content_type = JSON_TYPE
+    return answer.error_body(failure)
--- /dev/null
+++ b/papayarelay/callers/gate.py
@@ -0,0 +1,51 @@
+"""Admission to the node as a whole: readiness and the planned stop."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from gevent.event import Event
+
+from ..errors import OverloadError
+
+CLOSED_RETRY_S = 1.0
+
+
+class Gate:
+    """Counts requests in flight and closes to new ones before a stop."""
+
+    def __init__(self):
+        self.ready = False
+        self.inflight = 0
+        self._open = True
+        self._empty = Event()
+        self._empty.set()
+
+    @contextmanager
+    def enter(self) -> Iterator[None]:
+        """Hold a place for a request; raises ``OverloadError`` when closed."""
+        if not self._open:
+            raise OverloadError(
+                "node is stopping",
+                step="admit",
+                peer="node",
+                retry_after_s=CLOSED_RETRY_S,
+            )
+        self.inflight += 1
+        self._empty.clear()
+        try:
+            yield
+        finally:
+            self.inflight -= 1
+            if self.inflight == 0:
+                self._empty.set()
+
+    def close(self) -> None:
+        """Admit no new request."""
+        self.ready = False
+        self._open = False
+
+    def wait_until_empty(self, timeout_s: float | None = None) -> bool:
+        """Wait for the requests in flight; return whether all have ended."""
+        return self._empty.wait(timeout_s)
--- /dev/null
+++ b/papayarelay/callers/parse.py
@@ -0,0 +1,232 @@
+"""Validation of caller requests."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from ..config import Config
+from ..cost import DEFAULT_MAX_TOKENS, estimate_tokens
+from ..errors import AuthenticationError, RequestError, UnknownResourceError
+from ..request import Request, RequestKind
+
+MAX_DEADLINE_S = 3600.0
+MAX_KEY_CHARACTERS = 256
+MAX_ANSWER_TOKENS = 1_000_000
+# Requests of the stock client name no kind.
+DEFAULT_KIND = RequestKind("default", deadline_s=300.0)
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _ChatBody(msgspec.Struct):
+    model: str
+    messages: list[_Message]
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = None
+
+
+class _CompletionBody(msgspec.Struct):
+    model: str
+    prompt: msgspec.Raw
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = None
+
+
+_BODIES = {
+    "/v1/chat/completions": msgspec.json.Decoder(_ChatBody),
+    "/v1/completions": msgspec.json.Decoder(_CompletionBody),
+}
+_FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
+@dataclass(frozen=True)
+class Caller:
+    """The member and organisation to which an API key belongs."""
+
+    member: str
+    organisation: str
+
+
+class KeyIndex:
+    """Finds the caller of an API key by the key's SHA-256.
+
+    The look-up is by digest, so its timing says nothing about a stored key.
+    """
+
+    def __init__(self, config: Config):
+        self._callers = {
+            digest.lower(): Caller(member_name, organisation_name)
+            for member_name, member in config.members.items()
+            for organisation_name, organisation in member.organisations.items()
+            for digest in organisation.key_sha256
+        }
+
+    def find(self, authorization: str) -> Caller:
+        """Return the caller; raises ``AuthenticationError``."""
+        scheme, _, key = authorization.partition(" ")
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        caller = self._callers.get(digest)
+        if scheme.lower() != "bearer" or caller is None:
+            raise AuthenticationError(
+                "API key is missing or not known", step="authenticate", peer="caller"
+            )
+        return caller
+
+
+def parse_engine_request(
+    config: Config,
+    caller: Caller,
+    path: str,
+    headers: Mapping[str, str],
+    body: bytes,
+    now_s: float,
+) -> Request:
+    """Return the request to an engine; raises ``RelayError``."""
+    try:
+        fields = _BODIES[path].decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise _invalid(str(error)) from error
+    if fields.model not in config.models:
+        raise UnknownResourceError(
+            f"model {fields.model[:100]!r} does not exist", step="parse", peer="caller"
+        )
+    if fields.n not in (None, 1):
+        raise _invalid("n must be 1")
+    kind = _find_kind(config, headers, "engine")
+    prompt_tokens = estimate_tokens(_prompt_bytes(fields))
+    max_tokens = _max_tokens(fields)
+    context_tokens = config.models[fields.model].context_tokens
+    if prompt_tokens + max_tokens > context_tokens:
+        raise _invalid(
+            f"prompt and answer need about {prompt_tokens + max_tokens} tokens, "
+            f"the model has {context_tokens}"
+        )
+    key = _idempotency_key(kind, headers)
+    if key is not None and fields.stream:
+        raise _invalid(f"kind {kind.name!r} is not idempotent and cannot be streamed")
+    return Request(
+        id=uuid.uuid4().hex,
+        member=caller.member,
+        organisation=caller.organisation,
+        kind=kind,
+        model=fields.model,
+        path=path,
+        body=_as_stream(body),
+        prompt_tokens=prompt_tokens,
+        max_tokens=max_tokens,
+        stream=fields.stream,
+        received_s=now_s,
+        deadline_s=now_s + _allowed_s(kind, headers),
+        idempotency_key=key,
+    )
+
+
+def parse_service_request(
+    config: Config,
+    caller: Caller,
+    kind_name: str,
+    headers: Mapping[str, str],
+    body: bytes,
+    now_s: float,
+) -> Request:
+    """Return the request to a plain service; raises ``RelayError``."""
+    kind = config.kinds.get(kind_name)
+    if kind is None or kind.target != "service":
+        raise UnknownResourceError(
+            f"service kind {kind_name[:100]!r} does not exist",
+            step="parse",
+            peer="caller",
+        )
+    return Request(
+        id=uuid.uuid4().hex,
+        member=caller.member,
+        organisation=caller.organisation,
+        kind=kind,
+        model="",
+        path=f"/{kind.name}",
+        body=body,
+        prompt_tokens=0,
+        max_tokens=0,
+        stream=False,
+        received_s=now_s,
+        deadline_s=now_s + _allowed_s(kind, headers),
+        idempotency_key=_idempotency_key(kind, headers),
+    )
+
+
+def _prompt_bytes(fields: _ChatBody | _CompletionBody) -> int:
+    if isinstance(fields, _CompletionBody):
+        return len(memoryview(fields.prompt))
+    return sum(len(memoryview(message.content)) for message in fields.messages)
+
+
+def _max_tokens(fields: _ChatBody | _CompletionBody) -> int:
+    limit = fields.max_completion_tokens or fields.max_tokens or DEFAULT_MAX_TOKENS
+    if not 1 <= limit <= MAX_ANSWER_TOKENS:
+        raise _invalid(f"max_tokens must be from 1 to {MAX_ANSWER_TOKENS}")
+    return limit
+
+
+def _as_stream(body: bytes) -> bytes:
+    """Return the body with ``stream`` set.
+
+    Every answer is read from the engine as a stream, so that silent and broken
+    connections are noticed early and answers can be resumed.
+    """
+    fields = _FIELDS.decode(body)
+    fields["stream"] = msgspec.Raw(b"true")
+    return msgspec.json.encode(fields)
+
+
+def _find_kind(config: Config, headers: Mapping[str, str], target: str) -> RequestKind:
+    name = headers.get("X-Request-Kind")
+    if name is None:
+        return config.kinds.get(DEFAULT_KIND.name, DEFAULT_KIND)
+    kind = config.kinds.get(name)
+    if kind is None or kind.target != target:
+        raise UnknownResourceError(
+            f"kind {name[:100]!r} does not exist for this path",
+            step="parse",
+            peer="caller",
+        )
+    return kind
+
+
+def _allowed_s(kind: RequestKind, headers: Mapping[str, str]) -> float:
+    text = headers.get("X-Deadline-Ms")
+    if text is None:
+        return kind.deadline_s
+    if not text.isascii() or not text.isdigit() or len(text) > 9:
+        raise _invalid("X-Deadline-Ms must be a whole number of milliseconds")
+    allowed_s = int(text) / 1000
+    if not 0 < allowed_s <= MAX_DEADLINE_S:
+        raise _invalid(f"X-Deadline-Ms must be from 1 to {MAX_DEADLINE_S * 1000:.0f}")
+    return allowed_s
+
+
+def _idempotency_key(kind: RequestKind, headers: Mapping[str, str]) -> str | None:
+    if kind.idempotent:
+        return None
+    key = headers.get("Idempotency-Key")
+    if not key or len(key) > MAX_KEY_CHARACTERS or not key.isprintable():
+        raise _invalid(
+            f"kind {kind.name!r} is not idempotent and needs an Idempotency-Key of "
+            f"1 to {MAX_KEY_CHARACTERS} printable characters"
+        )
+    return key
+
+
+def _invalid(message: str) -> RequestError:
+    return RequestError(message, step="parse", peer="caller")
--- /dev/null
+++ b/papayarelay/callers/server.py
@@ -0,0 +1,45 @@
+"""The caller-facing HTTP server."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from gevent import pywsgi
+from gevent.pool import Pool
+
+from .handler import CallerHandler
+
+BACKLOG = 1024
+
+
+class CallerServer:
+    """Serves a WSGI application on one address, with a bound on connections."""
+
+    def __init__(self, address: str, app: Callable, connection_limit: int):
+        host, _, port = address.rpartition(":")
+        self._server = pywsgi.WSGIServer(
+            (host, int(port)),
+            app,
+            handler_class=CallerHandler,
+            backlog=BACKLOG,
+            spawn=Pool(connection_limit),
+            log=None,
+            error_log=None,
+        )
+
+    @property
+    def address(self) -> str:
+        """Return the address in use as ``host:port``."""
+        return f"{self._server.server_host}:{self._server.server_port}"
+
+    def start(self) -> None:
+        """Begin to listen; raises ``OSError`` when the address is taken."""
+        self._server.start()
+
+    def stop_listening(self) -> None:
+        """Accept no new connection; open ones go on."""
+        self._server.close()
+
+    def close(self) -> None:
+        """End all connections."""
+        self._server.stop(timeout=0)
