--- /dev/null
+++ b/papayarelay/document.py
@@ -0,0 +1,258 @@
+"""Reading of JSON documents with comments that reports every mistake at once."""
+
+from __future__ import annotations
+
+import difflib
+import re
+from collections.abc import Iterable, Mapping
+from urllib.parse import urlsplit
+
+import pyjson5
+
+from .errors import ABSENT, SettingsError
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}", re.ASCII)
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}", re.ASCII)
+HOST_PATTERN = re.compile(r"[A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]", re.ASCII)
+NAME_ALLOWED = "1 to 64 letters, digits, '_', '.' or '-', first a letter or digit"
+ADDRESS_ALLOWED = "HOST:PORT with a port from 0 to 65535, such as 127.0.0.1:8080"
+URL_ALLOWED = "http://HOST:PORT without path, query or user name"
+LONGEST_NAME = 64
+_REQUIRED = object()
+
+
+class Mistakes:
+    """Collects the mistakes of one document."""
+
+    def __init__(self):
+        self._errors: list[SettingsError] = []
+
+    def __len__(self) -> int:
+        return len(self._errors)
+
+    def add(self, path: str, value: object, allowed: str, hint: str = "") -> None:
+        """Record a mistake."""
+        self._errors.append(SettingsError(path, value, allowed, hint))
+
+    def raise_any(self, title: str) -> None:
+        """Raise an exception group of SettingsError if there are mistakes."""
+        if self._errors:
+            count = len(self._errors)
+            noun = "mistake" if count == 1 else "mistakes"
+            raise ExceptionGroup(f"{count} {noun} in {title}", self._errors)
+
+
+def join_path(path: str, name: object) -> str:
+    """Return the path of an entry below another path, in printable ASCII."""
+    name = str(name)
+    if not (name.isascii() and name.isprintable()):
+        name = ascii(name)
+    return f"{path}.{name}" if path else name
+
+
+def suggest(name: str, known: Iterable[str]) -> str:
+    """Return a hint with the nearest known name, or an empty string."""
+    if len(name) > LONGEST_NAME:
+        return ""
+    near = difflib.get_close_matches(name, list(known), n=1, cutoff=0.5)
+    return f"did you mean {near[0]!r}?" if near else ""
+
+
+def decode_object(text: str, path: str, mistakes: Mistakes) -> dict[str, object]:
+    """Return the object in a text; record a mistake and return {} otherwise."""
+    try:
+        value = pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        reason = str(error.args[0]) if error.args else type(error).__name__
+        mistakes.add(path, text[:40], "a JSON object with comments", reason)
+        return {}
+    if not isinstance(value, dict):
+        mistakes.add(path, value, "a JSON object")
+        return {}
+    return value
+
+
+def is_address(value: str, lowest_port: int = 0) -> bool:
+    """Return whether a text is HOST:PORT."""
+    host, _, port = value.rpartition(":")
+    if not (HOST_PATTERN.fullmatch(host) and port.isascii() and port.isdigit()):
+        return False
+    return len(port) <= 5 and lowest_port <= int(port) <= 65535
+
+
+def is_url(value: str) -> bool:
+    """Return whether a text is http://HOST:PORT and nothing more."""
+    try:
+        parts = urlsplit(value)
+    except ValueError:
+        return False
+    return value == f"http://{parts.netloc}" and is_address(parts.netloc, 1)
+
+
+class ObjectReader:
+    """Reads the entries of one object; entries that are never read are unknown."""
+
+    def __init__(self, value: object, path: str, mistakes: Mistakes):
+        self._path = path
+        self._mistakes = mistakes
+        self._known: list[str] = []
+        if not isinstance(value, dict):
+            mistakes.add(path, value, "an object")
+            value = {}
+            self._broken = True
+        else:
+            self._broken = False
+        self._entries: Mapping[str, object] = value
+
+    def finish(self) -> None:
+        """Record every entry that was not read as an unknown key."""
+        for name in self._entries:
+            if name in self._known:
+                continue
+            hint = suggest(name, self._known)
+            known = f"one of the keys {', '.join(sorted(self._known))}"
+            path = join_path(self._path, name)
+            self._mistakes.add(path, name, "a known key" if hint else known, hint)
+
+    def text(self, name: str, default: object = _REQUIRED) -> str:
+        """Return a string of 1 to 4096 characters; the default may be empty."""
+        return self._read(name, default, _is_text, "a string that is not empty", "")
+
+    def name(self, name: str, default: object = _REQUIRED) -> str:
+        """Return a name."""
+        return self._read(name, default, _is_name, NAME_ALLOWED, "")
+
+    def address(self, name: str, default: object = _REQUIRED) -> str:
+        """Return an address HOST:PORT."""
+        return self._read(
+            name,
+            default,
+            lambda value: isinstance(value, str) and is_address(value),
+            ADDRESS_ALLOWED,
+            "",
+        )
+
+    def url(self, name: str, default: object = _REQUIRED) -> str:
+        """Return a URL."""
+        return self._read(
+            name,
+            default,
+            lambda value: isinstance(value, str) and is_url(value),
+            URL_ALLOWED,
+            "",
+        )
+
+    def choice(
+        self, name: str, choices: tuple[str, ...], default: object = _REQUIRED
+    ) -> str:
+        """Return one of the given strings."""
+        value = self._entries.get(name)
+        hint = suggest(value, choices) if isinstance(value, str) else ""
+        return self._read(
+            name,
+            default,
+            lambda value: isinstance(value, str) and value in choices,
+            f"one of {', '.join(choices)}",
+            choices[0],
+            hint=hint,
+        )
+
+    def boolean(self, name: str, default: object = _REQUIRED) -> bool:
+        """Return true or false."""
+        return self._read(
+            name,
+            default,
+            lambda value: isinstance(value, bool),
+            "true or false",
+            False,
+        )
+
+    def integer(
+        self, name: str, low: int, high: int, default: object = _REQUIRED
+    ) -> int:
+        """Return an integer from ``low`` to ``high``."""
+        return self._read(
+            name,
+            default,
+            lambda value: type(value) is int and low <= value <= high,
+            f"an integer from {low} to {high}",
+            low,
+        )
+
+    def number(
+        self, name: str, low: float, high: float, default: object = _REQUIRED
+    ) -> float:
+        """Return a number from ``low`` to ``high``."""
+        value = self._read(
+            name,
+            default,
+            lambda value: type(value) in (int, float) and low <= value <= high,
+            f"a number from {low:g} to {high:g}",
+            low,
+        )
+        return float(value)
+
+    def texts(
+        self, name: str, pattern: re.Pattern[str], allowed: str
+    ) -> tuple[str, ...]:
+        """Return a list of distinct strings that match; absent means empty."""
+        self._known.append(name)
+        values = self._entries.get(name, [])
+        path = join_path(self._path, name)
+        if not isinstance(values, list):
+            self._mistakes.add(path, values, "a list of strings")
+            return ()
+        good: list[str] = []
+        for index, value in enumerate(values):
+            place = join_path(path, index)
+            if not isinstance(value, str) or not pattern.fullmatch(value):
+                self._mistakes.add(place, value, allowed)
+            elif value in good:
+                self._mistakes.add(place, value, "each entry once")
+            else:
+                good.append(value)
+        return tuple(good)
+
+    def objects(self, name: str) -> dict[str, ObjectReader]:
+        """Return readers for the entries of an object by name; absent is empty."""
+        self._known.append(name)
+        path = join_path(self._path, name)
+        return read_objects(self._entries.get(name, {}), path, self._mistakes)
+
+    def _read(self, name, default, accept, allowed, placeholder, *, hint=""):
+        self._known.append(name)
+        path = join_path(self._path, name)
+        if name not in self._entries:
+            if default is not _REQUIRED:
+                return default
+            if not self._broken:
+                self._mistakes.add(path, ABSENT, allowed)
+            return placeholder
+        value = self._entries[name]
+        if accept(value):
+            return value
+        self._mistakes.add(path, value, allowed, hint)
+        return placeholder
+
+
+def read_objects(
+    value: object, path: str, mistakes: Mistakes
+) -> dict[str, ObjectReader]:
+    """Return a reader for each entry of an object whose keys are names."""
+    if not isinstance(value, dict):
+        mistakes.add(path, value, "an object")
+        return {}
+    readers = {}
+    for name, entry in value.items():
+        if not _is_name(name):
+            mistakes.add(join_path(path, name), name, NAME_ALLOWED)
+        readers[name] = ObjectReader(entry, join_path(path, name), mistakes)
+    return readers
+
+
+def _is_text(value: object) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= 4096 and value.isprintable()
+
+
+def _is_name(value: object) -> bool:
+    return isinstance(value, str) and NAME_PATTERN.fullmatch(value) is not None
--- a/papayarelay/errors.py
+++ b/papayarelay/errors.py
@@ -4,6 +4,10 @@
 
 import enum
 
+SHOWN_VALUE_LIMIT = 80
+# The value of a required key that is missing.
+ABSENT = "<absent>"
+
 
 class Outcome(enum.Enum):
     """What is certain about the execution of a request that failed."""
@@ -127,3 +131,31 @@
 
     status = 409
     code = "check_failed"
+
+
+class SettingsError(RelayError):
+    """A value in the settings or the configuration document is not allowed.
+
+    ``path`` is its place in the document (``backends.engine-1.url``), ``value``
+    what was found there and ``allowed`` what is accepted instead.  All mistakes
+    of a document are raised together in one exception group.
+    """
+
+    status = 400
+    code = "invalid_settings"
+
+    def __init__(self, path: str, value: object, allowed: str, hint: str = ""):
+        shown = value if value is ABSENT else ascii(value)
+        if len(shown) > SHOWN_VALUE_LIMIT:
+            shown = f"{shown[:SHOWN_VALUE_LIMIT]}..."
+        message = f"{path or 'document'}: found {shown}, expected {allowed}"
+        if hint:
+            message = f"{message}; {hint}"
+        super().__init__(message, step="settings", peer="operator")
+        self.path = path
+        self.value = value
+        self.allowed = allowed
+        self.hint = hint
+
+    def __str__(self) -> str:
+        return self.message
--- /dev/null
+++ b/papayarelay/settings.py
@@ -0,0 +1,175 @@
+"""Settings of one node: a JSON file with comments and one table of defaults."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields, replace
+from pathlib import Path
+
+from .document import Mistakes, ObjectReader, decode_object
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+ROUTING_POLICIES = ("cost_aware", "least_requests", "power_of_two", "round_robin")
+SHORTEST_S = 0.001
+LONGEST_S = 86_400
+MOST_BYTES = 2**36
+MOST_REQUESTS = 1_000_000
+
+# Settings without an entry here are required.
+DEFAULTS: dict[str, str | int | float] = {
+    "caller_address": "127.0.0.1:8080",
+    "operator_address": "127.0.0.1:8081",
+    "node_address": "127.0.0.1:7000",
+    "operator_token_file": "",
+    "log_level": "info",
+    "routing_policy": "cost_aware",
+    "body_limit_bytes": 16 * 2**20,
+    "body_memory_bytes": 256 * 2**20,
+    "header_timeout_s": 10.0,
+    "body_timeout_s": 120.0,
+    "body_lowest_bytes_per_s": 16_384,
+    "caller_idle_timeout_s": 75.0,
+    "caller_connections_limit": 4_096,
+    "queue_requests_limit": 2_048,
+    "repeat_wait_s": 10.0,
+    "connect_timeout_s": 1.0,
+    "stream_idle_timeout_s": 5.0,
+    "load_poll_interval_s": 1.0,
+    "load_poll_timeout_s": 1.0,
+    "store_timeout_s": 2.0,
+    "config_poll_interval_s": 2.0,
+    "vms_poll_interval_s": 5.0,
+    "heartbeat_interval_s": 1.0,
+    "link_idle_timeout_s": 5.0,
+    "link_send_bytes_per_s": 3_000,
+    "drain_grace_s": 5.0,
+}
+
+# The first rule whose ending matches a setting's name applies; others are names.
+_RULES = (
+    ("log_level", ObjectReader.choice, LOG_LEVELS),
+    ("routing_policy", ObjectReader.choice, ROUTING_POLICIES),
+    ("drain_grace_s", ObjectReader.number, 0, LONGEST_S),
+    ("_address", ObjectReader.address),
+    ("_url", ObjectReader.url),
+    ("_file", ObjectReader.text),
+    ("_bytes", ObjectReader.integer, 1, MOST_BYTES),
+    ("_bytes_per_s", ObjectReader.integer, 1, MOST_BYTES),
+    ("_limit", ObjectReader.integer, 1, MOST_REQUESTS),
+    ("_s", ObjectReader.number, SHORTEST_S, LONGEST_S),
+)
+
+
+@dataclass(frozen=True)
+class Settings:
+    """Settings of one node; each name ends with its unit where it has one.
+
+    ``node_address`` is where other nodes reach this one.  Bodies in flight may
+    take ``body_memory_bytes`` in total, one body ``body_limit_bytes``.  After
+    SIGTERM a node still admits work for ``drain_grace_s``.
+    """
+
+    name: str
+    data_centre: str
+    region: str
+    store_url: str
+    vms_url: str
+    cluster_key_file: str
+    caller_address: str = DEFAULTS["caller_address"]
+    operator_address: str = DEFAULTS["operator_address"]
+    node_address: str = DEFAULTS["node_address"]
+    operator_token_file: str = DEFAULTS["operator_token_file"]
+    log_level: str = DEFAULTS["log_level"]
+    routing_policy: str = DEFAULTS["routing_policy"]
+    body_limit_bytes: int = DEFAULTS["body_limit_bytes"]
+    body_memory_bytes: int = DEFAULTS["body_memory_bytes"]
+    header_timeout_s: float = DEFAULTS["header_timeout_s"]
+    body_timeout_s: float = DEFAULTS["body_timeout_s"]
+    body_lowest_bytes_per_s: int = DEFAULTS["body_lowest_bytes_per_s"]
+    caller_idle_timeout_s: float = DEFAULTS["caller_idle_timeout_s"]
+    caller_connections_limit: int = DEFAULTS["caller_connections_limit"]
+    queue_requests_limit: int = DEFAULTS["queue_requests_limit"]
+    repeat_wait_s: float = DEFAULTS["repeat_wait_s"]
+    connect_timeout_s: float = DEFAULTS["connect_timeout_s"]
+    stream_idle_timeout_s: float = DEFAULTS["stream_idle_timeout_s"]
+    load_poll_interval_s: float = DEFAULTS["load_poll_interval_s"]
+    load_poll_timeout_s: float = DEFAULTS["load_poll_timeout_s"]
+    store_timeout_s: float = DEFAULTS["store_timeout_s"]
+    config_poll_interval_s: float = DEFAULTS["config_poll_interval_s"]
+    vms_poll_interval_s: float = DEFAULTS["vms_poll_interval_s"]
+    heartbeat_interval_s: float = DEFAULTS["heartbeat_interval_s"]
+    link_idle_timeout_s: float = DEFAULTS["link_idle_timeout_s"]
+    link_send_bytes_per_s: int = DEFAULTS["link_send_bytes_per_s"]
+    drain_grace_s: float = DEFAULTS["drain_grace_s"]
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Read a settings file; file names in it are relative to its directory.
+
+    Raises an exception group of SettingsError with every mistake.
+    """
+    path = Path(path)
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, ValueError) as error:
+        mistakes = Mistakes()
+        mistakes.add("", str(path), "a readable UTF-8 file", str(error))
+        mistakes.raise_any("settings")
+        raise
+    return _parse(text, path.parent)
+
+
+def parse_settings(text: str) -> Settings:
+    """Return the settings in a text; raise a group with every mistake."""
+    return _parse(text, None)
+
+
+def _parse(text: str, directory: Path | None) -> Settings:
+    mistakes = Mistakes()
+    reader = ObjectReader(decode_object(text, "", mistakes), "", mistakes)
+    if mistakes:
+        mistakes.raise_any("settings")
+    values = {field.name: _read(reader, field.name) for field in fields(Settings)}
+    reader.finish()
+    settings = Settings(**values)
+    _check_together(settings, mistakes)
+    mistakes.raise_any("settings")
+    if directory is None:
+        return settings
+    return _resolve_files(settings, directory)
+
+
+def _read(reader: ObjectReader, name: str) -> str | int | float:
+    """Read one setting by the rule for its name or for the unit in it."""
+    default = {"default": DEFAULTS[name]} if name in DEFAULTS else {}
+    for ending, read, *bounds in _RULES:
+        if name.endswith(ending):
+            return read(reader, name, *bounds, **default)
+    return reader.name(name, **default)
+
+
+def _check_together(settings: Settings, mistakes: Mistakes) -> None:
+    """Record the mistakes that only several settings together show."""
+    if mistakes:
+        return
+    if settings.body_memory_bytes < settings.body_limit_bytes:
+        mistakes.add(
+            "body_memory_bytes",
+            settings.body_memory_bytes,
+            f"at least body_limit_bytes ({settings.body_limit_bytes})",
+        )
+    seen: dict[str, str] = {}
+    for name in ("caller_address", "operator_address", "node_address"):
+        address = getattr(settings, name)
+        if address in seen:
+            mistakes.add(name, address, f"an address other than {seen[address]}")
+        if not address.endswith(":0"):
+            seen[address] = name
+
+
+def _resolve_files(settings: Settings, directory: Path) -> Settings:
+    changes = {}
+    for field in fields(Settings):
+        value = getattr(settings, field.name)
+        if field.name.endswith("_file") and value:
+            changes[field.name] = str(directory / value)
+    return replace(settings, **changes)
--- /dev/null
+++ b/papayarelay/tests/test_config.py
@@ -0,0 +1,118 @@
+"""Tests of the configuration document."""
+
+import json
+import unittest
+
+from ..config import Config, parse_document, parse_sections
+from ..errors import SettingsError
+
+DIGEST = "ab" * 32
+
+
+def example() -> dict:
+    """Return a valid document with each kind of entry."""
+    return {
+        "members": {
+            "engravers": {
+                "share": 0.5,
+                "organisations": {"front_desk": {"weight": 1, "key_sha256": [DIGEST]}},
+            }
+        },
+        "kinds": {
+            "chat": {
+                "target": "engine",
+                "idempotent": True,
+                "deadline_s": 60,
+                "priority": 1,
+            },
+            "engraving_job": {
+                "target": "service",
+                "idempotent": False,
+                "deadline_s": 30,
+                "priority": 0,
+            },
+        },
+        "data_centres": {"dc1": {"region": "r1", "state": "active"}},
+        "backends": {
+            "engine-1": {
+                "target": "engine",
+                "data_centre": "dc1",
+                "url": "http://127.0.0.1:9001",
+                "models": ["m"],
+                "kinds": [],
+                "state": "active",
+                "checks_fencing": True,
+                "cold_bound_tokens": 8192,
+            },
+            "orders-1": {
+                "target": "service",
+                "data_centre": "dc1",
+                "url": "http://127.0.0.1:9101",
+                "kinds": ["engraving_job"],
+            },
+        },
+        "models": {"m": {"context_tokens": 1000000}},
+        "limits": {"claim_writes_per_s": 200},
+    }
+
+
+def mistakes_of(text: str) -> dict[str, SettingsError]:
+    """Return the mistakes of a document by path."""
+    try:
+        parse_document(text)
+    except ExceptionGroup as group:
+        return {error.path: error for error in group.exceptions}
+    return {}
+
+
+class ParseTest(unittest.TestCase):
+    """Guards against a document that is read wrongly or accepted with mistakes."""
+
+    def test_example(self):
+        config = parse_document(json.dumps(example()), version=7)
+        self.assertEqual(config.version, 7)
+        self.assertEqual(config.backends["engine-1"].models, ("m",))
+        self.assertEqual(config.kinds["engraving_job"].idempotent, False)
+        organisation = config.members["engravers"].organisations["front_desk"]
+        self.assertEqual(organisation.key_sha256, (DIGEST,))
+
+    def test_sections_equal_document(self):
+        document = example()
+        sections = {name: json.dumps(value) for name, value in document.items()}
+        self.assertEqual(
+            parse_sections(sections, 3), parse_document(json.dumps(document), 3)
+        )
+
+    def test_empty_sections(self):
+        self.assertEqual(parse_sections({}, 0), Config())
+
+    def test_all_mistakes_at_once(self):
+        document = example()
+        backend = document["backends"]["engine-1"]
+        backend["url"] = "https://user@host/path"
+        backend["data_centre"] = "dc2"
+        backend["models"] = ["mm"]
+        backend["stat"] = backend.pop("state")
+        document["members"]["dentists"] = {"share": 0.6}
+        document["members"]["engravers"]["organisations"]["front_desk"][
+            "key_sha256"
+        ] = ["AB" * 32]
+        document["kinds"]["booking"] = dict(document["kinds"]["engraving_job"])
+        document["membres"] = {}
+        found = mistakes_of(json.dumps(document))
+        self.assertEqual(
+            set(found),
+            {
+                "backends.engine-1.url",
+                "backends.engine-1.data_centre",
+                "backends.engine-1.models.0",
+                "backends.engine-1.stat",
+                "members",
+                "members.engravers.organisations.front_desk.key_sha256.0",
+                "kinds.booking",
+                "membres",
+            },
+        )
+        self.assertIn("'state'", found["backends.engine-1.stat"].hint)
+        self.assertIn("'members'", found["membres"].hint)
+        self.assertIn("'dc1'", found["backends.engine-1.data_centre"].hint)
