--- /dev/null
+++ b/papayarelay/admission.py
@@ -0,0 +1,432 @@
+"""Admission queue of a node: priority, deadline and shares in tokens."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from .cost import Cost
+from .errors import OverloadError
+from .request import Request
+
+DEFAULT_CAPACITY = 2000
+DEFAULT_CAPACITY_BYTES = 96 * 1024 * 1024
+SHORT_TOKENS = 4096
+TOP_LEVEL = -1
+"""Level of a request that has waited half of its slack, above priority 0."""
+PRIORITY_SLACK_TOKENS = 1_000_000
+MAX_ATTEMPTS = 64
+RATE_WINDOW_S = 10.0
+MIN_BUSY_S = 0.5
+MIN_RETRY_AFTER_S = 0.5
+MAX_RETRY_AFTER_S = 60.0
+DECODE_S = 0.02
+PREFILL_TOKENS_PER_S = 20_000.0
+
+
+def estimate_service_s(cost: Cost) -> float:
+    """Return the seconds a request takes on an engine that is not loaded."""
+    return cost.prefill_tokens / PREFILL_TOKENS_PER_S + cost.decode_tokens * DECODE_S
+
+
+@dataclass(order=True)
+class _Entry:
+    deadline_s: float
+    order: int
+    request: Request = field(compare=False)
+    cost: Cost = field(compare=False)
+    latest_start_s: float = field(compare=False)
+    step_s: float = field(compare=False)
+    level: int = field(compare=False)
+
+    @property
+    def short(self) -> bool:
+        return self.cost.prefill_tokens <= SHORT_TOKENS
+
+
+@dataclass
+class _Organisation:
+    """The virtual time of one organisation that has queued requests."""
+
+    name: str
+    weight: float
+    virtual: float
+    count: int = 0
+
+
+class _Band:
+    """The entries of a member with one level and size class, by organisation."""
+
+    def __init__(self):
+        self._queues: dict[str, list[_Entry]] = {}
+        self._turns: list[tuple[float, str]] = []
+
+    def __bool__(self) -> bool:
+        return bool(self._queues)
+
+    def push(self, entry: _Entry, organisation: _Organisation) -> None:
+        name = organisation.name
+        if name not in self._queues:
+            self._queues[name] = []
+            heapq.heappush(self._turns, (organisation.virtual, name))
+        heapq.heappush(self._queues[name], entry)
+
+    def discard(self, entry: _Entry) -> None:
+        name = entry.request.organisation
+        queue = self._queues[name]
+        if queue[0] is entry:
+            heapq.heappop(queue)
+        else:
+            queue.remove(entry)
+            heapq.heapify(queue)
+        if not queue:
+            del self._queues[name]
+
+    def heads(self, organisations: Mapping[str, _Organisation]) -> list[_Entry]:
+        """Return the first entries of the organisations that are next by share."""
+        turns: list[tuple[float, str]] = []
+        seen: set[str] = set()
+        while self._turns and len(turns) < MAX_ATTEMPTS:
+            virtual, name = heapq.heappop(self._turns)
+            if name not in self._queues or name in seen:
+                continue
+            current = organisations[name].virtual
+            if current > virtual:
+                heapq.heappush(self._turns, (current, name))
+            else:
+                seen.add(name)
+                turns.append((virtual, name))
+        for turn in turns:
+            heapq.heappush(self._turns, turn)
+        return [self._queues[name][0] for _, name in turns]
+
+
+class _Member:
+    """The queued requests of one member and its virtual time."""
+
+    def __init__(self, share: float):
+        self.share = share
+        self.virtual = 0.0
+        self.floor = 0.0
+        self.count = 0
+        self.bytes = 0
+        self.tokens: dict[int, int] = {}
+        self.organisations: dict[str, _Organisation] = {}
+        self.bands: dict[tuple[int, bool], _Band] = {}
+
+    def tokens_before(self, priority: int) -> int:
+        """Return the queued tokens with this priority or a more urgent one."""
+        return sum(count for key, count in self.tokens.items() if key <= priority)
+
+
+class AdmissionQueue:
+    """The queue of one node.
+
+    ``shares`` maps each member to its share of the common budget, ``weights``
+    maps (member, organisation) to the organisation's weight; both default to 1.
+    ``service_s`` estimates the time on an engine.  The rate at which the queue
+    drains is measured while requests wait.
+
+    Members and, within a member, organisations are served by start-time fair
+    queueing in tokens (P. Goyal, H. Vin, H. Cheng, 1996).  Priorities come
+    first until a member is ``PRIORITY_SLACK_TOKENS`` ahead of its share.  A
+    waiting request gains priority in even steps and is above all others once
+    it has waited half of the time it may wait.
+    """
+
+    def __init__(
+        self,
+        shares: Mapping[str, float] | None = None,
+        weights: Mapping[tuple[str, str], float] | None = None,
+        *,
+        capacity: int = DEFAULT_CAPACITY,
+        capacity_bytes: int = DEFAULT_CAPACITY_BYTES,
+        service_s: Callable[[Cost], float] = estimate_service_s,
+    ):
+        self._capacity = capacity
+        self._capacity_bytes = capacity_bytes
+        self._service_s = service_s
+        self._members: dict[str, _Member] = {}
+        self._entries: dict[str, _Entry] = {}
+        self._starts: list[tuple[float, int, str]] = []
+        self._steps: list[tuple[float, int, str]] = []
+        self._order = itertools.count()
+        self._virtual = 0.0
+        self._bytes = 0
+        self._busy_s = 0.0
+        self._released_tokens = 0.0
+        self._updated_s: float | None = None
+        self.set_shares(shares or {}, weights or {})
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def queued_tokens(self) -> int:
+        """Return the prompt and output tokens of all queued requests."""
+        return sum(sum(each.tokens.values()) for each in self._members.values())
+
+    @property
+    def rate_tokens_per_s(self) -> float | None:
+        """Return the measured drain rate, None before it is known."""
+        if self._busy_s < MIN_BUSY_S:
+            return None
+        return self._released_tokens / self._busy_s
+
+    def set_shares(
+        self,
+        shares: Mapping[str, float],
+        weights: Mapping[tuple[str, str], float],
+    ) -> None:
+        """Take over the shares and weights of a new configuration."""
+        mean = sum(shares.values()) / len(shares) if shares else 1.0
+        self._shares = {name: share / (mean or 1.0) for name, share in shares.items()}
+        self._weights = dict(weights)
+        for name, member in self._members.items():
+            member.share = self._share(name)
+            for organisation in member.organisations.values():
+                organisation.weight = self._weight(name, organisation.name)
+
+    def offer(self, request: Request, cost: Cost, now_s: float) -> None:
+        """Queue a request.
+
+        Raises OverloadError at once, with the time after which to retry, when
+        the request cannot finish within its deadline or there is no room.
+        """
+        self._measure(now_s, 0)
+        self._check_room(request)
+        wait_s = self._estimate_wait_s(request)
+        if now_s + wait_s + self._service_s(cost) > request.deadline_s:
+            raise self._overload("the request cannot finish within its deadline")
+        self._add(request, cost, now_s)
+
+    def next(
+        self, now_s: float, fits: Callable[[Request, Cost], bool]
+    ) -> Request | None:
+        """Take the next request for which ``fits(request, cost)`` is true.
+
+        Returns None when no queued request fits.  Once a request at the top
+        level does not fit, only short requests pass it, so that the room it
+        needs becomes free.
+        """
+        self._age(now_s)
+        held = False
+        for attempt, entry in enumerate(self._candidates()):
+            if attempt >= MAX_ATTEMPTS:
+                break
+            if held and not entry.short:
+                continue
+            if fits(entry.request, entry.cost):
+                self._release(entry, now_s)
+                return entry.request
+            held = held or entry.level == TOP_LEVEL
+        return None
+
+    def remove(self, request_id: str) -> bool:
+        """Remove a request whose caller went away; return whether it was here."""
+        entry = self._entries.get(request_id)
+        if entry is None:
+            return False
+        self._drop(entry)
+        return True
+
+    def expire(self, now_s: float) -> list[Request]:
+        """Remove and return the requests that can no longer finish in time."""
+        expired = []
+        while self._starts and self._starts[0][0] < now_s:
+            _, order, request_id = heapq.heappop(self._starts)
+            entry = self._entries.get(request_id)
+            if entry is not None and entry.order == order:
+                self._drop(entry)
+                expired.append(entry.request)
+        return expired
+
+    def retry_after_s(self) -> float:
+        """Return the time after which a refused request may be repeated."""
+        rate = self.rate_tokens_per_s
+        if rate is None:
+            return MIN_RETRY_AFTER_S
+        wait_s = self.queued_tokens / rate if rate else MAX_RETRY_AFTER_S
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+    def _share(self, member: str) -> float:
+        return self._shares.get(member, 1.0) or 1e-3
+
+    def _weight(self, member: str, organisation: str) -> float:
+        return self._weights.get((member, organisation), 1.0) or 1e-3
+
+    def _add(self, request: Request, cost: Cost, now_s: float) -> None:
+        member = self._members.get(request.member)
+        if member is None:
+            member = _Member(self._share(request.member))
+            self._members[request.member] = member
+        if member.count == 0:
+            member.virtual = max(member.virtual, self._virtual)
+        name = request.organisation
+        organisation = member.organisations.get(name)
+        if organisation is None:
+            weight = self._weight(request.member, name)
+            organisation = _Organisation(name, weight, member.floor)
+            member.organisations[name] = organisation
+        organisation.virtual = max(organisation.virtual, member.floor)
+        organisation.count += 1
+        priority = request.kind.priority
+        latest_start_s = request.deadline_s - self._service_s(cost)
+        step_s = max(0.0, latest_start_s - now_s) / (2 * (priority - TOP_LEVEL))
+        entry = _Entry(
+            deadline_s=request.deadline_s,
+            order=next(self._order),
+            request=request,
+            cost=cost,
+            latest_start_s=latest_start_s,
+            step_s=step_s,
+            level=priority,
+        )
+        member.tokens[priority] = member.tokens.get(priority, 0) + cost.kv_tokens
+        member.count += 1
+        member.bytes += len(request.body)
+        self._bytes += len(request.body)
+        self._entries[request.id] = entry
+        self._place(entry)
+        heapq.heappush(self._starts, (latest_start_s, entry.order, request.id))
+        heapq.heappush(self._steps, (now_s + step_s, entry.order, request.id))
+
+    def _place(self, entry: _Entry) -> None:
+        member = self._members[entry.request.member]
+        key = (entry.level, not entry.short)
+        band = member.bands.setdefault(key, _Band())
+        band.push(entry, member.organisations[entry.request.organisation])
+
+    def _displace(self, entry: _Entry) -> None:
+        member = self._members[entry.request.member]
+        key = (entry.level, not entry.short)
+        member.bands[key].discard(entry)
+        if not member.bands[key]:
+            del member.bands[key]
+
+    def _age(self, now_s: float) -> None:
+        """Raise the level of the requests whose next step has come."""
+        while self._steps and self._steps[0][0] <= now_s:
+            step_at_s, order, request_id = heapq.heappop(self._steps)
+            entry = self._entries.get(request_id)
+            if entry is None or entry.order != order or entry.level <= TOP_LEVEL:
+                continue
+            self._displace(entry)
+            entry.level -= 1
+            self._place(entry)
+            if entry.level > TOP_LEVEL:
+                heapq.heappush(
+                    self._steps, (step_at_s + entry.step_s, order, request_id)
+                )
+
+    def _candidates(self) -> Iterator[_Entry]:
+        """Yield queued entries in the order in which they are to be tried."""
+        active = [member for member in self._members.values() if member.count]
+        if not active:
+            return
+        floor = min(member.virtual for member in active)
+        turns = []
+        for member in active:
+            ahead = member.virtual - floor > PRIORITY_SLACK_TOKENS
+            turns += [
+                (ahead, level, long, member.virtual, index, member)
+                for index, (level, long) in enumerate(member.bands)
+            ]
+        turns.sort(key=lambda turn: turn[:5])
+        for _, level, long, _, _, member in turns:
+            yield from member.bands[level, long].heads(member.organisations)
+
+    def _check_room(self, request: Request) -> None:
+        """Raise OverloadError when the queue or the member's part of it is full."""
+        total = sum(self._shares.values()) or 1.0
+        fraction = min(1.0, self._share(request.member) / total)
+        member = self._members.get(request.member)
+        count = member.count if member else 0
+        held = member.bytes if member else 0
+        size = len(request.body)
+        full = (
+            len(self._entries) >= self._capacity
+            or count >= max(1, fraction * self._capacity)
+            or self._bytes + size > self._capacity_bytes
+            or (held and held + size > fraction * self._capacity_bytes)
+        )
+        if full:
+            raise self._overload("the admission queue is full")
+
+    def _estimate_wait_s(self, request: Request) -> float:
+        """Return the wait behind all requests before this one, or in its own share.
+
+        The smaller of the two counts: a member that fills the queue must not
+        cause the refusal of a member within its share.
+        """
+        rate = self.rate_tokens_per_s
+        if rate is None or not self._entries:
+            return 0.0
+        if rate <= 0:
+            return math.inf
+        priority = request.kind.priority
+        active = {name for name, member in self._members.items() if member.count}
+        active.add(request.member)
+        fraction = self._share(request.member) / sum(map(self._share, active))
+        own = self._members.get(request.member)
+        own_tokens = own.tokens_before(priority) if own else 0
+        ahead = sum(each.tokens_before(priority) for each in self._members.values())
+        return min(ahead, own_tokens / fraction) / rate
+
+    def _overload(self, message: str) -> OverloadError:
+        return OverloadError(
+            message,
+            step="admission",
+            peer="caller",
+            retry_after_s=self.retry_after_s(),
+        )
+
+    def _release(self, entry: _Entry, now_s: float) -> None:
+        tokens = entry.cost.kv_tokens
+        self._measure(now_s, tokens)
+        member = self._members[entry.request.member]
+        organisation = member.organisations[entry.request.organisation]
+        member.floor = max(member.floor, organisation.virtual)
+        self._virtual = max(self._virtual, member.virtual)
+        member.virtual += tokens / member.share
+        organisation.virtual += tokens / organisation.weight
+        self._drop(entry)
+
+    def _drop(self, entry: _Entry) -> None:
+        request = entry.request
+        member = self._members[request.member]
+        self._displace(entry)
+        del self._entries[request.id]
+        member.tokens[request.kind.priority] -= entry.cost.kv_tokens
+        member.count -= 1
+        member.bytes -= len(request.body)
+        self._bytes -= len(request.body)
+        organisation = member.organisations[request.organisation]
+        organisation.count -= 1
+        if organisation.count == 0 and organisation.virtual <= member.floor:
+            del member.organisations[request.organisation]
+        if member.count == 0:
+            member.organisations.clear()
+        self._starts = self._compact(self._starts)
+        self._steps = self._compact(self._steps)
+
+    def _compact(self, heap: list[tuple[float, int, str]]):
+        """Return the heap without served requests once these are the majority."""
+        if len(heap) < 64 or len(heap) < 2 * len(self._entries):
+            return heap
+        kept = [item for item in heap if item[2] in self._entries]
+        heapq.heapify(kept)
+        return kept
+
+    def _measure(self, now_s: float, released_tokens: int) -> None:
+        """Add to the drain rate, which counts only while requests wait."""
+        if self._updated_s is not None and self._entries:
+            elapsed_s = max(0.0, now_s - self._updated_s)
+            factor = math.exp(-elapsed_s / RATE_WINDOW_S)
+            self._busy_s = self._busy_s * factor + elapsed_s
+            self._released_tokens *= factor
+        self._released_tokens += released_tokens
+        self._updated_s = max(now_s, self._updated_s or now_s)
--- /dev/null
+++ b/papayarelay/retry.py
@@ -0,0 +1,52 @@
+"""Retry budget of a node."""
+
+from __future__ import annotations
+
+import math
+
+DEFAULT_FRACTION = 0.1
+DEFAULT_WINDOW_S = 10.0
+DEFAULT_RESERVE = 3.0
+
+
+class RetryBudget:
+    """Limits retries to a fraction of the recent requests.
+
+    Both counts decay exponentially with the time constant ``window_s``.
+    ``reserve`` is the number of retries per window that are allowed even
+    without requests, so that a node with little traffic can still retry.
+    """
+
+    def __init__(
+        self,
+        fraction: float = DEFAULT_FRACTION,
+        window_s: float = DEFAULT_WINDOW_S,
+        reserve: float = DEFAULT_RESERVE,
+    ):
+        self._fraction = fraction
+        self._window_s = window_s
+        self._reserve = reserve
+        self._requests = 0.0
+        self._retries = 0.0
+        self._updated_s: float | None = None
+
+    def record_request(self, now_s: float) -> None:
+        """Count a request that is not itself a retry."""
+        self._decay(now_s)
+        self._requests += 1
+
+    def allow(self, now_s: float) -> bool:
+        """Return whether a retry may be sent now; a permitted retry is counted."""
+        self._decay(now_s)
+        limit = self._reserve + self._fraction * self._requests
+        if self._retries + 1 > limit:
+            return False
+        self._retries += 1
+        return True
+
+    def _decay(self, now_s: float) -> None:
+        if self._updated_s is not None and now_s > self._updated_s:
+            factor = math.exp((self._updated_s - now_s) / self._window_s)
+            self._requests *= factor
+            self._retries *= factor
+        self._updated_s = max(now_s, self._updated_s or now_s)
--- /dev/null
+++ b/papayarelay/warmup.py
@@ -0,0 +1,69 @@
+"""Cold-start ramp of one watcher for one backend server."""
+
+from __future__ import annotations
+
+WATCHERS = 2
+FAILURES_TO_COLD = 3
+SHRINK_FACTOR = 0.5
+
+
+class WarmUp:
+    """Bounds the tokens in flight that a watcher sends to a cold backend server.
+
+    The server's own bound is ``cold_bound_tokens``; each of ``watchers`` nodes
+    uses an equal part of it.  The part grows by the tokens of each answer that
+    is completed in time, so the parts of all watchers together never exceed
+    the server's bound plus the tokens it has answered since it became cold.
+    Time does not raise it.  At ``full_tokens`` (all watchers together) the
+    server is warm.  Source: slow start of RFC 5681, counted in tokens.
+    """
+
+    def __init__(
+        self,
+        cold_bound_tokens: int,
+        full_tokens: int,
+        *,
+        watchers: int = WATCHERS,
+        cold: bool = False,
+    ):
+        self._start_tokens = max(1, cold_bound_tokens // watchers)
+        self._full_tokens = max(self._start_tokens + 1, full_tokens // watchers)
+        self._bound_tokens: int | None = self._start_tokens if cold else None
+        self._failures = 0
+        self._shrunk_s: float | None = None
+
+    @property
+    def cold(self) -> bool:
+        """Return whether the backend server counts as cold."""
+        return self._bound_tokens is not None
+
+    @property
+    def bound_tokens(self) -> int | None:
+        """Return this watcher's bound on tokens in flight, None when warm."""
+        return self._bound_tokens
+
+    def turn_cold(self, now_s: float) -> None:
+        """Start the ramp again: the report or the boot id says cold."""
+        self._bound_tokens = self._start_tokens
+        self._failures = 0
+        self._shrunk_s = now_s
+
+    def record_success(self, tokens: int, in_time: bool, now_s: float) -> None:
+        """Record an answer of ``tokens`` (prompt and output)."""
+        self._failures = 0
+        if self._bound_tokens is None or not in_time:
+            return
+        self._bound_tokens += max(0, tokens)
+        if self._bound_tokens >= self._full_tokens:
+            self._bound_tokens = None
+
+    def record_failure(self, now_s: float) -> None:
+        """Record a failure: halve the bound, or turn cold after several in a row."""
+        if self._bound_tokens is not None:
+            shrunk = int(self._bound_tokens * SHRINK_FACTOR)
+            self._bound_tokens = max(self._start_tokens, shrunk)
+            self._shrunk_s = now_s
+            return
+        self._failures += 1
+        if self._failures >= FAILURES_TO_COLD:
+            self.turn_cold(now_s)
