Inject faults into the table service stand-in

Tests of claims need a table service that is down, slow, loses answers or applies a write after the client gave up. POST /faults sets these faults and GET /counters reports reads and writes. A refused port is closed and held by a bound socket that does not listen, so the client sees a refused connection and no other process takes the port.

--- a/papayarelay/standins/tables.py
+++ b/papayarelay/standins/tables.py
@@ -1,17 +1,61 @@
-"""Stand-in of the table service: the protocol of design section 2.5 in memory."""
+"""Stand-in of the table service: the protocol of design section 2.5 in memory.
+
+``POST /faults`` replaces the active faults by the ``Faults`` in its body and
+``GET /counters`` returns ``Counters``; neither is delayed by a fault.
+"""
 
 from __future__ import annotations
 
 import base64
 import binascii
+import contextlib
 from collections.abc import Callable, Iterable, Sequence
+from typing import Literal
 from urllib.parse import parse_qs
 
+import gevent
 import msgspec
-from gevent.pywsgi import WSGIServer
+from gevent import socket
+from gevent.event import Event
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
 SCAN_LIMIT_ROWS = 1000
+BACKLOG = 256
+SOCKET_KEY = "papayarelay.socket"
+CONTROL_PATHS = ("/faults", "/counters")
+
+
+class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Faults to inject.
+
+    ``outage`` is ``refuse`` (the port is closed for ``outage_s``, then the
+    outage ends), ``hang`` (requests get no answer and have no effect until the
+    next faults) or ``reject`` (status 503 that states that nothing was applied).
+    The next ``lost_answers`` transactions take effect and get no answer.  The
+    next ``delayed_effects`` ones after these get no answer and are checked and
+    applied after ``effect_delay_s``.
+    """
+
+    latency_s: float = 0.0
+    outage: Literal["", "refuse", "hang", "reject"] = ""
+    outage_s: float = 0.0
+    lost_answers: int = 0
+    delayed_effects: int = 0
+    effect_delay_s: float = 0.0
+
+
+class Counters(msgspec.Struct):
+    """Requests served since the start; ``writes`` counts transactions."""
+
+    reads: int = 0
+    rows_read: int = 0
+    writes: int = 0
+    rows_written: int = 0
+    failed_checks: int = 0
+    lost_answers: int = 0
+    delayed_effects: int = 0
+    rejected: int = 0
 
 
 class TableCheck(msgspec.Struct):
@@ -92,6 +136,37 @@
         self.body = body
 
 
+class LostAnswerError(Exception):
+    """The stand-in closes the connection without an answer."""
+
+
+class _Handler(WSGIHandler):
+    """Makes the connections reachable for faults that close them."""
+
+    def handle(self):
+        connection = self.socket
+        self.server.connections.add(connection)
+        try:
+            super().handle()
+        finally:
+            self.server.connections.discard(connection)
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+
+class _Server(WSGIServer):
+    """Knows its open connections."""
+
+    handler_class = _Handler
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.connections: set[socket.socket] = set()
+
+
 class TablesStandIn:
     """Table service on a loopback port; ``listen`` is ``host:port``."""
 
@@ -99,12 +174,21 @@
         host, _, port = listen.rpartition(":")
         self._host = host
         self._port = int(port)
-        self._server: WSGIServer | None = None
+        self._server: _Server | None = None
+        self._held_port: socket.socket | None = None
+        self._reopening: gevent.Greenlet | None = None
+        self._faults_changed = Event()
+        self._lost_left = 0
+        self._delayed_left = 0
+        self.faults = Faults()
+        self.counters = Counters()
         self.tables = Tables()
         self._routes: dict[tuple[str, str], Callable[[dict], object]] = {
             ("GET", "/rows"): self._get_row,
             ("GET", "/scan"): self._scan,
             ("POST", "/transact"): self._transact,
+            ("POST", "/faults"): self._post_faults,
+            ("GET", "/counters"): lambda environ: self.counters,
         }
 
     @property
@@ -114,26 +198,74 @@
 
     def start(self) -> None:
         """Listen and serve."""
-        self._server = WSGIServer((self._host, self._port), self._serve, log=None)
-        self._server.start()
-        self._port = self._server.server_port
+        self._listen(self._bind())
 
     def close(self) -> None:
         """Stop serving and close all connections."""
+        if self._reopening is not None:
+            self._reopening.kill()
+            self._reopening = None
+            self._held_port.close()
         if self._server is not None:
             self._server.stop(timeout=0)
             self._server = None
 
+    def set_faults(self, faults: Faults, keep: socket.socket | None = None) -> None:
+        """Replace the active faults; ``refuse`` closes all connections but ``keep``.
+
+        A refused port stays closed for its time.
+        """
+        self.faults = faults
+        self._lost_left = faults.lost_answers
+        self._delayed_left = faults.delayed_effects
+        self._faults_changed.set()
+        self._faults_changed = Event()
+        if faults.outage == "refuse" and self._server is not None:
+            self._refuse(faults.outage_s, keep)
+
+    def _bind(self) -> socket.socket:
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self._host, self._port))
+        self._port = listener.getsockname()[1]
+        return listener
+
+    def _listen(self, listener: socket.socket) -> None:
+        listener.listen(BACKLOG)
+        self._server = _Server(listener, self._serve, log=None)
+        self._server.start()
+
+    def _refuse(self, outage_s: float, keep: socket.socket | None) -> None:
+        connections = self._server.connections
+        self._server.close()
+        self._server = None
+        for connection in connections - {keep}:
+            _shut_down(connection)
+        # A bound socket that does not listen keeps the port and refuses.
+        self._held_port = self._bind()
+        self._reopening = gevent.spawn_later(outage_s, self._reopen)
+
+    def _reopen(self) -> None:
+        self._reopening = None
+        self.faults = Faults()
+        self._listen(self._held_port)
+
     def _serve(self, environ: dict, start_response: Callable) -> list[bytes]:
+        connection = environ[SOCKET_KEY]
         try:
             status, body = "200 OK", self._answer(environ)
         except RefusedError as error:
             status, body = error.status, error.body
+        except LostAnswerError:
+            _shut_down(connection)
+            return []
         data = msgspec.json.encode(body)
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(data))),
         ]
+        if self._server is None:
+            headers.append(("Connection", "close"))
         start_response(status, headers)
         return [data]
 
@@ -141,27 +273,79 @@
         route = self._routes.get((environ["REQUEST_METHOD"], environ["PATH_INFO"]))
         if route is None:
             raise RefusedError("404 Not Found", {"error": "no such path"})
+        if environ["PATH_INFO"] not in CONTROL_PATHS:
+            self._apply_faults()
         return route(environ)
 
+    def _apply_faults(self) -> None:
+        if self.faults.latency_s:
+            gevent.sleep(self.faults.latency_s)
+        if self.faults.outage == "hang":
+            self._faults_changed.wait()
+            raise LostAnswerError
+        if self.faults.outage == "reject":
+            self.counters.rejected += 1
+            raise RefusedError("503 Service Unavailable", {"applied": False})
+
+    def _post_faults(self, environ: dict) -> object:
+        try:
+            faults = msgspec.json.decode(_read_body(environ), type=Faults)
+        except msgspec.MsgspecError as error:
+            raise RefusedError("400 Bad Request", {"error": str(error)}) from error
+        self.set_faults(faults, keep=environ[SOCKET_KEY])
+        return faults
+
     def _get_row(self, environ: dict) -> object:
+        self.counters.reads += 1
         row = self.tables.get(_query(environ, "key"))
         if row is None:
             raise RefusedError("404 Not Found", {"error": "no such row"})
+        self.counters.rows_read += 1
         return row
 
     def _scan(self, environ: dict) -> object:
+        self.counters.reads += 1
         limit_text = _query(environ, "limit")
         if not limit_text.isdecimal():
             raise RefusedError("400 Bad Request", {"error": "limit is not a number"})
         limit = min(int(limit_text), SCAN_LIMIT_ROWS)
-        return {"rows": self.tables.scan(_query(environ, "prefix"), limit)}
+        rows = self.tables.scan(_query(environ, "prefix"), limit)
+        self.counters.rows_read += len(rows)
+        return {"rows": rows}
 
     def _transact(self, environ: dict) -> object:
         transaction = _read_transaction(environ)
-        failed = self.tables.failed_checks(transaction.checks)
+        self.counters.writes += 1
+        if self._lost_left > 0:
+            self._lost_left -= 1
+            self.counters.lost_answers += 1
+            self._commit(transaction)
+            raise LostAnswerError
+        if self._delayed_left > 0:
+            self._delayed_left -= 1
+            self.counters.delayed_effects += 1
+            # A task of its own applies the effect after the client has gone.
+            gevent.spawn_later(
+                self.faults.effect_delay_s, self._commit, transaction
+            ).join()
+            raise LostAnswerError
+        failed, version = self._commit(transaction)
         if failed:
             raise RefusedError("409 Conflict", {"failed": failed})
-        return {"version": self.tables.apply(transaction.writes)}
+        return {"version": version}
+
+    def _commit(self, transaction: Transaction) -> tuple[list[TableCheck], int]:
+        failed = self.tables.failed_checks(transaction.checks)
+        if failed:
+            self.counters.failed_checks += 1
+            return failed, 0
+        self.counters.rows_written += len(transaction.writes)
+        return [], self.tables.apply(transaction.writes)
+
+
+def _shut_down(connection: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
 
 
 def _query(environ: dict, name: str) -> str:
