--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -15,6 +16,18 @@
 from .pool import BackendPool
 
 
+# An engine counts as warm once it has answered this many times its cold bound.
+FULL_COLD_BOUNDS = 16
+
+
+class Work:
+    """A request of this node that runs on a backend server."""
+
+    def __init__(self, cost: Cost, sent_s: float):
+        self.cost = cost
+        self.sent_s = sent_s
+
+
 @dataclass
 class BackendEntry:
     """One backend server: its configuration, connections, load and own work."""
@@ -23,17 +36,17 @@
     config: Backend
     pool: BackendPool
     warm_up: WarmUp
-    circuit: Circuit = field(default_factory=Circuit)
+    circuit: Circuit
     load: LoadReport = LoadReport()
     reported_s: float = 0.0
-    inflight: int = 0
-    prefill_tokens: int = 0
+    work: set[Work] = field(default_factory=set)
 
 
 class BackendTable:
     """The backend servers of the configuration in force."""
 
-    def __init__(self):
+    def __init__(self, rng: random.Random):
+        self._rng = rng
         self._entries: dict[str, BackendEntry] = {}
         self._drained: frozenset[str] = frozenset()
 
@@ -83,19 +96,18 @@
         return [
             self._view(entry)
             for entry in self._entries.values()
-            if self._serves(entry.config, target, name) and entry.circuit.allow(now_s)
+            if self._serves(entry.config, target, name) and entry.circuit.is_ready(now_s)
         ]
 
     @contextmanager
-    def hold(self, entry: BackendEntry, cost: Cost) -> Iterator[None]:
+    def hold(self, entry: BackendEntry, cost: Cost, now_s: float) -> Iterator[Work]:
         """Count a request as own work on a server while it runs."""
-        entry.inflight += 1
-        entry.prefill_tokens += cost.prefill_tokens
+        work = Work(cost, now_s)
+        entry.work.add(work)
         try:
-            yield
+            yield work
         finally:
-            entry.inflight -= 1
-            entry.prefill_tokens -= cost.prefill_tokens
+            entry.work.discard(work)
 
     def close(self) -> None:
         """Close all connections."""
@@ -106,9 +118,11 @@
     def _create(self, backend_id: str, backend: Backend) -> BackendEntry:
         pool = BackendPool(backend_id, backend.url)
         pool.start()
-        return BackendEntry(
-            backend_id, backend, pool, WarmUp(backend.cold_bound_tokens)
+        warm_up = WarmUp(
+            backend.cold_bound_tokens, backend.cold_bound_tokens * FULL_COLD_BOUNDS
         )
+        circuit = Circuit(random.Random(self._rng.random()))
+        return BackendEntry(backend_id, backend, pool, warm_up, circuit)
 
     def _serves(self, backend: Backend, target: str, name: str) -> bool:
         if backend.target != target or backend.state != "active":
@@ -119,11 +133,12 @@
 
     def _view(self, entry: BackendEntry) -> BackendView:
         load = entry.load
+        unseen = [w.cost for w in entry.work if w.sent_s >= entry.reported_s]
         return BackendView(
             id=entry.id,
             data_centre=entry.config.data_centre,
             target=entry.config.target,
-            models=tuple(entry.config.models),
+            models=entry.config.models,
             state=load.state,
             kv_capacity_tokens=load.kv_capacity_tokens,
             kv_used_tokens=load.kv_used_tokens,
@@ -131,7 +146,10 @@
             running=load.running,
             prefill_tokens_per_s=load.prefill_tokens_per_s,
             reported_s=entry.reported_s,
-            own_inflight=entry.inflight,
-            own_prefill_tokens=entry.prefill_tokens,
+            own_inflight=len(entry.work),
+            own_prefill_tokens=sum(w.cost.prefill_tokens for w in entry.work),
             bound=entry.warm_up.bound_tokens,
+            own_tokens=sum(w.cost.kv_tokens for w in entry.work),
+            sent_prefill_tokens=sum(cost.prefill_tokens for cost in unseen),
+            sent_kv_tokens=sum(cost.kv_tokens for cost in unseen),
         )
--- /dev/null
+++ b/papayarelay/config_feed.py
@@ -0,0 +1,96 @@
+"""Brings new versions of the shared configuration into force on a node."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+
+import gevent
+
+from .config import SECTIONS, Config, parse_sections
+from .errors import RelayError
+from .store.client import TableClient
+
+SECTION_PREFIX = "config/"
+VERSION_KEY = "config/version"
+SCAN_LIMIT = 100
+
+
+class ConfigFeed:
+    """Follows the configuration in the table service and from other nodes.
+
+    ``apply`` is called with each newer configuration, and ``publish`` with its
+    version and section texts when it came from the table service.  A lower
+    version never replaces a higher one.
+    """
+
+    def __init__(
+        self,
+        client: TableClient,
+        apply: Callable[[Config], None],
+        publish: Callable[[int, Mapping[str, str]], None],
+        interval_s: float,
+        rng: random.Random,
+    ):
+        self.config = Config()
+        self.sections: dict[str, str] = {}
+        self.error: str | None = None
+        self._client = client
+        self._apply = apply
+        self._publish = publish
+        self._interval_s = interval_s
+        self._rng = rng
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to poll the version in the table service."""
+        self._task = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """End the polling task."""
+        if self._task is not None:
+            self._task.kill()
+
+    def poll(self) -> bool:
+        """Read a newer version from the table service; return whether it answered."""
+        try:
+            row = self._client.get(VERSION_KEY)
+            if row is not None and int(row.value) > self.config.version:
+                version, sections = self._read_sections()
+                if self.offer(version, sections):
+                    self._publish(version, sections)
+        except (RelayError, ValueError) as error:
+            self.error = str(error)
+            return False
+        self.error = None
+        return True
+
+    def offer(self, version: int, sections: Mapping[str, str]) -> bool:
+        """Put a version into force if it is newer and valid; return whether it is."""
+        if version <= self.config.version:
+            return False
+        try:
+            config = parse_sections(sections, version)
+        except ExceptionGroup as group:
+            self.error = f"version {version} is not valid: {group.exceptions[0]}"
+            return False
+        self.config = config
+        self.sections = dict(sections)
+        self._apply(config)
+        return True
+
+    def _read_sections(self) -> tuple[int, dict[str, str]]:
+        """Read all rows at one version; an edit in between starts it again."""
+        rows = {r.key: r.value for r in self._client.scan(SECTION_PREFIX, SCAN_LIMIT)}
+        sections = {
+            name: rows[SECTION_PREFIX + name].decode()
+            for name in SECTIONS
+            if SECTION_PREFIX + name in rows
+        }
+        return int(rows[VERSION_KEY]), sections
+
+    def _run(self) -> None:
+        while True:
+            # A random interval keeps the nodes from reading in step.
+            gevent.sleep(self._interval_s * self._rng.uniform(0.7, 1.0))
+            self.poll()
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -92,7 +92,9 @@
                 peer="backends",
                 retry_after_s=NO_BACKEND_RETRY_S,
             )
-        return self._table.get(view.id)
+        entry = self._table.get(view.id)
+        entry.circuit.allow(now_s)
+        return entry
 
     def _attempt(
         self, entry: BackendEntry, request: Request, cost: Cost, received: int
@@ -101,7 +103,7 @@
         now_s = self._clock()
         try:
             with (
-                self._table.hold(entry, cost),
+                self._table.hold(entry, cost, now_s),
                 engine.open_stream(
                     entry.pool, request, received, self.counters, now_s
                 ) as stream,
@@ -122,8 +124,9 @@
         self, entry: BackendEntry, request: Request, cost: Cost
     ) -> service.ServiceAnswer:
         try:
-            with self._table.hold(entry, cost):
-                answer = service.call(entry.pool, request, self._clock())
+            now_s = self._clock()
+            with self._table.hold(entry, cost, now_s):
+                answer = service.call(entry.pool, request, now_s)
         except RelayError:
             self._record_failure(entry)
             raise
--- /dev/null
+++ b/papayarelay/local.py
@@ -0,0 +1,292 @@
+"""A whole system on loopback for the demo, benchmarks and tests."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Mapping
+from functools import partial
+from pathlib import Path
+
+import msgspec
+import urllib3
+
+from .store.client import Check, TableClient, Write
+
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 20.0
+POLL_S = 0.02
+
+MODEL = "prompt-1m"
+OPERATOR_TOKEN = "local-operator-token"
+MEMBERS = {
+    "engravers": {"share": 0.5, "organisations": ("front_desk", "workshop")},
+    "dentists": {"share": 0.5, "organisations": ("travelling", "office")},
+}
+KINDS = {
+    "tag_check": {
+        "target": "engine",
+        "idempotent": True,
+        "deadline_s": 20,
+        "priority": 0,
+    },
+    "archive_review": {
+        "target": "engine",
+        "idempotent": True,
+        "deadline_s": 600,
+        "priority": 3,
+    },
+    "engraving_job": {
+        "target": "service",
+        "idempotent": False,
+        "deadline_s": 20,
+        "priority": 0,
+    },
+}
+
+
+def api_key(organisation: str) -> str:
+    """Return the API key of an organisation of the local system."""
+    return f"local-key-{organisation}"
+
+
+def wait_for(condition: Callable[[], bool], limit_s: float, what: str) -> None:
+    """Wait until a condition holds; raises ``TimeoutError`` after the limit."""
+    end_s = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > end_s:
+            raise TimeoutError(f"{what} did not happen within {limit_s:g} s")
+        time.sleep(POLL_S)
+
+
+class Process:
+    """One process of the program, ended by its own id."""
+
+    def __init__(self, name: str, arguments: list[str], log_path: Path):
+        self.name = name
+        self._log = log_path.open("ab")
+        self._popen = subprocess.Popen(
+            [sys.executable, "-m", "papayarelay", *arguments],
+            stdout=subprocess.PIPE,
+            stderr=self._log,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._popen.pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code, or None while the process runs."""
+        return self._popen.poll()
+
+    def read_line(self) -> dict:
+        """Wait for the JSON line with the listening addresses and return it."""
+        line = self._popen.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{self.name} ended before it was listening")
+        return json.loads(line)
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self._popen.send_signal(number)
+
+    def stop(self, number: int = signal.SIGTERM) -> int:
+        """Send a signal and return the exit code; kill after the limit."""
+        if self._popen.poll() is None:
+            self._popen.send_signal(number)
+        try:
+            code = self._popen.wait(STOP_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            self._popen.kill()
+            code = self._popen.wait()
+        self._popen.stdout.close()
+        self._log.close()
+        return code
+
+
+class LocalSystem:
+    """Stand-ins and nodes as processes on loopback.
+
+    ``engine_arguments`` are further command-line arguments of each engine.
+    """
+
+    def __init__(
+        self,
+        nodes: int = 2,
+        engines: int = 3,
+        services: int = 1,
+        engine_arguments: tuple[str, ...] = (),
+        settings: Mapping[str, object] | None = None,
+    ):
+        self.node_addresses: list[str] = []
+        self.operator_addresses: list[str] = []
+        self.engine_addresses: list[str] = []
+        self.service_addresses: list[str] = []
+        self.nodes: list[Process] = []
+        self.store_address = ""
+        self.vms_address = ""
+        self._counts = (nodes, engines, services)
+        self._engine_arguments = engine_arguments
+        self._settings = dict(settings or {})
+        self._directory = tempfile.TemporaryDirectory(prefix="papayarelay-")
+        self._processes: list[Process] = []
+        self._http = urllib3.PoolManager(retries=False, timeout=5.0)
+
+    def start(self) -> None:
+        """Start everything and wait until all nodes are ready."""
+        nodes, engines, services = self._counts
+        self.store_address = self._start_standin("tables")
+        self.vms_address = self._start_standin("vms")
+        self.engine_addresses = [
+            self._start_standin("engine", *self._engine_arguments)
+            for _ in range(engines)
+        ]
+        self.service_addresses = [
+            self._start_standin("service") for _ in range(services)
+        ]
+        self.write_config(self.document())
+        for index in range(nodes):
+            self.start_node(index)
+        for address in self.node_addresses:
+            wait_for(
+                partial(self.is_ready, address), START_LIMIT_S, f"readiness of {address}"
+            )
+
+    def close(self) -> None:
+        """Stop all processes, nodes first."""
+        for process in reversed(self._processes):
+            process.stop()
+        self._http.clear()
+        self._directory.cleanup()
+
+    def document(self) -> dict:
+        """Return the configuration document of this system."""
+        members = {
+            name: {
+                "share": member["share"],
+                "organisations": {
+                    organisation: {
+                        "weight": 1,
+                        "key_sha256": [_digest(api_key(organisation))],
+                    }
+                    for organisation in member["organisations"]
+                },
+            }
+            for name, member in MEMBERS.items()
+        }
+        centres = ("dc1", "dc2", "dc3")
+        backends = {}
+        for index, address in enumerate(self.engine_addresses):
+            backends[f"engine-{index + 1}"] = {
+                "target": "engine",
+                "data_centre": centres[index % len(centres)],
+                "url": f"http://{address}",
+                "models": [MODEL],
+            }
+        for index, address in enumerate(self.service_addresses):
+            backends[f"service-{index + 1}"] = {
+                "target": "service",
+                "data_centre": centres[index % len(centres)],
+                "url": f"http://{address}",
+                "kinds": ["engraving_job"],
+            }
+        return {
+            "members": members,
+            "kinds": KINDS if self.service_addresses else {
+                name: kind
+                for name, kind in KINDS.items()
+                if kind["target"] == "engine"
+            },
+            "data_centres": {name: {"region": "r1"} for name in centres},
+            "backends": backends,
+            "models": {MODEL: {"context_tokens": 1_100_000}},
+            "limits": {},
+        }
+
+    def write_config(self, document: Mapping[str, object], version: int = 1) -> None:
+        """Put a configuration document into the table service."""
+        client = TableClient(f"http://{self.store_address}")
+        client.start()
+        rows = {name: json.dumps(text) for name, text in document.items()}
+        rows["version"] = str(version)
+        writes = [Write(f"config/{k}", v.encode()) for k, v in rows.items()]
+        checks: list[Check] = []
+        client.transact(checks, writes)
+        client.close()
+
+    def start_node(self, index: int) -> Process:
+        """Start one node and wait until it listens."""
+        directory = Path(self._directory.name)
+        (directory / "cluster.key").write_text("0" * 64)
+        (directory / "operator.token").write_text(OPERATOR_TOKEN)
+        path = directory / f"node-{index + 1}.json"
+        settings = {
+            "name": f"node-{index + 1}",
+            "data_centre": f"dc{index % 3 + 1}",
+            "region": "r1",
+            "caller_address": "127.0.0.1:0",
+            "operator_address": "127.0.0.1:0",
+            "node_address": "127.0.0.1:0",
+            "store_url": f"http://{self.store_address}",
+            "vms_url": f"http://{self.vms_address}",
+            "cluster_key_file": "cluster.key",
+            "operator_token_file": "operator.token",
+            "drain_grace_s": 0,
+            **self._settings,
+        }
+        path.write_text(json.dumps(settings))
+        process = self._start(f"node-{index + 1}", ["node", "--settings", str(path)])
+        self.nodes.append(process)
+        addresses = process.read_line()
+        self.node_addresses.append(addresses["callers"])
+        self.operator_addresses.append(addresses["operators"])
+        return process
+
+    def is_ready(self, address: str) -> bool:
+        """Return whether a node says that it is ready."""
+        try:
+            return self._http.request("GET", f"http://{address}/readyz").status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def get(self, address: str, path: str) -> dict:
+        """Return the JSON answer of a stand-in or of an operator interface."""
+        response = self._http.request(
+            "GET",
+            f"http://{address}{path}",
+            headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+        )
+        return msgspec.json.decode(response.data)
+
+    def post(self, address: str, path: str, fields: Mapping[str, object]) -> int:
+        """Send JSON to a stand-in or an operator interface; return the status."""
+        response = self._http.request(
+            "POST",
+            f"http://{address}{path}",
+            json=fields,
+            headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+        )
+        return response.status
+
+    def _start_standin(self, kind: str, *arguments: str) -> str:
+        command = ["standin", kind, "--listen", "127.0.0.1:0", *arguments]
+        return self._start(kind, command).read_line()["listening"]
+
+    def _start(self, name: str, arguments: list[str]) -> Process:
+        log_path = Path(self._directory.name) / f"{name}.log"
+        process = Process(name, arguments, log_path)
+        self._processes.append(process)
+        return process
+
+
+def _digest(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/papayarelay/node.py
@@ -0,0 +1,196 @@
+"""A node: owns all parts of a running process and connects them."""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+import time
+from collections.abc import Callable, Mapping
+
+import gevent
+from gevent import pywsgi
+from gevent.event import Event
+
+from .backends.load import LoadReport
+from .backends.table import BackendTable
+from .backends.watcher import Watcher
+from .callers.api import CallerApi
+from .callers.gate import Gate
+from .callers.server import CallerServer
+from .config import Config
+from .config_feed import ConfigFeed
+from .dispatch import Dispatcher
+from .errors import UnknownResourceError
+from .operators.api import OperatorApi
+from .retry import RetryBudget
+from .routing import POLICIES
+from .settings import Settings
+from .store.client import TableClient
+
+START_RETRY_S = 0.5
+
+
+class Node:
+    """One node; ``start`` serves callers, ``close`` ends everything."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        operator_token: str = "",
+        clock: Callable[[], float] = time.monotonic,
+        seed: int | None = None,
+    ):
+        self.settings = settings
+        self._clock = clock
+        self._rng = random.Random(seed)
+        self.gate = Gate()
+        self.store = TableClient(settings.store_url, settings.store_timeout_s)
+        self.backends = BackendTable(self._rng)
+        policy = POLICIES[settings.routing_policy]()
+        self.dispatcher = Dispatcher(
+            self.backends, policy, RetryBudget(), self._rng, clock
+        )
+        self.feed = ConfigFeed(
+            self.store,
+            self._apply_config,
+            self._publish_config,
+            settings.config_poll_interval_s,
+            self._rng,
+        )
+        self._watcher = Watcher(self.backends, self._record_load, self._rng, clock)
+        self._api = CallerApi(
+            self.dispatcher,
+            self.gate,
+            settings.body_limit_bytes,
+            settings.body_memory_bytes,
+            clock,
+        )
+        self._server = CallerServer(
+            settings.caller_address,
+            self._api.create_app(),
+            settings.caller_connections_limit,
+        )
+        self._operator_server = self._create_operator_server(operator_token)
+
+    @property
+    def caller_address(self) -> str:
+        """Return the address for callers as ``host:port``."""
+        return self._server.address
+
+    @property
+    def operator_address(self) -> str:
+        """Return the address for operators as ``host:port``."""
+        server = self._operator_server
+        return f"{server.server_host}:{server.server_port}"
+
+    def start(self) -> None:
+        """Start all parts; the node is ready once it has a configuration."""
+        self.store.start()
+        self._operator_server.start()
+        self._server.start()
+        addresses = {"callers": self.caller_address, "operators": self.operator_address}
+        print(json.dumps(addresses), flush=True)
+        while not self.feed.poll() or not self.feed.config.version:
+            gevent.sleep(START_RETRY_S)
+        self.feed.start()
+        self.gate.ready = True
+
+    def stop(self) -> None:
+        """Stop as planned: refuse new work, then finish what is in flight."""
+        self.gate.ready = False
+        gevent.sleep(self.settings.drain_grace_s)
+        self._server.stop_listening()
+        self.gate.close()
+        self.gate.wait_until_empty()
+
+    def close(self) -> None:
+        """End all parts at once."""
+        self.feed.close()
+        self._watcher.close()
+        self._server.close()
+        self._operator_server.stop(timeout=0)
+        self.backends.close()
+        self.store.close()
+
+    def status(self) -> dict:
+        """Return the state of the node for operators."""
+        now_s = self._clock()
+        return {
+            "name": self.settings.name,
+            "data_centre": self.settings.data_centre,
+            "ready": self.gate.ready,
+            "requests_in_flight": self.gate.inflight,
+            "config_version": self.feed.config.version,
+            "config_error": self.feed.error,
+            "backends": {
+                entry.id: {
+                    "state": entry.load.state,
+                    "report_age_s": round(now_s - entry.reported_s, 1),
+                    "own_requests": len(entry.work),
+                    "circuit": entry.circuit.state.value,
+                }
+                for entry in self.backends.entries
+            },
+        }
+
+    def set_drained(self, name: str, drained: bool) -> dict:
+        """Drain or return a data centre or backend server."""
+        raise UnknownResourceError(
+            f"{name!r} is no data centre or backend server",
+            step="drain",
+            peer="operator",
+        )
+
+    def look_up_job(self, member: str, kind: str, key: str) -> dict | None:
+        """Return the record of an idempotency key, or None."""
+        return None
+
+    def _create_operator_server(self, token: str) -> pywsgi.WSGIServer:
+        api = OperatorApi(self, token, lambda: b"")
+        host, _, port = self.settings.operator_address.rpartition(":")
+        return pywsgi.WSGIServer(
+            (host, int(port)), api.create_app(), log=None, error_log=None
+        )
+
+    def _apply_config(self, config: Config) -> None:
+        self.backends.apply(config)
+        self._api.apply(config)
+        self._watcher.watch(config.backends)
+
+    def _publish_config(self, version: int, sections: Mapping[str, str]) -> None:
+        """Send a new configuration to the other nodes."""
+
+    def _record_load(self, backend_id: str, load: LoadReport, now_s: float) -> None:
+        self.backends.record_load(backend_id, load, now_s)
+
+
+def run(settings: Settings) -> int:
+    """Run a node until SIGTERM or SIGINT; return the process exit code.
+
+    The first signal starts a planned stop, a second one ends the process at
+    once with exit code 1 if requests were interrupted.
+    """
+    node = Node(settings, _read_token(settings))
+    stopping, ending = Event(), Event()
+
+    def on_signal() -> None:
+        (ending if stopping.is_set() else stopping).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, on_signal)
+    starter = gevent.spawn(node.start)
+    stopping.wait()
+    starter.kill()
+    stopper = gevent.spawn(node.stop)
+    gevent.wait([stopper, ending], count=1)
+    interrupted = node.gate.inflight
+    node.close()
+    return 1 if interrupted else 0
+
+
+def _read_token(settings: Settings) -> str:
+    if not settings.operator_token_file:
+        return ""
+    with open(settings.operator_token_file, encoding="utf-8") as file:
+        return file.read().strip()
--- a/papayarelay/operators/api.py
+++ b/papayarelay/operators/api.py
@@ -58,6 +58,12 @@
 
     def _authenticate(self) -> None:
         scheme, _, token = bottle.request.get_header("Authorization", "").partition(" ")
+        if not self._token:
+            raise AuthenticationError(
+                "the settings name no operator_token_file",
+                step="authenticate",
+                peer="operator",
+            )
         if scheme.lower() != "bearer" or not hmac.compare_digest(
             token.encode(), self._token
         ):
