--- a/papayarelay/standins/server.py
+++ b/papayarelay/standins/server.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import socket
+import uuid
 
+import gevent
 import msgspec
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
@@ -26,21 +28,22 @@
     def __init__(self, listen: str = "127.0.0.1:0"):
         host, _, port = listen.rpartition(":")
         self._listen = (host, int(port))
+        self._connections = Pool()
         self._server: WSGIServer | None = None
+        self._relisten: gevent.Greenlet | None = None
+        self.boot_id = uuid.uuid4().hex
 
     @property
     def address(self) -> str:
-        """Return ``host:port`` of the listening socket."""
-        if self._server is None:
-            raise RuntimeError("stand-in is not started")
-        return f"{self._server.server_host}:{self._server.server_port}"
+        """Return ``host:port``, known once the stand-in was started."""
+        return f"{self._listen[0]}:{self._listen[1]}"
 
     def start(self) -> None:
         """Listen and serve in the background."""
         self._server = WSGIServer(
             self._listen,
             self.application,
-            spawn=Pool(),
+            spawn=self._connections,
             log=None,
             error_log=None,
             handler_class=_Handler,
@@ -51,9 +54,21 @@
 
     def close(self) -> None:
         """Stop listening and cut the open connections."""
+        if self._relisten is not None:
+            self._relisten.kill()
+            self._relisten = None
         if self._server is not None:
-            self._server.stop(timeout=0)
+            self._server.close()
             self._server = None
+        self._connections.kill()
+
+    def refuse_connections(self, duration_s: float) -> None:
+        """Close the listening socket for that long; open connections go on."""
+        if self._server is None:
+            return
+        self._server.close()
+        self._server = None
+        self._relisten = gevent.spawn_later(duration_s, StandIn.start, self)
 
     def application(self, environ, start_response):
         """Answer one request (WSGI)."""
