Test settings and configuration with generated bad documents

Cause: operators must get a list of mistakes for any bad document. Change: report keys that an object repeats, which the decoder passes over; add tests with 3,000 generated bad documents for each of the two kinds of document, fixed seed.

--- a/papayarelay/document.py
+++ b/papayarelay/document.py
@@ -5,6 +5,7 @@
 import difflib
 import re
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 from urllib.parse import urlsplit
 
 import pyjson5
@@ -14,6 +15,17 @@
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}", re.ASCII)
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}", re.ASCII)
 HOST_PATTERN = re.compile(r"[A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]", re.ASCII)
+TOKEN_PATTERN = re.compile(
+    r"""
+    "(?:\\.|[^"\\])*"            # double-quoted string
+    | '(?:\\.|[^'\\])*'          # single-quoted string
+    | //[^\n\r\u2028\u2029]*     # comment to the end of the line
+    | /\*.*?\*/                 # block comment
+    | [{}\[\]:,]
+    | [^\s{}\[\]:,"'/]+          # number, constant or bare key
+    """,
+    re.VERBOSE | re.DOTALL,
+)
 NAME_ALLOWED = "1 to 64 letters, digits, '_', '.' or '-', first a letter or digit"
 ADDRESS_ALLOWED = "HOST:PORT with a port from 0 to 65535, such as 127.0.0.1:8080"
 URL_ALLOWED = "http://HOST:PORT without path, query or user name"
@@ -69,9 +81,55 @@
     if not isinstance(value, dict):
         mistakes.add(path, value, "a JSON object")
         return {}
+    for place, name in find_repeated_keys(text):
+        mistakes.add(join_path(path, place) if path else place, name, "each key once")
     return value
 
 
+def find_repeated_keys(text: str) -> list[tuple[str, str]]:
+    """Return path and name of each key that an object of a valid text repeats.
+
+    The decoder keeps the last of several equal keys without a report.
+    """
+    repeated = []
+    stack: list[_Frame] = []
+    word = ""
+    for token in TOKEN_PATTERN.findall(text):
+        if token.startswith(("//", "/*")):
+            continue
+        if token in "{[":
+            path = stack[-1].path() if stack else ""
+            stack.append(_Frame(token == "{", path))
+        elif token in "}]":
+            stack.pop()
+        elif token == "," and stack:
+            stack[-1].index += 1
+        elif token == ":" and stack:
+            frame = stack[-1]
+            frame.name = pyjson5.decode(word if word[0] in "\"'" else f'"{word}"')
+            if frame.name in frame.seen:
+                repeated.append((frame.path(), frame.name))
+            frame.seen.add(frame.name)
+        else:
+            word = token
+    return repeated
+
+
+@dataclass
+class _Frame:
+    """An open object or list while the keys of a text are read."""
+
+    is_object: bool
+    parent: str
+    name: str = ""
+    index: int = 0
+    seen: set[str] = field(default_factory=set)
+
+    def path(self) -> str:
+        """Return the path of the entry that is being read."""
+        return join_path(self.parent, self.name if self.is_object else self.index)
+
+
 def is_address(value: str, lowest_port: int = 0) -> bool:
     """Return whether a text is HOST:PORT."""
     host, _, port = value.rpartition(":")
--- /dev/null
+++ b/papayarelay/tests/documents.py
@@ -0,0 +1,73 @@
+"""Strategies that turn a valid document into a bad one."""
+
+import copy
+import json
+
+from hypothesis import settings
+from hypothesis import strategies as st
+
+EXAMPLES = 3_000
+FIXED = settings(max_examples=EXAMPLES, derandomize=True, database=None, deadline=None)
+
+# No key of either document accepts any of these.
+NEVER_ALLOWED = st.one_of(
+    st.none(),
+    st.floats(max_value=-1.0),
+    st.just(float("nan")),
+    st.integers(max_value=-1),
+    st.integers(min_value=2**40),
+    st.text(min_size=1).map(lambda text: f"\x00{text}"),
+    st.lists(st.one_of(st.none(), st.integers(), st.just("")), min_size=1),
+    st.dictionaries(st.text(), st.none(), min_size=1),
+)
+
+
+def list_paths(value: object, path: tuple = ()) -> list[tuple]:
+    """Return the path of every entry of the objects in a value."""
+    if not isinstance(value, dict):
+        return []
+    paths = []
+    for name, entry in value.items():
+        paths.append((*path, name))
+        paths += list_paths(entry, (*path, name))
+    return paths
+
+
+def follow(document: dict, path: tuple) -> object:
+    """Return the entry at a path."""
+    for name in path:
+        document = document[name]
+    return document
+
+
+@st.composite
+def bad_documents(draw, document: dict, required: tuple[str, ...]) -> str:
+    """Return the text of a document with at least one mistake.
+
+    ``required`` are names of keys that have no default.
+    """
+    text = json.dumps(document)
+    way = draw(st.sampled_from(["value", "key", "absent", "text", "cut", "repeat"]))
+    if way == "text":
+        return draw(st.text(alphabet=st.characters(exclude_characters="{"))) + "]"
+    if way == "cut":
+        return text[: draw(st.integers(0, len(text) - 1))]
+    if way == "repeat":
+        name = draw(st.sampled_from(sorted(document)))
+        return f"{text[:-1]}, {json.dumps(name)}: {json.dumps(document[name])}}}"
+    changed = copy.deepcopy(document)
+    paths = list_paths(changed)
+    if way == "absent":
+        paths = [path for path in paths if path[-1] in required]
+    for path in draw(st.lists(st.sampled_from(paths), min_size=1, max_size=3)):
+        try:
+            parent = follow(changed, path[:-1])
+            if way == "absent":
+                parent.pop(path[-1], None)
+            elif way == "value":
+                parent[path[-1]] = draw(NEVER_ALLOWED)
+            else:
+                parent[f"{path[-1]} {draw(st.text(max_size=9))}"] = draw(NEVER_ALLOWED)
+        except (KeyError, TypeError, IndexError):
+            continue
+    return json.dumps(changed)
--- a/papayarelay/tests/test_config.py
+++ b/papayarelay/tests/test_config.py
@@ -3,8 +3,11 @@
 import json
 import unittest
 
-from ..config import Config, parse_document, parse_sections
+from hypothesis import given
+
+from ..config import SECTIONS, Config, parse_document, parse_sections
 from ..errors import SettingsError
+from .documents import FIXED, bad_documents
 
 DIGEST = "ab" * 32
 
@@ -116,3 +119,64 @@
         self.assertIn("'state'", found["backends.engine-1.stat"].hint)
         self.assertIn("'members'", found["membres"].hint)
         self.assertIn("'dc1'", found["backends.engine-1.data_centre"].hint)
+
+    def test_references_are_not_checked_in_an_unreadable_section(self):
+        sections = {name: json.dumps(value) for name, value in example().items()}
+        sections["data_centres"] = "{"
+        with self.assertRaises(ExceptionGroup) as caught:
+            parse_sections(sections, 1)
+        self.assertEqual(
+            [error.path for error in caught.exception.exceptions], ["data_centres"]
+        )
+
+    def test_key_of_two_organisations(self):
+        document = example()
+        organisations = document["members"]["engravers"]["organisations"]
+        organisations["workshop"] = {"key_sha256": [DIGEST]}
+        path = "members.engravers.organisations.workshop.key_sha256"
+        self.assertEqual(list(mistakes_of(json.dumps(document))), [path])
+
+    def test_url_of_two_backends(self):
+        document = example()
+        document["backends"]["orders-1"]["url"] = "http://127.0.0.1:9001"
+        self.assertEqual(
+            list(mistakes_of(json.dumps(document))), ["backends.orders-1.url"]
+        )
+
+    def test_shares_that_are_inexact_in_binary(self):
+        document = example()
+        shares = {f"m{index}": {"share": 0.1} for index in range(10)}
+        document["members"] = shares
+        self.assertEqual(mistakes_of(json.dumps(document)), {})
+
+    def test_service_kind_can_be_added_one_section_at_a_time(self):
+        sections = {name: json.dumps(value) for name, value in example().items()}
+        accepted = {}
+        for name in ("data_centres", "models", "backends", "kinds", "members"):
+            accepted[name] = sections[name]
+            parse_sections(accepted, 1)
+        self.assertLessEqual(set(accepted), set(SECTIONS))
+
+    @FIXED
+    @given(
+        bad_documents(
+            example(),
+            (
+                "share",
+                "target",
+                "idempotent",
+                "deadline_s",
+                "priority",
+                "region",
+                "data_centre",
+                "url",
+                "context_tokens",
+            ),
+        )
+    )
+    def test_bad_documents(self, text):
+        with self.assertRaises(ExceptionGroup) as caught:
+            parse_document(text)
+        for error in caught.exception.exceptions:
+            self.assertIsInstance(error, SettingsError)
+            str(error).encode("ascii")
