Add the engine model with KV memory, cold start and lagging reports

A benchmark in virtual time and the HTTP stand-in need the same engine behaviour. EngineModel takes every time as an argument and does no I/O: batching in priority order, KV memory with a prefix cache, holds and requests that end by themselves, cold start, late and lost cache events, lagging load reports and orders with fencing numbers.

--- /dev/null
+++ b/papayarelay/standins/cache_events.py
@@ -0,0 +1,53 @@
+"""Cache events of an engine, which are late and have gaps."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import dataclass
+
+KEPT_EVENTS = 16_384
+MOST_EVENTS = 4_096
+CLEARED = "cleared"
+
+
+@dataclass(frozen=True)
+class CacheEvent:
+    """A change of the prefix cache: ``stored``, ``evicted`` or ``cleared``."""
+
+    number: int
+    kind: str
+    block: str
+
+
+class CacheEventLog:
+    """Numbers the events, delays them and loses some.
+
+    An event can be read ``lag_s`` after it happened; a share ``gap`` of them is
+    lost, which a reader notices from the missing number.
+    """
+
+    def __init__(self, lag_s: float, gap: float, rng: random.Random):
+        self.lag_s = lag_s
+        self.gap = gap
+        self._rng = rng
+        self._number = 0
+        self._events: deque[tuple[float, CacheEvent]] = deque(maxlen=KEPT_EVENTS)
+
+    def add(self, kind: str, block: str, now_s: float) -> None:
+        """Record an event, or lose it."""
+        self._number += 1
+        if self.gap and self._rng.random() < self.gap:
+            return
+        self._events.append((now_s, CacheEvent(self._number, kind, block)))
+
+    def read(self, after: int, now_s: float) -> list[CacheEvent]:
+        """Return up to MOST_EVENTS visible events with numbers above ``after``."""
+        found = []
+        for time_s, event in reversed(self._events):
+            if event.number <= after:
+                break
+            if time_s <= now_s - self.lag_s:
+                found.append(event)
+        found.reverse()
+        return found[:MOST_EVENTS]
--- a/papayarelay/standins/model.py
+++ b/papayarelay/standins/model.py
@@ -1,34 +1,108 @@
-"""Behaviour of a model engine without I/O; every time is an argument."""
+"""Behaviour of a model engine without I/O; every time is an argument.
+
+A driver submits requests, asks ``next_step_s()`` when the engine next has
+something to do, and calls ``step()`` at that time (or later) to get the events.
+Times of successive calls must not decrease.
+"""
 
 from __future__ import annotations
 
+import heapq
+import math
+import random
+from bisect import insort
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from .cache_events import CLEARED, CacheEvent, CacheEventLog
+from .load_report import COLD, READY, STARTING, LoadReport, ReportHistory
+from .memory import KvMemory, OutOfMemoryError, Reservation
+from .orders import OrderState
+
+LENGTH = "length"
+DEADLINE = "deadline"
+DROPPED = "dropped"
+
 
 @dataclass(frozen=True)
 class EngineSettings:
-    """Speeds and limits of an engine; sizes in tokens, times in seconds."""
+    """Speeds and limits of an engine; sizes in tokens, times in seconds.
+
+    A step prefills at most ``step_prefill_tokens`` and decodes one token for each
+    running request.  ``merged_steps`` computes that many steps as one, which makes
+    long replays cheaper and timing coarser.
+
+    A cold engine runs at ``cold_speed`` and keeps at most its bound of prompt and
+    answer tokens running: ``cold_bound_tokens`` plus the tokens worked since it
+    turned cold.  More than ``cold_fall_factor`` times the bound, running or
+    waiting, makes it fall over.  It is ready after ``warmup_tokens``.
+    """
 
     kv_capacity_tokens: int = 2_000_000
+    block_tokens: int = 256
     prefill_tokens_per_s: float = 20_000.0
     decode_tokens_per_s: float = 8_000.0
     step_overhead_s: float = 0.005
     step_prefill_tokens: int = 512
+    merged_steps: int = 1
+    max_running: int = 256
+    starts_cold: bool = False
+    cold_bound_tokens: int = 8_192
+    cold_fall_factor: float = 2.0
+    cold_speed: float = 0.5
+    warmup_tokens: int = 131_072
+    restart_s: float = 1.0
+    report_lag_s: float = 0.0
+    event_lag_s: float = 0.0
+    event_gap: float = 0.0
+    checks_fencing: bool = True
+    models: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
 class TokenEvent:
-    """A request generated the token with the index ``offset``."""
+    """A request generated ``count`` tokens from the index ``offset`` on."""
 
     offset: int
+    count: int = 1
 
 
 @dataclass(frozen=True)
 class FinishEvent:
-    """A request ended; ``reason`` is ``length``."""
+    """A request ended.
+
+    ``reason`` is ``length``, ``deadline`` (its end time passed) or ``dropped``
+    (the engine fell over).
+    """
 
     reason: str
+    cached_tokens: int = 0
+
+
+Event = TokenEvent | FinishEvent
+
+
+class EngineRefusedError(Exception):
+    """The engine does not accept the work.
+
+    ``code`` is ``starting`` (the engine has not restarted yet), ``memory`` (it
+    does not fit) or ``not_cached`` (an export of a prefix that is not in memory).
+    """
+
+    def __init__(self, code: str):
+        super().__init__(f"engine refused: {code}")
+        self.code = code
+
+
+@dataclass(frozen=True)
+class Hold:
+    """KV blocks kept for ``owner`` until ``end_s``."""
+
+    id: str
+    owner: str
+    blocks: tuple[str, ...]
+    tokens: int
+    end_s: float
 
 
 @dataclass(eq=False)
@@ -36,23 +110,89 @@
     """A request in the engine."""
 
     request_id: str
+    order: tuple[int, int]
+    prefix: Sequence[str]
     prefill_left: int
     kv_tokens: int
     offset: int
     max_tokens: int
-    order: tuple[int, int]
+    cached_tokens: int = 0
+    held: Reservation | None = None
+
+
+def _by_order(work: _Work) -> tuple[int, int]:
+    return work.order
 
 
 class EngineModel:
-    """Continuous batching of prefill and decode on one engine."""
+    """One engine: batching, KV memory, prefix cache, cold start and reports.
 
-    def __init__(self, settings: EngineSettings | None = None):
+    ``boot_name`` distinguishes engines; the boot id is that name and a number.
+    ``orders`` holds what orders have set.  ``speed`` slows the engine when below 1.
+    """
+
+    def __init__(
+        self,
+        settings: EngineSettings | None = None,
+        rng: random.Random | None = None,
+        boot_name: str = "boot",
+    ):
         self.settings = settings or EngineSettings()
-        self._waiting: list[_Work] = []
-        self._running: list[_Work] = []
-        self._used_tokens = 0
+        self.orders = OrderState(self.settings.models, self.settings.checks_fencing)
+        self.speed = 1.0
+        self.falls = 0
+        self.memory = KvMemory(
+            self.settings.kv_capacity_tokens,
+            self.settings.block_tokens,
+            self._note_block,
+        )
+        self.cache_log = CacheEventLog(
+            self.settings.event_lag_s, self.settings.event_gap, rng or random.Random(1)
+        )
+        self._boot_name = boot_name
+        self._boot = 1
+        self._cold = self.settings.starts_cold
+        self._reports_cold = True
+        self._worked_tokens = 0
+        self._available_s = -math.inf
+        self._now_s = 0.0
         self._count = 0
+        self._works: dict[str, _Work] = {}
+        self._waiting: list[_Work] = []
+        self._prefilling: list[_Work] = []
+        self._decoding: dict[str, _Work] = {}
+        self._in_flight_tokens = 0
+        self._running_tokens = 0
+        self._queued_prefill_tokens = 0
+        self._holds: dict[str, tuple[Hold, Reservation]] = {}
+        self._ends: list[tuple[float, int, str]] = []
+        self._events: list[tuple[str, Event]] = []
         self._step_end_s: float | None = None
+        self.reports = ReportHistory(self.settings.report_lag_s, self._report)
+
+    @property
+    def boot_id(self) -> str:
+        """Return the id that changes whenever the engine falls over."""
+        return f"{self._boot_name}-{self._boot}"
+
+    @property
+    def is_cold(self) -> bool:
+        """Return whether the engine is in cold start, whatever it reports."""
+        return self._cold
+
+    @property
+    def in_flight_tokens(self) -> int:
+        """Return the prompt and answer tokens of all requests in the engine."""
+        return self._in_flight_tokens
+
+    @property
+    def cold_bound_tokens(self) -> int:
+        """Return the tokens in flight that a cold engine handles now."""
+        return self.settings.cold_bound_tokens + self._worked_tokens
+
+    def is_starting(self, now_s: float) -> bool:
+        """Return whether the engine is down after it fell over."""
+        return now_s < self._available_s
 
     def submit(  # noqa: PLR0917
         self,
@@ -62,92 +202,316 @@
         priority: int,
         prefix: Sequence[str],
         now_s: float,
+        *,
         resume_from: int = 0,
+        end_s: float | None = None,
     ) -> None:
-        """Queue a request; it emits tokens from ``resume_from`` on."""
+        """Queue a request; it emits the tokens from ``resume_from`` on.
+
+        ``prefix`` lists the blocks of the prompt, one per ``block_tokens``, each
+        named by a hash over the prompt up to its end.  At ``end_s`` the request is
+        ended and its memory freed.  Raises EngineRefusedError, or ValueError for a
+        request id that is in the engine already.
+        """
+        self._now_s = now_s
+        if request_id in self._works:
+            raise ValueError(f"request {request_id!r} is already in the engine")
+        if self.is_starting(now_s):
+            raise EngineRefusedError("starting")
+        kv_tokens = prompt_tokens + max_tokens
+        if kv_tokens > self.settings.kv_capacity_tokens:
+            raise EngineRefusedError("memory")
         self._count += 1
         work = _Work(
             request_id,
-            prompt_tokens + resume_from,
-            prompt_tokens + max_tokens,
+            (priority, self._count),
+            prefix[: prompt_tokens // self.settings.block_tokens],
+            max(1, prompt_tokens + resume_from),
+            kv_tokens,
             resume_from,
             max_tokens,
-            (priority, self._count),
         )
-        self._waiting.append(work)
-        self._waiting.sort(key=lambda each: each.order)
-        if self._step_end_s is None:
-            self._plan(now_s)
+        self._works[request_id] = work
+        self._in_flight_tokens += kv_tokens
+        self._queued_prefill_tokens += work.prefill_left
+        insort(self._waiting, work, key=_by_order)
+        if end_s is not None:
+            heapq.heappush(self._ends, (end_s, self._count, request_id))
+        if not self._falls_if_overloaded():
+            self._start_if_idle()
+        self.reports.note_change(now_s)
 
     def cancel(self, request_id: str) -> bool:
         """Drop a request and free its memory; return whether it was known."""
-        for work in self._running:
-            if work.request_id == request_id:
-                self._running.remove(work)
-                self._used_tokens -= work.kv_tokens
-                return True
-        known = len(self._waiting)
-        self._waiting = [w for w in self._waiting if w.request_id != request_id]
-        return len(self._waiting) < known
+        work = self._works.get(request_id)
+        if work is None:
+            return False
+        self._remove(work)
+        self._start_if_idle()
+        self.reports.note_change(self._now_s)
+        return True
 
     def next_step_s(self) -> float | None:
-        """Return when ``step`` has something to do next, None while idle."""
-        return self._step_end_s
-
-    def step(self, now_s: float) -> list[tuple[str, TokenEvent | FinishEvent]]:
-        """Complete the steps that have ended by ``now_s``; return their events."""
-        events: list[tuple[str, TokenEvent | FinishEvent]] = []
-        while self._step_end_s is not None and self._step_end_s <= now_s:
-            self._complete(events)
-            self._plan(self._step_end_s)
+        """Return when ``step`` has something to do next, None for never."""
+        return self._now_s if self._events else self._next_due_s()
+
+    def step(self, now_s: float) -> list[tuple[str, Event]]:
+        """Complete what has ended by ``now_s``; return the events by request."""
+        while (due_s := self._next_due_s()) is not None and due_s <= now_s:
+            self._now_s = max(self._now_s, due_s)
+            if self._ends and self._ends[0][0] <= due_s:
+                self._expire(*heapq.heappop(self._ends)[1:])
+                self._start_if_idle()
+            else:
+                self._complete_step()
+                self._plan_step()
+            self.reports.note_change(self._now_s)
+        self._now_s = max(self._now_s, now_s)
+        events, self._events = self._events, []
         return events
 
-    def load(self, now_s: float) -> dict:
-        """Return the load report."""
-        queued = sum(work.prefill_left for work in self._waiting + self._running)
-        return {
-            "boot_id": "1",
-            "state": "ready",
-            "kv_capacity_tokens": self.settings.kv_capacity_tokens,
-            "kv_used_tokens": self._used_tokens,
-            "queued_prefill_tokens": queued,
-            "running": len(self._running),
-            "prefill_tokens_per_s": self.settings.prefill_tokens_per_s,
-        }
-
-    def _plan(self, start_s: float) -> None:
-        free = self.settings.kv_capacity_tokens - self._used_tokens
-        while self._waiting and self._waiting[0].kv_tokens <= free:
-            work = self._waiting.pop(0)
-            free -= work.kv_tokens
-            self._used_tokens += work.kv_tokens
-            self._running.append(work)
+    def load(self, now_s: float) -> LoadReport:
+        """Return the load report that is visible at ``now_s``."""
+        return self.reports.read(now_s)
+
+    def cache_events(self, after: int, now_s: float) -> list[CacheEvent]:
+        """Return the visible cache events with numbers above ``after``."""
+        return self.cache_log.read(after, now_s)
+
+    def export_blocks(
+        self, prefix: Sequence[str], owner: str, end_s: float, now_s: float
+    ) -> Hold:
+        """Hold the leading blocks of the prefix that are in memory.
+
+        Raises EngineRefusedError when there are none.
+        """
+        self._now_s = now_s
+        if self.is_starting(now_s):
+            raise EngineRefusedError("starting")
+        if not self.memory.find(prefix):
+            raise EngineRefusedError("not_cached")
+        return self._hold(self.memory.pin(prefix), owner, end_s)
+
+    def import_blocks(
+        self, prefix: Sequence[str], owner: str, end_s: float, now_s: float
+    ) -> Hold:
+        """Take over the blocks of another engine and hold them.
+
+        Raises EngineRefusedError when they do not fit.
+        """
+        self._now_s = now_s
+        if self.is_starting(now_s):
+            raise EngineRefusedError("starting")
+        try:
+            held = self.memory.insert(prefix)
+        except OutOfMemoryError as error:
+            raise EngineRefusedError("memory") from error
+        return self._hold(held, owner, end_s)
+
+    def release(self, hold_id: str, owner: str, now_s: float) -> bool:
+        """End a hold; return False when this owner has no such hold."""
+        self._now_s = now_s
+        if hold_id not in self._holds or self._holds[hold_id][0].owner != owner:
+            return False
+        self.memory.release(self._holds.pop(hold_id)[1])
+        self._start_if_idle()
+        self.reports.note_change(now_s)
+        return True
+
+    def turn_cold(self, now_s: float, *, reported: bool = True) -> None:
+        """Lose the prefix cache and the warm state, with the same boot id.
+
+        The engine falls over when it has more work than a cold engine can bear.
+        Without ``reported`` its load report still says ``ready``.
+        """
+        self._now_s = now_s
+        self._cold = True
+        self._reports_cold = reported
+        self._worked_tokens = 0
+        self.memory.drop_cache()
+        self._falls_if_overloaded()
+        self.reports.note_change(now_s)
+
+    def fall_over(self, now_s: float) -> None:
+        """Drop all work and memory; start cold with a new boot id."""
+        self._now_s = now_s
+        self.falls += 1
+        dropped = [(key, FinishEvent(DROPPED)) for key in self._works]
+        self._events.extend(dropped)
+        self._works.clear()
+        self._waiting.clear()
+        self._prefilling.clear()
+        self._decoding.clear()
+        self._holds.clear()
+        self._ends.clear()
+        self._in_flight_tokens = 0
+        self._running_tokens = 0
+        self._queued_prefill_tokens = 0
         self._step_end_s = None
-        if not self._running:
+        self.memory.reset()
+        self.cache_log.add(CLEARED, "", now_s)
+        self._boot += 1
+        self._cold = True
+        self._reports_cold = True
+        self._worked_tokens = 0
+        self._available_s = now_s + self.settings.restart_s
+        self.reports.note_change(now_s)
+
+    def occupy(self, tokens: int, now_s: float) -> None:
+        """Take that much memory away from requests; 0 gives it back."""
+        self._now_s = now_s
+        self.memory.occupied_tokens = tokens
+        self._start_if_idle()
+        self.reports.note_change(now_s)
+
+    def _next_due_s(self) -> float | None:
+        if not self._ends:
+            return self._step_end_s
+        if self._step_end_s is None:
+            return self._ends[0][0]
+        return min(self._step_end_s, self._ends[0][0])
+
+    def _report(self, at_s: float) -> LoadReport:
+        state = COLD if self._cold and self._reports_cold else READY
+        if self.is_starting(at_s):
+            state = STARTING
+        return LoadReport(
+            self.boot_id,
+            state,
+            self.settings.kv_capacity_tokens,
+            self.memory.used_tokens,
+            self.memory.cached_tokens,
+            self._queued_prefill_tokens,
+            len(self._prefilling) + len(self._decoding),
+            len(self._waiting),
+            self.settings.prefill_tokens_per_s * self._current_speed(),
+        )
+
+    def _current_speed(self) -> float:
+        return self.speed * (self.settings.cold_speed if self._cold else 1.0)
+
+    def _note_block(self, kind: str, block: str) -> None:
+        self.cache_log.add(kind, block, self._now_s)
+
+    def _falls_if_overloaded(self) -> bool:
+        limit = self.cold_bound_tokens * self.settings.cold_fall_factor
+        if not self._cold or self._in_flight_tokens <= limit:
+            return False
+        self.fall_over(self._now_s)
+        return True
+
+    def _hold(self, held: Reservation, owner: str, end_s: float) -> Hold:
+        self._count += 1
+        hold_id = f"hold-{self.boot_id}-{self._count}"
+        tokens = len(held.blocks) * self.settings.block_tokens
+        hold = Hold(hold_id, owner, tuple(held.blocks), tokens, end_s)
+        self._holds[hold_id] = (hold, held)
+        heapq.heappush(self._ends, (end_s, self._count, hold_id))
+        self.reports.note_change(self._now_s)
+        return hold
+
+    def _expire(self, number: int, key: str) -> None:
+        """Free the hold or request whose end time passed, unless it ended before."""
+        if key in self._holds:
+            self.memory.release(self._holds.pop(key)[1])
             return
-        left = sum(work.prefill_left for work in self._running)
-        prefill = min(left, self.settings.step_prefill_tokens)
-        decoding = sum(not work.prefill_left for work in self._running)
-        self._step_end_s = (
-            start_s
-            + self.settings.step_overhead_s
+        work = self._works.get(key)
+        # A request id may have been submitted again after it was cancelled.
+        if work is not None and work.order[1] == number:
+            self._remove(work)
+            self._events.append((key, FinishEvent(DEADLINE, work.cached_tokens)))
+
+    def _remove(self, work: _Work) -> None:
+        del self._works[work.request_id]
+        self._in_flight_tokens -= work.kv_tokens
+        self._queued_prefill_tokens -= work.prefill_left
+        if work.held is None:
+            self._waiting.remove(work)
+            return
+        self.memory.release(work.held)
+        self._running_tokens -= work.kv_tokens
+        if self._decoding.pop(work.request_id, None) is None:
+            self._prefilling.remove(work)
+
+    def _start_if_idle(self) -> None:
+        if self._step_end_s is None and self._waiting:
+            self._plan_step()
+
+    def _plan_step(self) -> None:
+        """Start the next step at the present time."""
+        while self._waiting and self._admit(self._waiting[0]):
+            del self._waiting[0]
+        if not self._prefilling and not self._decoding:
+            self._step_end_s = None
+            return
+        merged = self.settings.merged_steps
+        left = sum(work.prefill_left for work in self._prefilling)
+        prefill = min(left, merged * self.settings.step_prefill_tokens)
+        duration_s = (
+            merged * self.settings.step_overhead_s
             + prefill / self.settings.prefill_tokens_per_s
-            + decoding / self.settings.decode_tokens_per_s
+            + merged * len(self._decoding) / self.settings.decode_tokens_per_s
         )
+        self._step_end_s = self._now_s + duration_s / self._current_speed()
+
+    def _admit(self, work: _Work) -> bool:
+        """Reserve the memory of a waiting request; return whether it runs now."""
+        running = len(self._prefilling) + len(self._decoding)
+        if running >= self.settings.max_running:
+            return False
+        tokens = self._running_tokens + work.kv_tokens
+        if self._cold and running and tokens > self.cold_bound_tokens:
+            return False
+        try:
+            work.held = self.memory.reserve(work.prefix, work.kv_tokens)
+        except OutOfMemoryError:
+            return False
+        self._running_tokens = tokens
+        cached = len(work.held.blocks) * self.settings.block_tokens
+        # The last token is always computed, as it yields the first answer token.
+        work.cached_tokens = min(cached, work.prefill_left - 1)
+        work.prefill_left -= work.cached_tokens
+        self._queued_prefill_tokens -= work.cached_tokens
+        insort(self._prefilling, work, key=_by_order)
+        return True
 
-    def _complete(self, events: list) -> None:
-        budget = self.settings.step_prefill_tokens
-        for work in sorted(self._running, key=lambda each: each.order):
+    def _complete_step(self) -> None:
+        decoding = list(self._decoding.values())
+        prefilled = self._prefill()
+        for work in decoding:
+            self._decode(work, self.settings.merged_steps)
+        for work in prefilled:
+            self._decode(work, 1)
+        if self._cold and self._worked_tokens >= self.settings.warmup_tokens:
+            self._cold = False
+
+    def _prefill(self) -> list[_Work]:
+        """Spend the prefill tokens of a step; return the works now complete."""
+        budget = self.settings.merged_steps * self.settings.step_prefill_tokens
+        complete = []
+        for work in self._prefilling:
+            done = min(budget, work.prefill_left)
+            budget -= done
+            work.prefill_left -= done
+            self._queued_prefill_tokens -= done
+            self._worked_tokens += done
             if work.prefill_left:
-                done = min(budget, work.prefill_left)
-                work.prefill_left -= done
-                budget -= done
-                if work.prefill_left:
-                    continue
-            if work.offset < work.max_tokens:
-                events.append((work.request_id, TokenEvent(work.offset)))
-                work.offset += 1
-            if work.offset >= work.max_tokens:
-                events.append((work.request_id, FinishEvent("length")))
-                self._running.remove(work)
-                self._used_tokens -= work.kv_tokens
+                break
+            complete.append(work)
+        del self._prefilling[: len(complete)]
+        for work in complete:
+            self.memory.store(work.held, work.prefix)
+            self._decoding[work.request_id] = work
+        return complete
+
+    def _decode(self, work: _Work, steps: int) -> None:
+        count = min(steps, work.max_tokens - work.offset)
+        if count > 0:
+            event = TokenEvent(work.offset, count)
+            self._events.append((work.request_id, event))
+            work.offset += count
+            self._worked_tokens += count
+        if work.offset >= work.max_tokens:
+            self._remove(work)
+            event = FinishEvent(LENGTH, work.cached_tokens)
+            self._events.append((work.request_id, event))
--- /dev/null
+++ b/papayarelay/standins/orders.py
@@ -0,0 +1,61 @@
+"""Orders that an engine accepts, with fencing numbers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+LOAD_MODEL = "load_model"
+UNLOAD_MODEL = "unload_model"
+LOAD_ADAPTER = "load_adapter"
+SET_VERSION = "set_version"
+SET_ROLE = "set_role"
+ORDER_KINDS = (LOAD_MODEL, UNLOAD_MODEL, LOAD_ADAPTER, SET_VERSION, SET_ROLE)
+
+
+@dataclass(frozen=True)
+class Order:
+    """An order, for example ``load_model`` with the name of the model."""
+
+    order: str
+    value: str
+    fencing: int
+
+
+class OrderState:
+    """What the orders have set so far.
+
+    With ``checks_fencing`` an order whose number is below the highest one seen is
+    refused; without it the number is ignored.
+    """
+
+    def __init__(self, models: tuple[str, ...], checks_fencing: bool):
+        self.checks_fencing = checks_fencing
+        self.models = set(models)
+        self.adapters: set[str] = set()
+        self.version = ""
+        self.role = "any"
+        self.highest_fencing = 0
+        self.accepted: list[Order] = []
+
+    def apply(self, order: Order) -> bool:
+        """Apply the order; return False when its fencing number is too old.
+
+        Raises ValueError for an unknown kind of order.
+        """
+        if order.order not in ORDER_KINDS:
+            raise ValueError(f"unknown order {order.order!r}")
+        if self.checks_fencing and order.fencing < self.highest_fencing:
+            return False
+        self.highest_fencing = max(self.highest_fencing, order.fencing)
+        self.accepted.append(order)
+        if order.order == LOAD_MODEL:
+            self.models.add(order.value)
+        elif order.order == UNLOAD_MODEL:
+            self.models.discard(order.value)
+        elif order.order == LOAD_ADAPTER:
+            self.adapters.add(order.value)
+        elif order.order == SET_VERSION:
+            self.version = order.value
+        else:
+            self.role = order.value
+        return True
--- a/papayarelay/standins/program.py
+++ b/papayarelay/standins/program.py
@@ -42,7 +42,13 @@
 def _add_engine_options(parser: argparse.ArgumentParser) -> None:
     for field in dataclasses.fields(EngineSettings):
         option = "--" + field.name.replace("_", "-")
-        parser.add_argument(option, type=type(field.default), default=field.default)
+        if isinstance(field.default, bool):
+            action = argparse.BooleanOptionalAction
+            parser.add_argument(option, action=action, default=field.default)
+        elif isinstance(field.default, tuple):
+            parser.add_argument(option, nargs="+", default=field.default)
+        else:
+            parser.add_argument(option, type=type(field.default), default=field.default)
 
 
 def _create(namespace: argparse.Namespace):
@@ -51,6 +57,7 @@
 
         names = [field.name for field in dataclasses.fields(EngineSettings)]
         settings = {name: getattr(namespace, name) for name in names}
+        settings["models"] = tuple(settings["models"])
         return EngineStandIn(namespace.listen, EngineSettings(**settings))
     if namespace.standin == "service":
         from .service import ServiceStandIn  # noqa: PLC0415
