Add the virtual-time replay and the bench program

Cause: the routing and admission decisions need figures before the node runs them, over several seeds and beside the baselines.

--- /dev/null
+++ b/papayarelay/bench/experiments.py
@@ -0,0 +1,348 @@
+"""Scenarios: what is replayed and which figures are taken."""
+
+from __future__ import annotations
+
+import hashlib
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from . import traces
+from .capacity import measure_requests_per_s, measure_warm_up_s
+from .engine import EngineParameters
+from .replay import Fault, Record, Replay, ReplayResult, engine_names
+from .traces import Deployment, TraceRequest
+
+GAP_LIMIT_MS = 56
+TTFT_LIMIT_S = 0.84
+DEADLINE_TOLERANCE_S = 0.05
+SETTLE_S = 30.0
+STEADY_S = 150.0
+FAULT_START_S = 60.0
+FAULT_END_S = 120.0
+FAULT_RUN_S = 210.0
+WINDOW_S = 10.0
+OVERLOAD_FACTOR = 2.0
+OVERLOAD_BASE_LOAD = 0.7
+RECOVERED_FRACTION = 0.95
+NORMAL_FACTOR = 1.2
+REFERENCE_RUNS = 3
+COLD_FRACTION = 1 / 3
+
+
+@dataclass(frozen=True)
+class Setup:
+    """What a scenario runs on."""
+
+    deployment: Deployment
+    policy: str | object
+    load: float
+    seed: int
+    parameters: EngineParameters = EngineParameters()
+    recorded: tuple[TraceRequest, ...] = ()
+
+    @property
+    def requests_per_s(self) -> float:
+        """Return the arrival rate at the load."""
+        rate = measure_requests_per_s(self.parameters)
+        return self.load * rate * self.deployment.engines
+
+    def trace(
+        self, duration_s: float, *, load: float | None = None, start_s: float = 0.0
+    ) -> list[TraceRequest]:
+        """Return the trace of the run, at another load if given."""
+        if self.recorded:
+            return list(self.recorded)
+        factor = 1.0 if load is None else load / self.load
+        rate = factor * self.requests_per_s
+        return traces.generate(
+            self.deployment, rate, duration_s, self.seed, start_s=start_s
+        )
+
+    def replay(
+        self,
+        trace: Sequence[TraceRequest],
+        *,
+        seed: int | None = None,
+        faults: Sequence[Fault] = (),
+        removed: Sequence[str] = (),
+        progress: Callable[[float], None] | None = None,
+    ) -> ReplayResult:
+        """Replay a trace on this deployment."""
+        return Replay(
+            trace,
+            self.deployment,
+            self.policy,
+            self.seed if seed is None else seed,
+            parameters=self.parameters,
+            faults=faults,
+            removed_engines=removed,
+            progress=progress,
+        ).run()
+
+
+def percentile(values: Sequence[float], fraction: float) -> float:
+    """Return a percentile by the nearest rank, NaN of no values."""
+    if not values:
+        return float("nan")
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
+
+
+def run_steady(setup: Setup) -> dict[str, float]:
+    """Measure slowdown beside long prompts, first token, gaps and completion."""
+    trace = setup.trace(STEADY_S)
+    mixed = setup.replay(trace)
+    alone = setup.replay(traces.only_short(trace))
+    records = [each for each in mixed.records if _settled(each)]
+    short = [each for each in records if each.request.short]
+    short_alone = [each for each in alone.records if _settled(each)]
+    figures = {
+        "short_ttft_ratio": _ttft(short) / _ttft(short_alone),
+        "short_latency_ratio": _latency(short) / _latency(short_alone),
+        "short_ttft_p95_s": _ttft(short),
+        "short_alone_ttft_p95_s": _ttft(short_alone),
+    }
+    figures |= _service_figures(records)
+    figures["gap_within_fraction"] = _gap_within(mixed)
+    return figures
+
+
+def run_drain(setup: Setup) -> dict[str, float]:
+    """Drain a data centre of three and return it.
+
+    The reference of each second is the same trace on the two other data
+    centres alone, which is the unavoidable loss of capacity.
+    """
+    trace = setup.trace(FAULT_RUN_S)
+    centre = setup.deployment.data_centres[0]
+    names = engine_names(setup.deployment)
+    drained = {name for name in names if names[name] == centre}
+    faults = [
+        Fault(FAULT_START_S, "drain", data_centre=centre),
+        Fault(FAULT_END_S, "return", data_centre=centre),
+    ]
+    run = setup.replay(trace, faults=faults)
+    references = [
+        setup.replay(trace, seed=1000 + setup.seed + index, removed=sorted(drained))
+        for index in range(REFERENCE_RUNS)
+    ]
+    windows = _ttft_windows([run])
+    unavoidable = _ttft_windows(references)
+    rises = [
+        windows[start] / unavoidable[start] - 1
+        for start in range(int(FAULT_START_S), int(FAULT_RUN_S - WINDOW_S))
+        if start in windows and start in unavoidable
+    ]
+    late = [
+        at_s - FAULT_START_S
+        for record in run.records
+        for at_s, engine in record.sent
+        if engine in drained and FAULT_START_S <= at_s < FAULT_END_S
+    ]
+    return {
+        "failed": sum(each.failed_s is not None for each in run.records),
+        "refused": _refused(run.records),
+        "new_work_s": max(late, default=0.0),
+        "short_ttft_rise": max(rises),
+    }
+
+
+def run_cold(setup: Setup) -> dict[str, float]:
+    """Restart a third of the engines at once, without notice."""
+    trace = setup.trace(FAULT_RUN_S)
+    names = sorted(
+        engine_names(setup.deployment),
+        key=lambda name: hashlib.sha256(f"{setup.seed}/{name}".encode()).digest(),
+    )
+    cold = tuple(names[: round(COLD_FRACTION * len(names))])
+    run = setup.replay(trace, faults=[Fault(FAULT_START_S, "cold", engines=cold)])
+    normal = setup.replay(trace)
+    warm_up_s = measure_warm_up_s(setup.parameters)
+    recovery_s = _recovery_s(setup, run, normal)
+    return {
+        "over_bound_tokens": max(
+            engine.max_over_bound_tokens for engine in run.engines.values()
+        ),
+        "cold_failures": sum(engine.cold_failures for engine in run.engines.values()),
+        "recovery_s": recovery_s,
+        "recovery_per_warm_up": recovery_s / warm_up_s,
+        "failed": sum(each.failed_s is not None for each in run.records),
+        "refused": _refused(run.records),
+    }
+
+
+def run_overload(setup: Setup) -> dict[str, float]:
+    """Offer ``OVERLOAD_FACTOR`` times the capacity for a while."""
+    before = setup.trace(FAULT_START_S, load=OVERLOAD_BASE_LOAD)
+    during = setup.trace(
+        FAULT_END_S - FAULT_START_S, load=OVERLOAD_FACTOR, start_s=FAULT_START_S
+    )
+    after = setup.trace(
+        FAULT_RUN_S - FAULT_END_S, load=OVERLOAD_BASE_LOAD, start_s=FAULT_END_S
+    )
+    run = setup.replay(traces.merge(before, during, after))
+    work = _work_per_s(setup, run.records, FAULT_START_S + WINDOW_S, FAULT_END_S)
+    normal = [
+        each
+        for each in run.records
+        if each.request.short and SETTLE_S <= each.request.arrival_s < FAULT_START_S
+    ]
+    limit_s = NORMAL_FACTOR * _ttft(normal)
+    windows = _ttft_windows([run])
+    slow = [
+        start + WINDOW_S - FAULT_END_S
+        for start, value in windows.items()
+        if start >= FAULT_END_S and value > limit_s
+    ]
+    figures = {
+        "goodput_fraction": work / _capacity_work_per_s(setup),
+        "back_to_normal_s": max(slow, default=0.0),
+    }
+    admitted = [each for each in run.records if each.admitted]
+    figures["answered_in_deadline"] = _fraction(admitted, _answered_in_deadline)
+    figures["admitted_failed_fraction"] = _fraction(
+        admitted, lambda each: each.failed_s is not None
+    )
+    figures["refused"] = _refused(run.records)
+    return figures
+
+
+SCENARIOS: dict[str, Callable[[Setup], dict[str, float]]] = {
+    "steady": run_steady,
+    "drain": run_drain,
+    "cold": run_cold,
+    "overload": run_overload,
+}
+
+
+def prompt_length_curve(result: ReplayResult) -> list[tuple[float, float]]:
+    """Return (prompt tokens, 95th percentile of time to first token) by length."""
+    bounds = [1_000, 2_000, 4_000, 8_000, 16_000, 32_000, 100_000, 200_000, 1_000_001]
+    curve = []
+    for low, high in zip(bounds, bounds[1:], strict=False):
+        records = [
+            each
+            for each in result.records
+            if _settled(each) and low <= each.request.prompt_tokens < high
+        ]
+        if records:
+            curve.append((float(low), _ttft(records)))
+    return curve
+
+
+def _service_figures(records: Sequence[Record]) -> dict[str, float]:
+    admitted = [each for each in records if each.admitted]
+    long = [each for each in admitted if each.request.long]
+    return {
+        "ttft_p95_s": _ttft(records),
+        "ttft_within_fraction": _fraction(
+            records, lambda each: (each.ttft_s or TTFT_LIMIT_S + 1) <= TTFT_LIMIT_S
+        ),
+        "answered_in_deadline": _fraction(admitted, _answered_in_deadline),
+        "long_finished_fraction": _fraction(
+            long, lambda each: each.finished_s is not None
+        ),
+        "refused_fraction": _fraction(records, lambda each: not each.admitted),
+        "failed": sum(each.failed_s is not None for each in records),
+    }
+
+
+def _settled(record: Record) -> bool:
+    return record.request.arrival_s >= SETTLE_S
+
+
+def _ttft(records: Sequence[Record]) -> float:
+    values = [each.ttft_s for each in records if each.ttft_s is not None]
+    return percentile(values, 0.95)
+
+
+def _latency(records: Sequence[Record]) -> float:
+    values = [each.latency_s for each in records if each.latency_s is not None]
+    return percentile(values, 0.95)
+
+
+def _fraction(records: Sequence[Record], test: Callable[[Record], bool]) -> float:
+    if not records:
+        return float("nan")
+    return sum(map(test, records)) / len(records)
+
+
+def _answered_in_deadline(record: Record) -> bool:
+    answered_s = record.finished_s
+    if answered_s is None:
+        answered_s = record.failed_s
+    limit_s = record.deadline_s + DEADLINE_TOLERANCE_S
+    return answered_s is not None and answered_s <= limit_s
+
+
+def _refused(records: Sequence[Record]) -> int:
+    return sum(each.refused_s is not None for each in records)
+
+
+def _gap_within(result: ReplayResult) -> float:
+    gaps: Counter[int] = Counter()
+    for engine in result.engines.values():
+        gaps.update(engine.gaps)
+    within = sum(count for gap, count in gaps.items() if gap <= GAP_LIMIT_MS)
+    return within / max(1, gaps.total())
+
+
+def _ttft_windows(results: Sequence[ReplayResult]) -> dict[int, float]:
+    """Return the 95th percentile of short requests per sliding window."""
+    by_second: dict[int, list[float]] = {}
+    for result in results:
+        for record in result.records:
+            if record.request.short and record.ttft_s is not None:
+                second = int(record.request.arrival_s)
+                by_second.setdefault(second, []).append(record.ttft_s)
+    windows = {}
+    for start in range(int(FAULT_RUN_S - WINDOW_S)):
+        values: list[float] = []
+        for second in range(start, start + int(WINDOW_S)):
+            values += by_second.get(second, [])
+        if values:
+            windows[start] = percentile(values, 0.95)
+    return windows
+
+
+def _work_per_s(
+    setup: Setup, records: Sequence[Record], start_s: float, end_s: float
+) -> float:
+    """Return the engine time of the requests finished per second of a window."""
+    work_s = sum(
+        setup.parameters.work_s(each.request.prompt_tokens, each.request.output_tokens)
+        for each in records
+        if each.finished_s is not None and start_s <= each.finished_s < end_s
+    )
+    return work_s / (end_s - start_s)
+
+
+def _capacity_work_per_s(setup: Setup) -> float:
+    """Return the same measure for the saturated deployment."""
+    trace = traces.generate(setup.deployment, 10.0, 1000.0, 0)
+    fitting = [
+        setup.parameters.work_s(each.prompt_tokens, each.output_tokens)
+        for each in trace
+        if each.tokens <= setup.parameters.kv_capacity_tokens
+    ]
+    rate = measure_requests_per_s(setup.parameters) * setup.deployment.engines
+    return rate * sum(fitting) / len(fitting)
+
+
+def _recovery_s(setup: Setup, run: ReplayResult, normal: ReplayResult) -> float:
+    """Return the time after which goodput stays at the normal one."""
+    recovered_s = 0.0
+    for start in range(int(FAULT_START_S), int(FAULT_RUN_S - WINDOW_S)):
+        usual = _finished(normal.records, start)
+        if _finished(run.records, start) < RECOVERED_FRACTION * usual:
+            recovered_s = start + WINDOW_S - FAULT_START_S
+    return recovered_s
+
+
+def _finished(records: Sequence[Record], start_s: float) -> int:
+    """Return the requests finished in a window, by count."""
+    return sum(
+        each.finished_s is not None and start_s <= each.finished_s < start_s + WINDOW_S
+        for each in records
+    )
--- /dev/null
+++ b/papayarelay/bench/replay.py
@@ -0,0 +1,625 @@
+"""Discrete-event replay of a trace in virtual time.
+
+One process runs the deciding code of several nodes against modelled engines.
+Each node has its own queue, budgets, circuits, cold-start ramps and its own
+lagging copy of the load reports.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+import itertools
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+
+from ..admission import AdmissionQueue
+from ..circuit import Circuit
+from ..cost import Cost
+from ..errors import OverloadError
+from ..request import Request
+from ..retry import RetryBudget
+from ..routing import POLICIES, BackendView, CostAware, choose
+from ..warmup import WATCHERS, WarmUp
+from .engine import BenchEngine, EngineParameters, EngineReport, EngineRequest
+from .traces import KINDS, Deployment, TraceRequest
+
+MODEL = "m"
+REPORT_INTERVAL_S = 1.0
+REPORT_LAG_S = (0.1, 0.8)
+MARK_DELAY_S = (0.02, 0.3)
+DRAIN_DELAY_S = (0.1, 1.5)
+TICK_S = 0.1
+MAX_PREFIXES = 4096
+
+
+@dataclass
+class Record:
+    """What happened to one request of the trace."""
+
+    request: TraceRequest
+    admitted: bool = False
+    refused_s: float | None = None
+    failed_s: float | None = None
+    first_s: float | None = None
+    finished_s: float | None = None
+    deadline_s: float = 0.0
+    attempts: int = 0
+    sent: list[tuple[float, str]] = field(default_factory=list)
+
+    @property
+    def ttft_s(self) -> float | None:
+        """Return the time to first token."""
+        if self.first_s is None:
+            return None
+        return self.first_s - self.request.arrival_s
+
+    @property
+    def latency_s(self) -> float | None:
+        """Return the time to the last token."""
+        if self.finished_s is None:
+            return None
+        return self.finished_s - self.request.arrival_s
+
+
+@dataclass(frozen=True)
+class Fault:
+    """A change during the run: ``drain``, ``return`` or ``cold`` of some engines."""
+
+    at_s: float
+    action: str
+    engines: tuple[str, ...] = ()
+    data_centre: str = ""
+
+
+@dataclass
+class ReplayResult:
+    """The records of a run and the state of its engines."""
+
+    records: list[Record]
+    engines: Mapping[str, BenchEngine]
+    data_centre_of: Mapping[str, str]
+    end_s: float
+    max_queue: int = 0
+
+
+class _EngineState:
+    """What one node knows about one engine."""
+
+    def __init__(self, view: BackendView, warm_up: WarmUp, rng: random.Random):
+        self.view = view
+        self.warm_up = warm_up
+        self.circuit = Circuit(rng)
+        self.boot_id = 0
+        self.cold_marked = False
+        self.drained = False
+        # Request id -> (time sent, prefill tokens left, tokens in flight).
+        self.own: dict[str, tuple[float, int, int]] = {}
+        self.stale = False
+
+    def current(self, watcher: bool) -> BackendView:
+        """Return the view with the node's own work and bound."""
+        if not self.stale:
+            return self.view
+        reported_s = self.view.reported_s
+        own = self.own.values()
+        bound = self.warm_up.bound_tokens if watcher else None
+        if self.cold_marked and not watcher:
+            bound = 0
+        self.view = replace(
+            self.view,
+            state="drained" if self.drained else "warm",
+            own_inflight=len(self.own),
+            own_prefill_tokens=sum(prefill for _, prefill, _ in own),
+            own_tokens=sum(tokens for _, _, tokens in own),
+            sent_prefill_tokens=sum(p for sent, p, _ in own if sent > reported_s),
+            sent_kv_tokens=sum(t for sent, _, t in own if sent > reported_s),
+            bound=bound,
+        )
+        self.stale = False
+        return self.view
+
+
+class ReplayNode:
+    """The deciding code of one node."""
+
+    def __init__(
+        self,
+        name: str,
+        replay: Replay,
+        policy: object,
+        shares: Mapping[str, float],
+        rng: random.Random,
+    ):
+        self.name = name
+        self.queue = AdmissionQueue(shares)
+        self._replay = replay
+        self._policy = policy
+        self._queues = isinstance(policy, CostAware)
+        self._rng = rng
+        self._budget = RetryBudget()
+        self._states: dict[str, _EngineState] = {}
+        self._watched: set[str] = set()
+        # Prefix group -> engines that have computed it, newest last.
+        self._prefixes: OrderedDict[str, dict[str, int]] = OrderedDict()
+        self._parked: deque[Request] = deque()
+        parameters = replay.parameters
+        for engine_id, data_centre in replay.data_centre_of.items():
+            view = BackendView(
+                engine_id,
+                data_centre,
+                "engine",
+                (MODEL,),
+                kv_capacity_tokens=parameters.kv_capacity_tokens,
+            )
+            warm_up = WarmUp(parameters.cold_bound_tokens, parameters.warm_tokens)
+            self._states[engine_id] = _EngineState(view, warm_up, rng)
+            if name in replay.watchers(engine_id):
+                self._watched.add(engine_id)
+
+    def offer(self, request: Request, now_s: float) -> None:
+        """Take a request from a caller; raises OverloadError."""
+        self._budget.record_request(now_s)
+        if not self._queues:
+            self._dispatch_or_park(request, now_s)
+            return
+        self.queue.offer(request, self._cost(request), now_s)
+        self.pump(now_s)
+
+    def pump(self, now_s: float) -> None:
+        """Send queued requests while an engine has room."""
+        if not self._queues:
+            for _ in range(len(self._parked)):
+                self._dispatch_or_park(self._parked.popleft(), now_s)
+            return
+        while len(self.queue):
+            chosen: BackendView | None = None
+
+            def fits(request: Request, cost: Cost) -> bool:
+                nonlocal chosen
+                views = self._views(request, now_s)
+                chosen = choose(self._policy, cost, views, now_s, self._rng)
+                return chosen is not None
+
+            request = self.queue.next(now_s, fits)
+            if request is None or chosen is None:
+                return
+            self._send(request, chosen.id, now_s)
+
+    def expire(self, now_s: float) -> list[Request]:
+        """Return the queued requests that can no longer finish."""
+        parked = [each for each in self._parked if each.deadline_s <= now_s]
+        for request in parked:
+            self._parked.remove(request)
+        return parked + self.queue.expire(now_s)
+
+    def receive_report(self, engine_id: str, report: EngineReport) -> None:
+        """Take over a load report unless a newer one is known."""
+        state = self._states[engine_id]
+        if report.reported_s <= state.view.reported_s:
+            return
+        if state.boot_id and report.boot_id > state.boot_id:
+            self.mark_cold(engine_id, report.boot_id, report.reported_s)
+        state.boot_id = max(state.boot_id, report.boot_id)
+        if report.state == "warm" and report.boot_id == state.boot_id:
+            state.cold_marked = state.cold_marked and state.warm_up.cold
+        state.view = replace(
+            state.view,
+            kv_used_tokens=report.kv_used_tokens,
+            queued_prefill_tokens=report.queued_prefill_tokens,
+            running=report.running,
+            prefill_tokens_per_s=report.prefill_tokens_per_s,
+            reported_s=report.reported_s,
+        )
+        state.stale = True
+
+    def mark_cold(self, engine_id: str, boot_id: int, now_s: float) -> bool:
+        """Start the ramp of an engine; returns whether this boot was not known."""
+        state = self._states[engine_id]
+        if boot_id <= state.boot_id and state.cold_marked:
+            return False
+        state.boot_id = max(state.boot_id, boot_id)
+        state.cold_marked = True
+        state.warm_up.turn_cold(now_s)
+        state.stale = True
+        return True
+
+    def mark_warm(self, engine_id: str, boot_id: int) -> None:
+        """Lift the ban of an engine whose ramp a watcher has completed."""
+        state = self._states[engine_id]
+        if boot_id >= state.boot_id and engine_id not in self._watched:
+            state.cold_marked = False
+            state.stale = True
+
+    def set_drained(self, engine_ids: Sequence[str], drained: bool) -> None:
+        """Take engines out of service or back."""
+        for engine_id in engine_ids:
+            self._states[engine_id].drained = drained
+            self._states[engine_id].stale = True
+
+    def record_first(self, request: Request, engine_id: str, now_s: float) -> None:
+        """Record a first token."""
+        state = self._states[engine_id]
+        own = state.own.get(request.id)
+        if own is not None:
+            state.own[request.id] = (own[0], 0, own[2])
+        state.circuit.record_success(now_s)
+        state.stale = True
+        trace = self._replay.trace_of(request)
+        if trace.prefix_group:
+            engines = self._prefixes.setdefault(trace.prefix_group, {})
+            engines[engine_id] = state.boot_id
+            self._prefixes.move_to_end(trace.prefix_group)
+            if len(self._prefixes) > MAX_PREFIXES:
+                self._prefixes.popitem(last=False)
+
+    def record_end(
+        self, request: Request, engine_id: str, now_s: float, good: bool
+    ) -> None:
+        """Record the end of an attempt."""
+        state = self._states[engine_id]
+        own = state.own.pop(request.id, None)
+        state.stale = True
+        if not good or own is None or engine_id not in self._watched:
+            return
+        was_cold = state.warm_up.cold
+        state.warm_up.record_success(own[2], now_s <= request.deadline_s, now_s)
+        if was_cold and not state.warm_up.cold:
+            state.cold_marked = False
+            self._replay.broadcast_warm(self, engine_id, state.boot_id)
+
+    def record_failure(self, request: Request, engine_id: str, now_s: float) -> bool:
+        """Record a broken stream; returns whether the request is tried again."""
+        state = self._states[engine_id]
+        self.record_end(request, engine_id, now_s, False)
+        state.circuit.record_failure(now_s)
+        if self._queues:
+            state.warm_up.record_failure(now_s)
+        if request.deadline_s <= now_s or not self._budget.allow(now_s):
+            return False
+        if not self._queues:
+            self._parked.append(request)
+            return True
+        try:
+            self.queue.offer(request, self._cost(request), now_s)
+        except OverloadError:
+            return False
+        return True
+
+    def forget(self, request: Request) -> None:
+        """Drop a queued request."""
+        self.queue.remove(request.id)
+
+    @staticmethod
+    def _cost(request: Request) -> Cost:
+        return Cost(request.prompt_tokens, request.max_tokens)
+
+    def _views(self, request: Request, now_s: float) -> list[BackendView]:
+        views = []
+        trace = self._replay.trace_of(request)
+        cached = self._prefixes.get(trace.prefix_group) if trace.prefix_group else None
+        for engine_id, state in self._states.items():
+            if state.drained:
+                continue
+            if self._queues and not state.circuit.is_ready(now_s):
+                continue
+            view = state.current(engine_id in self._watched)
+            if cached and cached.get(engine_id) == state.boot_id:
+                view = replace(view, cached_tokens=trace.prefix_tokens)
+            views.append(view)
+        return views
+
+    def _dispatch_or_park(self, request: Request, now_s: float) -> None:
+        views = self._views(request, now_s)
+        chosen = choose(self._policy, self._cost(request), views, now_s, self._rng)
+        if chosen is None:
+            self._parked.append(request)
+        else:
+            self._send(request, chosen.id, now_s)
+
+    def _send(self, request: Request, engine_id: str, now_s: float) -> None:
+        state = self._states[engine_id]
+        state.circuit.allow(now_s)
+        tokens = request.prompt_tokens + request.max_tokens
+        state.own[request.id] = (now_s, request.prompt_tokens, tokens)
+        state.stale = True
+        self._replay.send(self, request, engine_id, now_s)
+
+
+class Replay:
+    """One run: a trace, a deployment, a policy and faults."""
+
+    def __init__(
+        self,
+        trace: Sequence[TraceRequest],
+        deployment: Deployment,
+        policy: str | object,
+        seed: int,
+        *,
+        parameters: EngineParameters | None = None,
+        faults: Sequence[Fault] = (),
+        removed_engines: Sequence[str] = (),
+        progress: Callable[[float], None] | None = None,
+    ):
+        self.parameters = parameters or EngineParameters()
+        self._trace = trace
+        self._rng = random.Random(f"replay/{seed}")
+        self._progress = progress
+        self._now_s = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        names = engine_names(deployment)
+        self.data_centre_of = {
+            name: centre
+            for name, centre in names.items()
+            if name not in removed_engines
+        }
+        self._engines = {
+            name: BenchEngine(name, self.parameters) for name in self.data_centre_of
+        }
+        self._stepping: dict[str, int] = {}
+        self._node_names = [f"node-{index}" for index in range(deployment.nodes)]
+        shares = {member: 1 / len(deployment.members) for member in deployment.members}
+        self._nodes = []
+        for index, name in enumerate(self._node_names):
+            node_policy = POLICIES[policy]() if isinstance(policy, str) else policy
+            rng = random.Random(f"{seed}/{index}")
+            self._nodes.append(ReplayNode(name, self, node_policy, shares, rng))
+        self._records: list[Record] = []
+        # Request id -> (node, engine id, engine request).
+        self._running: dict[str, tuple[ReplayNode, str, EngineRequest]] = {}
+        self._requests: dict[str, Request] = {}
+        self._open = 0
+        self._max_queue = 0
+        for fault in faults:
+            self._at(fault.at_s, lambda fault=fault: self._apply(fault))
+
+    def watchers(self, engine_id: str) -> list[str]:
+        """Return the nodes that watch an engine, by rendezvous hashing."""
+        return sorted(
+            self._node_names,
+            key=lambda name: hashlib.sha256(f"{engine_id}/{name}".encode()).digest(),
+        )[:WATCHERS]
+
+    def trace_of(self, request: Request) -> TraceRequest:
+        """Return the trace line of a request."""
+        return self._records[int(request.id)].request
+
+    def run(self) -> ReplayResult:
+        """Run until every request has an answer."""
+        for engine in self._engines.values():
+            phase_s = self._rng.uniform(0, REPORT_INTERVAL_S)
+            self._at(phase_s, lambda engine=engine: self._report(engine))
+        for node in self._nodes:
+            phase_s = self._rng.uniform(0, TICK_S)
+            self._at(phase_s, lambda node=node: self._tick(node))
+        self._position = 0
+        self._arrive_next()
+        while self._events:
+            at_s, _, action = heapq.heappop(self._events)
+            self._now_s = at_s
+            action()
+            if self._position >= len(self._trace) and not self._open:
+                break
+        return ReplayResult(
+            self._records,
+            self._engines,
+            self.data_centre_of,
+            self._now_s,
+            self._max_queue,
+        )
+
+    def send(
+        self, node: ReplayNode, request: Request, engine_id: str, now_s: float
+    ) -> None:
+        """Submit a request to an engine."""
+        record = self._records[int(request.id)]
+        record.attempts += 1
+        record.sent.append((now_s, engine_id))
+        trace = record.request
+        work = EngineRequest(
+            request.id,
+            request.prompt_tokens,
+            request.max_tokens,
+            request.kind.priority,
+            group=trace.prefix_group,
+            prefix_tokens=trace.prefix_tokens,
+        )
+        engine = self._engines[engine_id]
+        if not engine.submit(work, now_s):
+            self._at(now_s, lambda: self._fail(node, request, engine_id))
+            return
+        self._running[request.id] = (node, engine_id, work)
+        failed = engine.check_cold()
+        if failed:
+            self._break(engine, failed)
+        else:
+            self._step(engine)
+
+    def broadcast_warm(self, sender: ReplayNode, engine_id: str, boot_id: int) -> None:
+        """Tell the other nodes that a ramp is complete."""
+        for node in self._nodes:
+            if node is not sender:
+                delay_s = self._rng.uniform(*MARK_DELAY_S)
+                self._at(
+                    self._now_s + delay_s,
+                    lambda node=node: node.mark_warm(engine_id, boot_id),
+                )
+
+    def _at(self, at_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at_s, next(self._sequence), action))
+
+    def _arrive_next(self) -> None:
+        if self._position < len(self._trace):
+            self._at(self._trace[self._position].arrival_s, self._arrive)
+
+    def _arrive(self) -> None:
+        trace = self._trace[self._position]
+        self._position += 1
+        if self._progress is not None:
+            self._progress(self._now_s)
+        kind = KINDS[trace.kind]
+        record = Record(trace, deadline_s=self._now_s + kind.deadline_s)
+        request = Request(
+            id=str(len(self._records)),
+            member=trace.member,
+            organisation=trace.organisation,
+            kind=kind,
+            model=MODEL,
+            path="/v1/completions",
+            body=b"",
+            prompt_tokens=trace.prompt_tokens,
+            max_tokens=trace.output_tokens,
+            stream=True,
+            received_s=self._now_s,
+            deadline_s=record.deadline_s,
+        )
+        self._records.append(record)
+        self._arrive_next()
+        if trace.tokens > self.parameters.kv_capacity_tokens:
+            # Prompts larger than an engine are refused by the node at once.
+            record.refused_s = self._now_s
+            return
+        node = self._rng.choice(self._nodes)
+        self._open += 1
+        self._requests[request.id] = request
+        try:
+            node.offer(request, self._now_s)
+        except OverloadError:
+            self._close(request)
+            record.refused_s = self._now_s
+            return
+        record.admitted = True
+        self._at(record.deadline_s, lambda: self._reach_deadline(node, request))
+        self._max_queue = max(self._max_queue, len(node.queue))
+
+    def _close(self, request: Request) -> None:
+        if self._requests.pop(request.id, None) is not None:
+            self._open -= 1
+
+    def _reach_deadline(self, node: ReplayNode, request: Request) -> None:
+        if request.id not in self._requests:
+            return
+        self._records[int(request.id)].failed_s = self._now_s
+        running = self._running.pop(request.id, None)
+        if running is None:
+            node.forget(request)
+        else:
+            self._engines[running[1]].cancel(running[2])
+            node.record_end(request, running[1], self._now_s, False)
+        self._close(request)
+
+    def _tick(self, node: ReplayNode) -> None:
+        for request in node.expire(self._now_s):
+            if request.id in self._requests:
+                self._records[int(request.id)].failed_s = self._now_s
+                self._close(request)
+        node.pump(self._now_s)
+        self._at(self._now_s + TICK_S, lambda: self._tick(node))
+
+    def _report(self, engine: BenchEngine) -> None:
+        report = engine.report(self._now_s)
+        for node in self._nodes:
+            lag_s = self._rng.uniform(*REPORT_LAG_S)
+            self._at(
+                self._now_s + lag_s,
+                lambda node=node: node.receive_report(engine.id, report),
+            )
+        self._at(self._now_s + REPORT_INTERVAL_S, lambda: self._report(engine))
+
+    def _step(self, engine: BenchEngine) -> None:
+        if self._stepping.get(engine.id) == engine.boot_id or not engine.busy:
+            return
+        boot_id = engine.boot_id
+        self._stepping[engine.id] = boot_id
+        duration_s = engine.begin_step()
+        self._at(
+            self._now_s + duration_s,
+            lambda: self._end_step(engine, boot_id, duration_s),
+        )
+
+    def _end_step(self, engine: BenchEngine, boot_id: int, duration_s: float) -> None:
+        if engine.boot_id != boot_id:
+            return
+        del self._stepping[engine.id]
+        result = engine.end_step(duration_s, self._now_s)
+        pumped = []
+        for work in result.first:
+            node = self._running[work.request_id][0]
+            record = self._records[int(work.request_id)]
+            if record.first_s is None:
+                record.first_s = self._now_s
+            node.record_first(self._requests[work.request_id], engine.id, self._now_s)
+            pumped.append(node)
+        for work in result.finished:
+            node = self._running.pop(work.request_id)[0]
+            self._records[int(work.request_id)].finished_s = self._now_s
+            request = self._requests[work.request_id]
+            node.record_end(request, engine.id, self._now_s, True)
+            self._close(request)
+            pumped.append(node)
+        for node in dict.fromkeys(pumped):
+            node.pump(self._now_s)
+        self._step(engine)
+
+    def _apply(self, fault: Fault) -> None:
+        if fault.action == "cold":
+            for engine_id in fault.engines:
+                engine = self._engines[engine_id]
+                self._break(engine, engine.become_cold())
+            return
+        engine_ids = [
+            name
+            for name, centre in self.data_centre_of.items()
+            if centre == fault.data_centre
+        ]
+        for node in self._nodes:
+            delay_s = self._rng.uniform(*DRAIN_DELAY_S)
+            self._at(
+                self._now_s + delay_s,
+                lambda node=node: node.set_drained(engine_ids, fault.action == "drain"),
+            )
+
+    def _break(self, engine: BenchEngine, failed: Sequence[EngineRequest]) -> None:
+        """Break the streams of a restarted engine; their nodes mark it cold."""
+        boot_id = engine.boot_id
+        engine.down_until_s = self._now_s + self.parameters.restart_s
+        for work in failed:
+            node = self._running[work.request_id][0]
+            request = self._requests[work.request_id]
+            if node.mark_cold(engine.id, boot_id, self._now_s):
+                self._broadcast_cold(node, engine.id, boot_id)
+            self._at(
+                self._now_s,
+                lambda node=node, request=request: self._fail(node, request, engine.id),
+            )
+
+    def _broadcast_cold(self, sender: ReplayNode, engine_id: str, boot_id: int) -> None:
+        for node in self._nodes:
+            if node is not sender:
+                delay_s = self._rng.uniform(*MARK_DELAY_S)
+                self._at(
+                    self._now_s + delay_s,
+                    lambda node=node: node.mark_cold(engine_id, boot_id, self._now_s),
+                )
+
+    def _fail(self, node: ReplayNode, request: Request, engine_id: str) -> None:
+        self._running.pop(request.id, None)
+        if request.id not in self._requests:
+            return
+        if node.record_failure(request, engine_id, self._now_s):
+            node.pump(self._now_s)
+            return
+        self._records[int(request.id)].failed_s = self._now_s
+        self._close(request)
+
+
+def engine_names(deployment: Deployment) -> dict[str, str]:
+    """Return the engine ids of a deployment with their data centres."""
+    centres = deployment.data_centres
+    return {
+        f"engine-{index}": centres[index % len(centres)]
+        for index in range(deployment.engines)
+    }
--- a/papayarelay/routing.py
+++ b/papayarelay/routing.py
@@ -73,6 +73,7 @@
 MIN_LONG_FRACTION = 0.25
 MAX_LONG_FRACTION = 0.6
 DEFAULT_PREFILL_TOKENS_PER_S = 20_000.0
+UNUSABLE_STATES = frozenset({"drained", "leaving", "down"})
 
 
 @dataclass(frozen=True)
@@ -160,7 +161,7 @@
 
 def _has_room(cost: Cost, view: BackendView) -> bool:
     """Return whether the engine can hold the request within its bounds."""
-    if view.state not in ("warm", "cold"):
+    if view.state in UNUSABLE_STATES:
         return False
     if view.bound is not None and view.own_tokens + cost.kv_tokens > view.bound:
         return False
