--- /dev/null
+++ b/papayarelay/nodes/exchange.py
@@ -0,0 +1,971 @@
+"""The exchange of state between nodes, owned by ``Node``."""
+
+from __future__ import annotations
+
+import collections
+import random
+import time
+import zlib
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from enum import IntEnum
+from typing import Any
+
+import gevent
+import gevent.event
+import logbook
+import msgspec
+
+from ..errors import Outcome, RelayError
+from . import overlay, watch
+from .codec import (
+    Batch,
+    Codec,
+    ConfigChunk,
+    ConfigRequest,
+    Frame,
+    FrameError,
+    Hello,
+    OldIncarnationError,
+    OversizedFrameError,
+)
+from .links import Link, LinkTiming, Listener
+from .spread import (
+    BURST_BYTES,
+    BYTES_PER_S,
+    DEBT_BYTES,
+    MAX_CHANGE_BYTES,
+    URGENT,
+    WIRE_OVERHEAD_BYTES,
+    Bucket,
+    ConfigChange,
+    ConfigState,
+    Entry,
+    Kind,
+    LoadRecord,
+    Spread,
+    key_of,
+    pack_value,
+    received_entries,
+    summary_id,
+    unpack_value,
+)
+from .view import Peer, PeerState, PeerView
+
+log = logbook.Logger(__name__)
+
+MAINTAIN_INTERVAL_S = 0.5
+SUSPECT_AFTER_S = 9.0
+# A link that only the peer wants is kept this long after it last said so.
+ACCEPTED_FOR_S = 8.0
+MAX_ACCEPTED = 32
+PROBE_INTERVAL_S = 10.0
+PROBE_FOR_S = 8.0
+DIGEST_DIFFERS_S = 3.0
+# A version that was heard of but whose change did not arrive is reported.
+CHANGE_OVERDUE_S = 1.0
+LOAD_MIN_INTERVAL_S = 2.5
+LOAD_REFRESH_S = 5.0
+SUMMARY_MIN_INTERVAL_S = 10.0
+SUMMARY_REFRESH_S = 20.0
+# The second watcher publishes when the first one's record is older than this.
+TAKE_OVER_S = 8.0
+CHUNK_BYTES = 1_100
+CHUNK_TIMEOUT_S = 2.0
+MAX_CONFIG_BYTES = 16 * 1024 * 1024
+
+
+class DrainState(IntEnum):
+    """A drain mark; with one version the greater one is kept."""
+
+    # The table service has the state; the mark has no effect any more.
+    RECORDED = 0
+    RETURNED = 1
+    DRAINED = 2
+
+
+class ConfigFetchError(RelayError):
+    """No peer has sent the whole configuration in time."""
+
+    status = 503
+    code = "config_unavailable"
+
+
+@dataclass(frozen=True)
+class ExchangeSettings:
+    """Settings of the exchange of one node; times in seconds."""
+
+    name: str
+    data_centre: str
+    region: str
+    key: bytes
+    listen: str = "127.0.0.1:0"
+    # The address that peers dial; empty for the address of the listener.
+    address: str = ""
+    policy: str = "fixed_overlay"
+    bytes_per_s: float = BYTES_PER_S
+    suspect_after_s: float = SUSPECT_AFTER_S
+    timing: LinkTiming = field(default_factory=LinkTiming)
+
+
+def _ignore(*_: object) -> None:
+    """Handle nothing."""
+
+
+@dataclass(frozen=True)
+class Handlers:
+    """Functions that are called for what arrives from peers.
+
+    ``on_config`` gets the version and the changed sections in full, or None
+    when the node has to read them itself, after a random delay of up to 1 s so
+    that not all nodes read the table service at once.
+    """
+
+    on_load: Callable[[LoadRecord], None] = _ignore
+    on_summary: Callable[[LoadRecord], None] = _ignore
+    on_cold: Callable[[str, bool], None] = _ignore
+    on_drain: Callable[[str, DrainState], None] = _ignore
+    on_config: Callable[[int, Mapping[str, Any] | None], None] = _ignore
+    on_peers: Callable[[], None] = _ignore
+
+
+class _Statement(msgspec.Struct, array_like=True, frozen=True):
+    """Value of a peer record, after a byte that is 0 for a live peer."""
+
+    name: str
+    address: str
+    data_centre: str
+    region: str
+    state: str
+    incarnation: int
+    claim: int
+
+
+@dataclass
+class _Download:
+    """Parts of a configuration that arrive from several peers."""
+
+    version: int = 0
+    size: int = 0
+    parts: dict[int, bytes] = field(default_factory=dict)
+    asked: dict[str, tuple[int, float]] = field(default_factory=dict)
+    arrived: gevent.event.Event = field(default_factory=gevent.event.Event)
+
+    @property
+    def complete(self) -> bool:
+        """Whether all parts are there."""
+        return self.size > 0 and sum(map(len, self.parts.values())) >= self.size
+
+    def missing(self, now_s: float) -> int | None:
+        """Return the offset of a part to ask for."""
+        asked = {offset for offset, due_s in self.asked.values() if due_s > now_s}
+        for offset in range(0, max(1, self.size), CHUNK_BYTES):
+            if offset not in self.parts and offset not in asked:
+                return offset
+        return None
+
+    def add(self, chunk: ConfigChunk) -> None:
+        """Add a part; a newer version starts again."""
+        if chunk.version > self.version or not self.size:
+            self.version, self.size, self.parts = chunk.version, chunk.size, {}
+        if (chunk.version, chunk.size) == (self.version, self.size):
+            self.parts[chunk.offset] = chunk.data
+
+    def content(self) -> dict[str, Any]:
+        """Return the sections.  Raises ``ValueError`` for damaged data."""
+        data = b"".join(self.parts[offset] for offset in sorted(self.parts))
+        unpacker = zlib.decompressobj()
+        try:
+            packed = unpacker.decompress(data, MAX_CONFIG_BYTES)
+            return msgspec.msgpack.decode(packed, type=dict[str, Any])
+        except (zlib.error, msgspec.DecodeError) as error:
+            raise ValueError(str(error)) from error
+
+
+class Exchange:
+    """Links to other nodes, the peer view and the disseminated state."""
+
+    def __init__(
+        self,
+        settings: ExchangeSettings,
+        rng: random.Random,
+        handlers: Handlers | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ):
+        self._settings = settings
+        self._rng = rng
+        self._handlers = handlers or Handlers()
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._policy = overlay.POLICIES[settings.policy]()
+        incarnation = max(1, int(wall_clock() * 1000))
+        self._codec = Codec(settings.key, settings.name, incarnation)
+        self._view = PeerView(settings.name)
+        self._spread = Spread()
+        self._config = ConfigState()
+        self._bucket = Bucket(settings.bytes_per_s, BURST_BYTES, DEBT_BYTES, clock())
+        self._listener = Listener(settings.listen, self._on_frame)
+        self._links: dict[str, Link] = {}
+        self._selected: set[str] = set()
+        self._selected_for: tuple[int, int] | None = None
+        self._accepted: dict[str, float] = {}
+        self._probe: tuple[str, float] | None = None
+        self._next_probe_s = 0.0
+        self._hello_due: set[str] = set()
+        self._greeted: dict[str, int] = {}
+        self._control: dict[str, collections.deque] = {}
+        self._in_flight: dict[str, tuple[int, int, list[Entry]]] = {}
+        self._differing: dict[str, float] = {}
+        self._peer_versions: dict[str, int] = {}
+        self._reported_version = 0
+        self._ids: dict[int, str] = {}
+        self._ranks: dict[str, int] = {}
+        self._ranks_for: tuple | None = None
+        self._blob: tuple[int, bytes] | None = None
+        self._download: _Download | None = None
+        self._state = PeerState.LIVE
+        self._claim = 0
+        self._task: gevent.Greenlet | None = None
+        self.counters: collections.Counter[str] = collections.Counter()
+
+    @property
+    def address(self) -> str:
+        """The address that peers dial."""
+        return self._settings.address or self._listener.address
+
+    @property
+    def config(self) -> tuple[int, Mapping[str, Any]]:
+        """The version and the sections of the configuration in force."""
+        return self._config.version, self._config.sections
+
+    def start(self) -> None:
+        """Listen and link to the peers from now on."""
+        self._listener.start()
+        self._announce(self._clock())
+        self._task = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Close all links."""
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
+        for name in list(self._links):
+            self._close_link(name)
+        self._listener.close()
+
+    def leave(self, now_s: float) -> None:
+        """Tell the peers that this node takes no new work."""
+        self._state = PeerState.LEAVING
+        self._claim += 1
+        self._announce(now_s)
+
+    def set_peers(
+        self, entries: Iterable[Mapping[str, str]], now_s: float | None = None
+    ) -> None:
+        """Merge the VM list: name, address, data_centre, region and state."""
+        self._view.set_listed(entries, self._clock() if now_s is None else now_s)
+
+    def register_ids(self, ids: Iterable[str]) -> None:
+        """Make ids of engines and summaries known, so that records are delivered.
+
+        Records carry a 32-bit hash of the id.  Raises ``ValueError`` when two
+        ids have the same hash.
+        """
+        for record_id in ids:
+            known = self._ids.setdefault(key_of(record_id), record_id)
+            if known != record_id:
+                raise ValueError(f"ids {known!r} and {record_id!r} have one key")
+
+    def publish_load(self, record: LoadRecord, now_s: float) -> bool:
+        """Disseminate the load of an engine; return whether it is due."""
+        self.register_ids([record.id])
+        old = self._spread.get(Kind.LOAD, key_of(record.id))
+        if old is not None and self._ranks.get(record.id):
+            fresh = now_s - old.made_s < TAKE_OVER_S
+            if fresh and not self._spread.is_own(old.id):
+                return False
+        intervals = (LOAD_MIN_INTERVAL_S, LOAD_REFRESH_S)
+        return self._publish_packed(Kind.LOAD, record, old, intervals, now_s)
+
+    def publish_summary(
+        self, data_centre: str, model: str, record: LoadRecord, now_s: float
+    ) -> bool:
+        """Disseminate the summary of a model; return whether it is due."""
+        record = replace(record, id=summary_id(data_centre, model))
+        self.register_ids([record.id])
+        old = self._spread.get(Kind.SUMMARY, key_of(record.id))
+        intervals = (SUMMARY_MIN_INTERVAL_S, SUMMARY_REFRESH_S)
+        return self._publish_packed(Kind.SUMMARY, record, old, intervals, now_s)
+
+    def publish_cold(self, engine_id: str, cold: bool, now_s: float) -> None:
+        """Set or clear the cold-start mark of an engine.
+
+        A watcher publishes a mark again while it holds, at least every 30 min.
+        """
+        self._publish_mark(Kind.COLD, engine_id, int(cold), now_s)
+
+    def publish_drain(self, target: str, state: DrainState, now_s: float) -> None:
+        """Set the mark of ``data_centre/<name>`` or ``backend/<id>``."""
+        self._publish_mark(Kind.DRAIN, target, int(state), now_s)
+
+    def publish_config(
+        self, version: int, sections: Mapping[str, Any], now_s: float | None = None
+    ) -> bool:
+        """Put sections in force that were read from the table service.
+
+        ``sections`` holds in full every section that has changed since the
+        version in force, or all.  Returns False when the version is not above
+        the one in force.
+        """
+        now_s = self._clock() if now_s is None else now_s
+        if version <= self._config.version:
+            return False
+        change = self._config.replace(version, sections, now_s)
+        self._reported_version = max(self._reported_version, version)
+        if change is not None:
+            self._add_change(change, now_s)
+        else:
+            # The first version has no base; heartbeats announce it.
+            for link in self._links.values():
+                self._wake_urgent(link, now_s)
+        return True
+
+    def cold(self, engine_id: str) -> bool:
+        """Return whether an engine has a cold-start mark."""
+        entry = self._spread.get(Kind.COLD, engine_id)
+        return entry is not None and bool(entry.value[0])
+
+    def drains(self) -> dict[str, DrainState]:
+        """Return the drain marks that have an effect."""
+        return {
+            entry.key: DrainState(entry.value[0])
+            for entry in self._spread.entries(Kind.DRAIN)
+            if entry.value[0]
+        }
+
+    def load(self, record_id: str) -> LoadRecord | None:
+        """Return the newest load record of an engine or a summary."""
+        key = key_of(record_id)
+        for kind in (Kind.LOAD, Kind.SUMMARY):
+            entry = self._spread.get(kind, key)
+            if entry is not None:
+                return unpack_value(record_id, entry.value, entry.made_s)
+        return None
+
+    def watched(self, engine_ids: Sequence[str], now_s: float) -> dict[str, int]:
+        """Return the engines of this data centre that this node watches.
+
+        The value is 0 for the first watcher and 1 for the second.
+        """
+        question = (self._view.generation, self._state, tuple(engine_ids))
+        if question != self._ranks_for:
+            self.register_ids(engine_ids)
+            nodes = [p.name for p in self._view.live(self._settings.data_centre)]
+            if self._state is PeerState.LIVE:
+                nodes.append(self._settings.name)
+            ranks = {e: watch.rank(self._settings.name, e, nodes) for e in engine_ids}
+            self._ranks = {e: r for e, r in ranks.items() if r is not None}
+            self._ranks_for = question
+        return dict(self._ranks)
+
+    def summarises(self, model: str) -> bool:
+        """Return whether this node publishes the summary of a model here."""
+        own = self._settings
+        nodes = [p.name for p in self._view.live(own.data_centre)] + [own.name]
+        return watch.watchers(summary_id(own.data_centre, model), nodes, 1) == [
+            own.name
+        ]
+
+    def peers(self) -> list[Peer]:
+        """Return the peer view."""
+        return self._view.peers()
+
+    def fetch_config(self, timeout_s: float = 20.0) -> tuple[int, Mapping[str, Any]]:
+        """Get the newest configuration from peers, for a node without one.
+
+        Raises ``ConfigFetchError``.
+        """
+        deadline_s = self._clock() + timeout_s
+        self._download = _Download()
+        try:
+            while (now_s := self._clock()) < deadline_s:
+                self._ask_for_parts(self._download, now_s)
+                self._download.arrived.wait(timeout=min(0.1, deadline_s - now_s))
+                self._download.arrived.clear()
+                if self._download.complete and self._finish_download(self._download):
+                    return self.config
+        finally:
+            self._download = None
+        raise ConfigFetchError(
+            f"no configuration from {len(self._links)} peers in {timeout_s} s",
+            step="fetch configuration",
+            peer="peers",
+            outcome=Outcome.NOT_RUN,
+        )
+
+    def status(self, now_s: float) -> dict[str, Any]:
+        """Return the peers, the links, ages in seconds and counters."""
+        return {
+            "name": self._settings.name,
+            "address": self.address,
+            "incarnation": self._codec.incarnation,
+            "config_version": self._config.version,
+            "config_newest": self._config.newest,
+            "bucket_bytes": round(self._bucket.level(now_s)),
+            "peers": [
+                {
+                    "name": peer.name,
+                    "state": str(peer.state),
+                    "data_centre": peer.data_centre,
+                    "region": peer.region,
+                    "listed": peer.listed,
+                    "heard_age_s": round(now_s - peer.heard_s, 3),
+                }
+                for peer in self._view.peers()
+            ],
+            "links": [self._link_status(link, now_s) for link in self._links.values()],
+            "drains": {k: v.name.lower() for k, v in self.drains().items()},
+            "cold": [e.key for e in self._spread.entries(Kind.COLD) if e.value[0]],
+            "records": len(self._spread.entries()),
+            "refused": dict(self._codec.refused),
+            "counters": dict(self.counters),
+        }
+
+    def _link_status(self, link: Link, now_s: float) -> dict[str, Any]:
+        outbox = self._spread.outbox(link.name)
+        return {
+            "name": link.name,
+            "selected": link.name in self._selected,
+            "silent_s": round(link.silent_s(now_s), 3),
+            "dials": link.dials,
+            "waiting": outbox.waiting if outbox else 0,
+        }
+
+    # Sending.
+
+    def _publish_packed(
+        self,
+        kind: Kind,
+        record: LoadRecord,
+        old: Entry | None,
+        intervals: tuple[float, float],
+        now_s: float,
+    ) -> bool:
+        value = pack_value(record)
+        if old is not None:
+            changed = value != old.value
+            interval_s = intervals[0] if changed else intervals[1]
+            if now_s - old.made_s < interval_s:
+                return False
+        _, waiting = self._spread.publish(kind, key_of(record.id), value, now_s)
+        self._wake(waiting, kind, now_s)
+        return True
+
+    def _publish_mark(self, kind: Kind, key: str, value: int, now_s: float) -> None:
+        entry, waiting = self._spread.publish(kind, key, bytes((value,)), now_s)
+        self._wake(waiting, entry.kind, now_s)
+
+    def _add_change(self, change: ConfigChange, now_s: float) -> None:
+        value = msgspec.msgpack.encode(change)
+        if len(value) > MAX_CHANGE_BYTES:
+            value = b""
+        key = f"{change.base}-{change.version}"
+        entry = Entry(Kind.CONFIG, key, change.version, value, now_s)
+        self._wake(self._spread.add(entry), Kind.CONFIG, now_s)
+        self._keep_change(key)
+
+    def _keep_change(self, key: str) -> None:
+        dropped = self._config.kept(key)
+        if dropped is not None:
+            self._spread.remove((Kind.CONFIG, dropped))
+
+    def _announce(self, now_s: float) -> None:
+        """Disseminate this node's own state in its data centre."""
+        own = self._settings
+        statement = _Statement(
+            own.name,
+            self.address,
+            own.data_centre,
+            own.region,
+            str(self._state),
+            self._codec.incarnation,
+            self._claim,
+        )
+        self._publish_statement(statement, now_s)
+
+    def _publish_statement(self, statement: _Statement, now_s: float) -> None:
+        flag = bytes((statement.state != PeerState.LIVE,))
+        value = flag + msgspec.msgpack.encode(statement)
+        _, waiting = self._spread.publish(Kind.PEER, statement.name, value, now_s)
+        self._wake(waiting, Kind.PEER, now_s)
+
+    def _wake(self, peers: Iterable[str], kind: Kind, now_s: float) -> None:
+        for name in peers:
+            link = self._links.get(name)
+            if link is None:
+                continue
+            if kind in URGENT:
+                self._wake_urgent(link, now_s)
+            else:
+                link.wake(link.timing.batch_s)
+
+    def _wake_urgent(self, link: Link, now_s: float) -> None:
+        allowed = self._bucket.allows(True, now_s)
+        link.wake(0.0 if allowed else MAINTAIN_INTERVAL_S)
+
+    def _next_frame(self, link: Link, now_s: float) -> bytes | None:
+        name = link.name
+        if self._greeted.get(name) != link.dials or name in self._hello_due:
+            message: Any = self._hello()
+            self._greeted[name] = link.dials
+            self._hello_due.discard(name)
+            taken: list[Entry] = []
+            self._control_first(name, message)
+        allowed = self._bucket.allows(True, now_s)
+        control = self._control.get(name)
+        if control and (allowed or isinstance(control[0], Hello)):
+            message, taken = control.popleft(), []
+        else:
+            message, taken = self._batch(name, now_s, allowed)
+        try:
+            sequence, data = self._codec.encode(name, message)
+        except OversizedFrameError:
+            self.counters["unsent_oversized"] += 1
+            return None
+        self._in_flight[name] = (sequence, len(data), taken)
+        return data
+
+    def _control_first(self, name: str, message: Any) -> None:
+        self._control.setdefault(name, collections.deque()).appendleft(message)
+
+    def _hello(self) -> Hello:
+        own = self._settings
+        return Hello(
+            self.address, own.data_centre, own.region, str(self._state), self._claim
+        )
+
+    def _batch(
+        self, name: str, now_s: float, allowed: bool
+    ) -> tuple[Batch, list[Entry]]:
+        received = self._codec.received(name)
+        outbox = self._spread.outbox(name)
+        taken, records, loads, summaries = [], [], b"", b""
+        if outbox is not None and allowed:
+            with_load = self._bucket.allows(False, now_s)
+            taken, records, loads, summaries = self._spread.batch(
+                outbox, with_load, now_s
+            )
+        wanted = name in self._selected or self._probing(name)
+        message = Batch(
+            received.incarnation if received else 0,
+            received.highest if received else 0,
+            list(received.missed) if received else [],
+            wanted,
+            self._config.version,
+            self._spread.digest(),
+            records,
+            loads,
+            summaries,
+        )
+        return message, taken
+
+    def _settle(self, link: Link, sent: bool) -> None:
+        sequence, size, taken = self._in_flight.pop(link.name)
+        outbox = self._spread.outbox(link.name)
+        now_s = self._clock()
+        if sent:
+            self._bucket.take(size + WIRE_OVERHEAD_BYTES, now_s)
+            self.counters["sent_frames"] += 1
+            self.counters["sent_bytes"] += size
+        if outbox is None:
+            return
+        if not sent:
+            self.counters["unsent_frames"] += 1
+            for entry in taken:
+                outbox.offer(entry)
+            self._greeted.pop(link.name, None)
+        else:
+            outbox.sent(sequence, taken)
+        if outbox.urgent or self._control.get(link.name):
+            link.wake(0.0 if sent and self._bucket.allows(True, now_s) else 0.25)
+        elif outbox.waiting:
+            link.wake(link.timing.batch_s)
+
+    # Receiving.
+
+    def _on_frame(self, data: bytes) -> None:
+        now_s = self._clock()
+        self.counters["received_frames"] += 1
+        self.counters["received_bytes"] += len(data)
+        try:
+            frame = self._codec.decode(data)
+        except OldIncarnationError as error:
+            # The answer on the return link tells the node to raise its number.
+            self._accept(error.sender, now_s)
+            return
+        except FrameError:
+            return
+        if frame.sender == self._settings.name:
+            return
+        if frame.first:
+            self._meet(frame, now_s)
+        self._view.heard(frame.sender, frame.incarnation, now_s)
+        message = frame.message
+        if isinstance(message, Batch):
+            self._on_batch(frame.sender, message, now_s)
+        elif isinstance(message, Hello):
+            self._on_hello(frame, message, now_s)
+        elif isinstance(message, ConfigRequest):
+            self._on_config_request(frame.sender, message, now_s)
+        else:
+            self._on_config_chunk(frame.sender, message)
+
+    def _meet(self, frame: Frame, now_s: float) -> None:
+        """Start again with a peer that is new or has restarted."""
+        self._spread.reset(frame.sender, now_s)
+        self._peer_versions.pop(frame.sender, None)
+        if frame.sender in self._links:
+            self._hello_due.add(frame.sender)
+            self._wake_urgent(self._links[frame.sender], now_s)
+
+    def _on_hello(self, frame: Frame, hello: Hello, now_s: float) -> None:
+        try:
+            state = PeerState(hello.state)
+        except ValueError:
+            self.counters["malformed_records"] += 1
+            return
+        peer = Peer(
+            frame.sender,
+            hello.address,
+            hello.data_centre,
+            hello.region,
+            state,
+            frame.incarnation,
+            hello.claim,
+        )
+        self._view.greet(peer, now_s)
+        self._accept(frame.sender, now_s)
+
+    def _accept(self, name: str, now_s: float) -> None:
+        """Keep a link to a peer that has chosen this node."""
+        if name in self._accepted or len(self._accepted) < MAX_ACCEPTED:
+            self._accepted[name] = now_s
+            self._open_link(name, now_s)
+
+    def _on_batch(self, sender: str, batch: Batch, now_s: float) -> None:
+        if batch.wanted:
+            self._accept(sender, now_s)
+        if batch.ack_incarnation > self._codec.incarnation:
+            self._raise_incarnation(batch.ack_incarnation + 1, now_s)
+        link = self._links.get(sender)
+        outbox = self._spread.outbox(sender)
+        if link is not None and batch.ack_incarnation == self._codec.incarnation:
+            if self._codec.acknowledge(sender, batch.ack):
+                link.acknowledged(now_s)
+            outbox.acknowledge(batch.ack, batch.missed)
+        self._compare(sender, batch, now_s)
+        try:
+            entries = received_entries(batch, now_s)
+        except ValueError:
+            self.counters["malformed_records"] += 1
+            return
+        for entry in entries:
+            self._on_entry(sender, entry, now_s)
+        if outbox is not None and link is not None and outbox.urgent:
+            self._wake_urgent(link, now_s)
+
+    def _raise_incarnation(self, incarnation: int, now_s: float) -> None:
+        """Use a number above the one that peers know from an earlier process."""
+        self._codec.raise_incarnation(incarnation)
+        self.counters["raised_incarnation"] += 1
+        for name in self._links:
+            self._spread.reset(name, now_s)
+            self._hello_due.add(name)
+        self._announce(now_s)
+
+    def _compare(self, sender: str, batch: Batch, now_s: float) -> None:
+        self._peer_versions[sender] = batch.config_version
+        self._config.hear(batch.config_version, now_s)
+        if batch.config_version < self._config.version:
+            self._spread.offer_changes(sender, batch.config_version)
+        if batch.digest == self._spread.digest():
+            self._differing.pop(sender, None)
+        elif now_s - self._differing.setdefault(sender, now_s) > DIGEST_DIFFERS_S:
+            self._differing[sender] = now_s
+            self.counters["resent_marks"] += 1
+            self._spread.resend_marks(sender)
+
+    def _on_entry(self, sender: str, entry: Entry, now_s: float) -> None:
+        new, waiting = self._spread.merge(entry, sender)
+        self._wake(waiting, entry.kind, now_s)
+        self.counters["new_records" if new else "known_records"] += 1
+        if not new:
+            return
+        if entry.kind is Kind.CONFIG:
+            self._on_change(entry, now_s)
+        elif entry.kind is Kind.PEER:
+            self._on_statement(entry, now_s)
+        elif entry.kind is Kind.COLD:
+            self._handlers.on_cold(entry.key, bool(entry.value[0]))
+        elif entry.kind is Kind.DRAIN:
+            self._handlers.on_drain(entry.key, DrainState(entry.value[0]))
+        elif entry.key in self._ids:
+            record = unpack_value(self._ids[entry.key], entry.value, entry.made_s)
+            is_load = entry.kind is Kind.LOAD
+            (self._handlers.on_load if is_load else self._handlers.on_summary)(record)
+
+    def _on_change(self, entry: Entry, now_s: float) -> None:
+        self._keep_change(entry.key)
+        self._config.hear(entry.version, now_s)
+        if not entry.value:
+            self._report_version(now_s)
+            return
+        try:
+            change = msgspec.msgpack.decode(entry.value, type=ConfigChange)
+        except msgspec.DecodeError:
+            self.counters["malformed_records"] += 1
+            return
+        names = self._config.apply(change, now_s)
+        if names:
+            version, sections = self.config
+            self._reported_version = max(self._reported_version, version)
+            self._handlers.on_config(version, {n: sections[n] for n in names})
+
+    def _report_version(self, now_s: float) -> None:
+        """Tell the node about a version whose change it has to read."""
+        if self._config.newest > max(self._config.version, self._reported_version):
+            self._reported_version = self._config.newest
+            self._handlers.on_config(self._config.newest, None)
+
+    def _on_statement(self, entry: Entry, now_s: float) -> None:
+        try:
+            statement = msgspec.msgpack.decode(entry.value[1:], type=_Statement)
+            state = PeerState(statement.state)
+        except (msgspec.DecodeError, ValueError):
+            self.counters["malformed_records"] += 1
+            return
+        if statement.name == self._settings.name:
+            self._refute(statement, now_s)
+            return
+        peer = Peer(
+            statement.name,
+            statement.address,
+            statement.data_centre,
+            statement.region,
+            state,
+            statement.incarnation,
+            statement.claim,
+        )
+        self._view.merge(peer, now_s)
+
+    def _refute(self, statement: _Statement, now_s: float) -> None:
+        """Answer a statement that this node is suspect or of another process."""
+        if statement.incarnation > self._codec.incarnation:
+            self._raise_incarnation(statement.incarnation + 1, now_s)
+            return
+        if statement.state != self._state and statement.claim >= self._claim:
+            self._claim = statement.claim + 1
+        self._announce(now_s)
+
+    # Configuration from peers.
+
+    def _ask_for_parts(self, download: _Download, now_s: float) -> None:
+        newest = max(self._peer_versions.values(), default=0)
+        for name, version in self._peer_versions.items():
+            due_s = download.asked.get(name, (0, 0.0))[1]
+            if version == 0 or version < newest or due_s > now_s:
+                continue
+            link = self._links.get(name)
+            offset = download.missing(now_s)
+            if link is None or offset is None:
+                continue
+            download.asked[name] = (offset, now_s + CHUNK_TIMEOUT_S)
+            self._control.setdefault(name, collections.deque()).append(
+                ConfigRequest(download.version, offset)
+            )
+            link.wake()
+
+    def _finish_download(self, download: _Download) -> bool:
+        now_s = self._clock()
+        try:
+            sections = download.content()
+        except ValueError:
+            self.counters["damaged_downloads"] += 1
+            self._download = _Download()
+            return False
+        if download.version > self._config.version:
+            self._config.replace(download.version, sections, now_s)
+            self._reported_version = download.version
+        return True
+
+    def _on_config_request(
+        self, sender: str, request: ConfigRequest, now_s: float
+    ) -> None:
+        if self._config.version == 0 or sender not in self._links:
+            return
+        if self._blob is None or self._blob[0] != self._config.version:
+            packed = msgspec.msgpack.encode(self._config.sections)
+            self._blob = (self._config.version, zlib.compress(packed))
+        version, blob = self._blob
+        offset = request.offset if request.version in (0, version) else 0
+        if not 0 <= offset < len(blob):
+            return
+        chunk = ConfigChunk(
+            version, offset, len(blob), blob[offset : offset + CHUNK_BYTES]
+        )
+        waiting = self._control.setdefault(sender, collections.deque())
+        # A peer has one request outstanding; an older one has timed out there.
+        for old in [m for m in waiting if isinstance(m, ConfigChunk)]:
+            waiting.remove(old)
+        waiting.append(chunk)
+        self._wake_urgent(self._links[sender], now_s)
+
+    def _on_config_chunk(self, sender: str, chunk: ConfigChunk) -> None:
+        if self._download is None or not 0 < chunk.size <= MAX_CONFIG_BYTES:
+            return
+        self._download.asked.pop(sender, None)
+        self._download.add(chunk)
+        self._download.arrived.set()
+
+    # Maintenance.
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self._maintain(self._clock())
+            except Exception:
+                log.exception("maintenance of links failed")
+            gevent.sleep(MAINTAIN_INTERVAL_S)
+
+    def _maintain(self, now_s: float) -> None:
+        self._suspect_silent(now_s)
+        self._start_probe(now_s)
+        self._select(now_s)
+        for name, at_s in list(self._accepted.items()):
+            if now_s - at_s > ACCEPTED_FOR_S:
+                del self._accepted[name]
+        wanted = self._selected | self._accepted.keys()
+        for name in list(self._links):
+            if name not in wanted and not self._probing(name):
+                self._close_link(name)
+        for name in self._selected:
+            self._open_link(name, now_s)
+        self._spread.expire(now_s)
+        self._view.forget(now_s)
+        overdue_s = now_s - self._config.newest_heard_s
+        if overdue_s > CHANGE_OVERDUE_S:
+            self._report_version(now_s)
+
+    def _select(self, now_s: float) -> None:
+        epoch = int(self._wall_clock() // self._policy.epoch_s)
+        question = (self._view.generation, epoch)
+        if question == self._selected_for:
+            return
+        if self._selected_for and self._selected_for[0] != question[0]:
+            self._handlers.on_peers()
+        self._selected_for = question
+        own = self._settings
+        peer = Peer(own.name, self.address, own.data_centre, own.region)
+        self._selected = overlay.neighbours(
+            self._policy, peer, self._view.live(), epoch, self._rng
+        )
+
+    def _suspect_silent(self, now_s: float) -> None:
+        for name in self._selected:
+            link = self._links.get(name)
+            peer = self._view.get(name)
+            if link is None or peer is None:
+                continue
+            heard_s = max(link.started_s, peer.heard_s)
+            if now_s - heard_s <= self._settings.suspect_after_s:
+                continue
+            suspect = self._view.suspect(name, now_s)
+            self.counters["suspected"] += 1
+            if suspect and suspect.data_centre == self._settings.data_centre:
+                self._publish_statement(_statement(suspect), now_s)
+
+    def _start_probe(self, now_s: float) -> None:
+        if self._probe is not None and now_s > self._probe[1]:
+            self._probe = None
+        if now_s < self._next_probe_s:
+            return
+        self._next_probe_s = now_s + PROBE_INTERVAL_S
+        suspects = [
+            peer.name
+            for peer in self._view.peers()
+            if peer.state is PeerState.SUSPECT and peer.listed
+        ]
+        if suspects:
+            name = self._rng.choice(suspects)
+            self._probe = (name, now_s + PROBE_FOR_S)
+            self._open_link(name, now_s)
+
+    def _probing(self, name: str) -> bool:
+        return self._probe is not None and self._probe[0] == name
+
+    def _open_link(self, name: str, now_s: float) -> None:
+        peer = self._view.get(name)
+        if peer is None or not peer.address:
+            return
+        link = self._links.get(name)
+        if link is not None and link.address == peer.address:
+            return
+        if link is not None:
+            self._close_link(name)
+        same = peer.data_centre == self._settings.data_centre
+        self._spread.open(name, same, now_s)
+        link = Link(
+            name,
+            peer.address,
+            self._settings.timing,
+            next_frame=self._next_frame,
+            settle=self._settle,
+            clock=self._clock,
+            rng=self._rng,
+            on_redial=self._on_redial,
+        )
+        self._links[name] = link
+        link.start()
+
+    def _on_redial(self, link: Link) -> None:
+        outbox = self._spread.outbox(link.name)
+        if outbox is not None:
+            outbox.lose_all()
+        if link.dials > 1:
+            self.counters["redials"] += 1
+
+    def _close_link(self, name: str) -> None:
+        self._links.pop(name).close()
+        self._spread.close(name)
+        for state in (
+            self._greeted,
+            self._control,
+            self._in_flight,
+            self._differing,
+            self._peer_versions,
+        ):
+            state.pop(name, None)
+        self._hello_due.discard(name)
+
+
+def _statement(peer: Peer) -> _Statement:
+    return _Statement(
+        peer.name,
+        peer.address,
+        peer.data_centre,
+        peer.region,
+        str(peer.state),
+        peer.incarnation,
+        peer.claim,
+    )
+
+
+__all__ = [
+    "ConfigFetchError",
+    "DrainState",
+    "Exchange",
+    "ExchangeSettings",
+    "Handlers",
+    "LoadRecord",
+]
--- /dev/null
+++ b/papayarelay/nodes/overlay.py
@@ -0,0 +1,141 @@
+"""Which peers a node links to, by policy.
+
+``FixedOverlay`` is a ring and a matching per data centre, a matching between
+the data centres of a region and a matching between regions; urgent records
+flood it.  A ring with a random matching has a diameter of about log2(n).
+Source: B. Bollobas and F. Chung, The Diameter of a Cycle plus a Random
+Matching, 1988.  ``RandomGossip`` draws new peers in every period.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from functools import singledispatch
+
+from .view import Peer
+from .watch import score
+
+
+@dataclass(frozen=True)
+class FixedOverlay:
+    """Ring and matchings; the matchings change every ``epoch_s`` of wall time."""
+
+    epoch_s: float = 3_600.0
+
+
+@dataclass(frozen=True)
+class RandomGossip:
+    """``fanout`` random peers of the data centre and one of all others."""
+
+    fanout: int = 2
+    epoch_s: float = 2.0
+
+
+POLICIES: dict[str, Callable[[], object]] = {
+    "fixed_overlay": FixedOverlay,
+    "random_gossip": RandomGossip,
+}
+
+
+@singledispatch
+def neighbours(
+    policy: object, own: Peer, peers: Sequence[Peer], epoch: int, rng: random.Random
+) -> set[str]:
+    """Return the names of the peers to link to."""
+    raise TypeError(f"no overlay policy {policy!r}")
+
+
+@neighbours.register
+def _fixed(
+    policy: FixedOverlay,
+    own: Peer,
+    peers: Sequence[Peer],
+    epoch: int,
+    rng: random.Random,
+) -> set[str]:
+    nodes = [own, *peers]
+    local = [node for node in nodes if node.data_centre == own.data_centre]
+    region = [node for node in nodes if node.region == own.region]
+    chosen = _ring(own, local)
+    chosen |= _match_within(own, local, epoch)
+    chosen |= _match_data_centres(own, region, epoch)
+    chosen |= _match_regions(own, nodes, epoch)
+    chosen.discard(own.name)
+    return chosen
+
+
+@neighbours.register
+def _gossip(
+    policy: RandomGossip,
+    own: Peer,
+    peers: Sequence[Peer],
+    epoch: int,
+    rng: random.Random,
+) -> set[str]:
+    local = [p.name for p in peers if p.data_centre == own.data_centre]
+    other = [p.name for p in peers if p.data_centre != own.data_centre]
+    chosen = set(rng.sample(local, min(policy.fanout, len(local))))
+    chosen.update(rng.sample(other, min(1, len(other))))
+    return chosen
+
+
+def _ordered(nodes: Iterable[Peer], salt: str) -> list[str]:
+    names = [node.name for node in nodes]
+    return sorted(names, key=lambda name: (score(name, salt), name))
+
+
+def _ring(own: Peer, local: Sequence[Peer]) -> set[str]:
+    order = _ordered(local, "ring")
+    place = order.index(own.name)
+    return {order[place - 1], order[(place + 1) % len(order)]}
+
+
+def _match_within(own: Peer, local: Sequence[Peer], epoch: int) -> set[str]:
+    order = _ordered(local, f"chord/{epoch}")
+    place = order.index(own.name)
+    partner = place ^ 1
+    return {order[partner % len(order)]}
+
+
+def _match_data_centres(own: Peer, region: Sequence[Peer], epoch: int) -> set[str]:
+    groups: dict[str, list[str]] = {}
+    for node in region:
+        groups.setdefault(node.data_centre, []).append(node)
+    if len(groups) < 2:
+        return set()
+    columns = {
+        name: _ordered(members, f"data centre/{epoch}")
+        for name, members in groups.items()
+    }
+    return _pair(own.name, columns)
+
+
+def _match_regions(own: Peer, nodes: Sequence[Peer], epoch: int) -> set[str]:
+    groups: dict[str, list[Peer]] = {}
+    for node in nodes:
+        groups.setdefault(node.region, []).append(node)
+    if len(groups) < 2:
+        return set()
+    columns = {
+        name: _ordered(members, f"region/{epoch}") for name, members in groups.items()
+    }
+    return _pair(own.name, columns)
+
+
+def _pair(own_name: str, columns: dict[str, list[str]]) -> set[str]:
+    """Pair nodes of the two fullest columns until one column is left.
+
+    What is left over links to nodes of the other columns by rank.
+    """
+    rest = {name: list(members) for name, members in columns.items()}
+    while True:
+        first, second = sorted(rest, key=lambda name: (-len(rest[name]), name))[:2]
+        if not rest[second]:
+            break
+        pair = {rest[first].pop(), rest[second].pop()}
+        if own_name in pair:
+            return pair - {own_name}
+    others = [m for name in sorted(columns) if name != first for m in columns[name]]
+    return {others[rest[first].index(own_name) % len(others)]}
--- /dev/null
+++ b/papayarelay/nodes/spread.py
@@ -0,0 +1,613 @@
+"""The state that nodes disseminate, and what is still to be sent on each link.
+
+Every record has a key and a version.  A node forwards a record on its links
+when the version is new to it and not yet known to the peer of the link.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import math
+import struct
+import zlib
+from collections import deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from .codec import Batch, Record
+
+# A change that encodes to more than this travels as its version only; nodes
+# then read the section from the table service or from a peer.
+MAX_CHANGE_BYTES = 900
+MAX_VALUE_BYTES = 1_000
+# Room for records in one frame, beside header, tag and acknowledgements.
+MAX_RECORDS_BYTES = 1_100
+RECORD_OVERHEAD_BYTES = 17
+KEPT_CHANGES = 64
+# TCP and IP headers with timestamps, the length prefix of nng and the pure
+# acknowledgement that the peer returns for a frame.
+WIRE_OVERHEAD_BYTES = 52 + 8 + 52
+# Counts a frame with its acknowledgement.  Each is sent by one node and
+# received by another, so half of the budget of 3 KB/s is spent on sending.
+BYTES_PER_S = 1_400.0
+BURST_BYTES = 2_800.0
+# Urgent records may use this much of the following seconds' budget.
+DEBT_BYTES = 9_000.0
+# Changes older than this are offered only to a peer that lacks their version.
+FRESH_CHANGE_S = 10.0
+# Records are dropped this long after their publication; every node uses the
+# age of the record, so all drop it at about the same time.
+KEEP_S = {"live": 60.0, "cleared": 600.0, "active_cold": 3_600.0, "load": 60.0}
+# A value whose publication is later than a conflicting one by more than this
+# is published again above it.
+CONFLICT_MARGIN_S = 1.0
+
+
+class Kind(enum.IntEnum):
+    """Kinds of records in order of priority."""
+
+    CONFIG = 0
+    DRAIN = 1
+    COLD = 2
+    PEER = 3
+    SUMMARY = 4
+    LOAD = 5
+
+
+URGENT = (Kind.CONFIG, Kind.DRAIN, Kind.COLD, Kind.PEER)
+# Kinds that stay within one data centre.
+LOCAL = (Kind.PEER, Kind.LOAD)
+MARKS = (Kind.DRAIN, Kind.COLD)
+# First byte of the value of a mark that no longer has an effect.
+CLEARED = 0
+
+STATES = ("warm", "cold", "down", "leaving")
+_PACKED = struct.Struct(">IIBBBBBB")
+PACKED_BYTES = _PACKED.size
+_AGE_STEP_S = 0.1
+_LOG_STEPS = 8
+
+
+@dataclass(frozen=True)
+class LoadRecord:
+    """Load of an engine, or of a model in a data centre.
+
+    ``id`` is the engine id, or ``summary_id(data_centre, model)``.  A summary
+    holds sums over the warm engines.  ``reported_s`` is on the local clock.
+    """
+
+    id: str
+    state: str = "warm"
+    kv_capacity_tokens: int = 0
+    kv_used_tokens: int = 0
+    queued_prefill_tokens: int = 0
+    running: int = 0
+    prefill_tokens_per_s: float = 0.0
+    reported_s: float = 0.0
+
+
+def summary_id(data_centre: str, model: str) -> str:
+    """Return the id of the summary of a model in a data centre."""
+    return f"{data_centre}/{model}"
+
+
+def key_of(record_id: str) -> int:
+    """Return the 32-bit key that stands for an id in packed records."""
+    digest = hashlib.blake2b(record_id.encode(), digest_size=4).digest()
+    return int.from_bytes(digest)
+
+
+def quantise(value: float) -> int:
+    """Return one byte on a logarithmic scale; the error is below 5%."""
+    return min(255, round(_LOG_STEPS * math.log2(1 + max(0.0, value))))
+
+
+def restore(code: int) -> float:
+    """Return the value that ``quantise`` has coded."""
+    return 2 ** (code / _LOG_STEPS) - 1
+
+
+def pack_value(record: LoadRecord) -> bytes:
+    """Return the quantised values of a load record, 5 bytes."""
+    used = 0.0
+    if record.kv_capacity_tokens > 0:
+        used = min(1.0, record.kv_used_tokens / record.kv_capacity_tokens)
+    first = STATES.index(record.state) << 6 | round(used * 63)
+    return bytes(
+        (
+            first,
+            quantise(record.kv_capacity_tokens),
+            quantise(record.queued_prefill_tokens),
+            quantise(record.running),
+            quantise(record.prefill_tokens_per_s),
+        )
+    )
+
+
+def unpack_value(record_id: str, value: bytes, reported_s: float) -> LoadRecord:
+    """Return the load record that ``pack_value`` has coded."""
+    capacity = round(restore(value[1]))
+    return LoadRecord(
+        id=record_id,
+        state=STATES[value[0] >> 6],
+        kv_capacity_tokens=capacity,
+        kv_used_tokens=round(capacity * (value[0] & 63) / 63),
+        queued_prefill_tokens=round(restore(value[2])),
+        running=round(restore(value[3])),
+        prefill_tokens_per_s=restore(value[4]),
+        reported_s=reported_s,
+    )
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One record; ``made_s`` is its publication on the local clock."""
+
+    kind: Kind
+    key: str | int
+    version: int
+    value: bytes
+    made_s: float
+
+    @property
+    def id(self) -> tuple[Kind, str | int]:
+        """Key of the record among all kinds."""
+        return (self.kind, self.key)
+
+    @property
+    def size_bytes(self) -> int:
+        """Size in a frame."""
+        if self.kind in URGENT:
+            return RECORD_OVERHEAD_BYTES + len(self.key) + len(self.value)
+        return PACKED_BYTES
+
+
+class Bucket:
+    """Token bucket that counts bytes; urgent traffic may go into debt."""
+
+    def __init__(self, bytes_per_s: float, burst: float, debt: float, now_s: float):
+        self._bytes_per_s = bytes_per_s
+        self._burst = burst
+        self._debt = debt
+        self._level = burst
+        self._filled_s = now_s
+
+    def level(self, now_s: float) -> float:
+        """Return the bytes that are available; negative in debt."""
+        elapsed_s = max(0.0, now_s - self._filled_s)
+        self._level = min(self._burst, self._level + elapsed_s * self._bytes_per_s)
+        self._filled_s = now_s
+        return self._level
+
+    def allows(self, urgent: bool, now_s: float) -> bool:
+        """Return whether a frame may be sent."""
+        return self.level(now_s) > (-self._debt if urgent else 0.0)
+
+    def wait_s(self, now_s: float) -> float:
+        """Return the time until the bucket is out of debt."""
+        return max(0.0, -self.level(now_s)) / self._bytes_per_s
+
+    def take(self, size: int, now_s: float) -> None:
+        """Count a frame that was sent."""
+        self.level(now_s)
+        self._level -= size
+
+
+class Outbox:
+    """The records that one peer does not know yet."""
+
+    def __init__(self, peer: str, same_data_centre: bool):
+        self.peer = peer
+        self.same_data_centre = same_data_centre
+        self._pending: dict[Kind, dict[tuple, None]] = {kind: {} for kind in Kind}
+        self._known: dict[tuple, int] = {}
+        self._unacknowledged: dict[int, list[tuple[tuple, int]]] = {}
+
+    @property
+    def urgent(self) -> bool:
+        """Whether an urgent record is waiting."""
+        return any(self._pending[kind] for kind in URGENT)
+
+    @property
+    def waiting(self) -> int:
+        """Number of records that are waiting."""
+        return sum(len(pending) for pending in self._pending.values())
+
+    def offer(self, entry: Entry) -> bool:
+        """Queue a record unless the peer knows it; return whether it is queued."""
+        if entry.kind in LOCAL and not self.same_data_centre:
+            return False
+        if self._known.get(entry.id, -1) >= entry.version:
+            return False
+        self._pending[entry.kind][entry.id] = None
+        return True
+
+    def known(self, entry_id: tuple, version: int) -> None:
+        """Note that the peer has a version of a record."""
+        if self._known.get(entry_id, -1) < version:
+            self._known[entry_id] = version
+
+    def reset(self, entries: Iterable[Entry]) -> None:
+        """Start again with a peer that knows nothing."""
+        self._known.clear()
+        self._unacknowledged.clear()
+        for entry in entries:
+            self.offer(entry)
+
+    def forget(self, entry_id: tuple) -> None:
+        """Drop a record that has been removed."""
+        self._known.pop(entry_id, None)
+        self._pending[entry_id[0]].pop(entry_id, None)
+
+    def take(
+        self, entries: Mapping[tuple, Entry], with_load: bool, limit: int
+    ) -> list[Entry]:
+        """Remove and return the next records, at most ``limit`` bytes."""
+        taken: list[Entry] = []
+        room = limit
+        for kind in Kind:
+            if kind not in URGENT and not with_load:
+                break
+            pending = self._pending[kind]
+            for entry_id in list(pending):
+                entry = entries.get(entry_id)
+                if entry is None or self._known.get(entry_id, -1) >= entry.version:
+                    del pending[entry_id]
+                    continue
+                if entry.size_bytes > room:
+                    return taken
+                room -= entry.size_bytes
+                del pending[entry_id]
+                taken.append(entry)
+        return taken
+
+    def sent(self, sequence: int, taken: Iterable[Entry]) -> None:
+        """Note the records of a frame that waits for its acknowledgement."""
+        noted = [(entry.id, entry.version) for entry in taken]
+        for entry_id, version in noted:
+            self.known(entry_id, version)
+        if noted:
+            self._unacknowledged[sequence] = noted
+
+    def acknowledge(self, highest: int, missed: Iterable[int]) -> None:
+        """Settle the frames up to ``highest``; ``missed`` ones are sent again."""
+        lost = set(missed)
+        for sequence in [s for s in self._unacknowledged if s <= highest]:
+            noted = self._unacknowledged.pop(sequence)
+            if sequence in lost:
+                self._return(noted)
+
+    def lose_all(self) -> None:
+        """Queue the records of all unacknowledged frames again."""
+        for noted in self._unacknowledged.values():
+            self._return(noted)
+        self._unacknowledged.clear()
+
+    def _return(self, noted: Iterable[tuple[tuple, int]]) -> None:
+        for entry_id, version in noted:
+            if self._known.get(entry_id) == version:
+                del self._known[entry_id]
+                self._pending[entry_id[0]][entry_id] = None
+
+
+class Spread:
+    """The records that a node holds, with one outbox per link."""
+
+    def __init__(self):
+        self._entries: dict[tuple, Entry] = {}
+        self._own: dict[tuple, Entry] = {}
+        self._outboxes: dict[str, Outbox] = {}
+        self._digest: int | None = None
+
+    def get(self, kind: Kind, key: str | int) -> Entry | None:
+        """Return a record."""
+        return self._entries.get((kind, key))
+
+    def entries(self, *kinds: Kind) -> list[Entry]:
+        """Return the records, of the given kinds or all."""
+        return [
+            entry
+            for entry in self._entries.values()
+            if not kinds or entry.kind in kinds
+        ]
+
+    def outbox(self, peer: str) -> Outbox | None:
+        """Return the outbox of a link."""
+        return self._outboxes.get(peer)
+
+    def open(self, peer: str, same_data_centre: bool, now_s: float) -> Outbox:
+        """Add a link; marks, peer records and fresh changes are queued on it.
+
+        Load records are not: each is published again within seconds.
+        """
+        outbox = Outbox(peer, same_data_centre)
+        self._outboxes[peer] = outbox
+        self.reset(peer, now_s)
+        return outbox
+
+    def reset(self, peer: str, now_s: float) -> None:
+        """Start again with a peer that knows nothing."""
+        outbox = self._outboxes.get(peer)
+        if outbox is not None:
+            marks = self.entries(*MARKS, Kind.PEER)
+            changes = self.entries(Kind.CONFIG)
+            fresh = [e for e in changes if now_s - e.made_s < FRESH_CHANGE_S]
+            outbox.reset([*marks, *fresh])
+
+    def offer_changes(self, peer: str, version: int) -> None:
+        """Queue the kept changes above the version that a peer has."""
+        outbox = self._outboxes.get(peer)
+        if outbox is None:
+            return
+        for entry in self.entries(Kind.CONFIG):
+            if entry.version > version:
+                outbox.offer(entry)
+
+    def expire(self, now_s: float) -> None:
+        """Drop records whose time has passed."""
+        for entry in list(self._entries.values()):
+            keep_s = _keep_s(entry)
+            if keep_s is not None and now_s - entry.made_s > keep_s:
+                self.remove(entry.id)
+
+    def close(self, peer: str) -> None:
+        """Remove a link."""
+        self._outboxes.pop(peer, None)
+
+    def publish(
+        self, kind: Kind, key: str | int, value: bytes, now_s: float
+    ) -> tuple[Entry, list[str]]:
+        """Add a record of this node above any known version.
+
+        Returns it with the peers on whose links it waits.  Raises
+        ``ValueError`` when the value is too long for a message.
+        """
+        if len(value) > MAX_VALUE_BYTES:
+            raise ValueError(f"{len(value)} bytes in a value of {key}")
+        old = self._entries.get((kind, key))
+        version = old.version + 1 if old else 1
+        entry = Entry(kind, key, version, value, now_s)
+        self._own[entry.id] = entry
+        return entry, self._store(entry, source=None)
+
+    def add(self, entry: Entry) -> list[str]:
+        """Add a record with a version from elsewhere, unless it is known."""
+        if entry.id in self._entries:
+            return []
+        return self._store(entry, source=None)
+
+    def is_own(self, entry_id: tuple) -> bool:
+        """Return whether this node has published the present record."""
+        return self._own.get(entry_id) == self._entries.get(entry_id)
+
+    def remove(self, entry_id: tuple) -> None:
+        """Drop a record without telling the peers."""
+        self._entries.pop(entry_id, None)
+        self._own.pop(entry_id, None)
+        self._digest = None
+        for outbox in self._outboxes.values():
+            outbox.forget(entry_id)
+
+    def merge(self, entry: Entry, source: str) -> tuple[bool, list[str]]:
+        """Merge a record from a peer.
+
+        Returns whether it was new and the peers on whose links a record waits.
+        Of two values with one version, the greater byte string is kept.
+        """
+        old = self._entries.get(entry.id)
+        outbox = self._outboxes.get(source)
+        if outbox is not None and (old is None or old.value == entry.value):
+            outbox.known(entry.id, entry.version)
+        if old is not None and (old.version, old.value) >= (entry.version, entry.value):
+            if outbox is not None and old != entry and outbox.offer(old):
+                return False, [source]
+            return False, []
+        if outbox is not None:
+            outbox.known(entry.id, entry.version)
+        own = self._own.pop(entry.id, None)
+        if own is not None and self._overrides(own, entry):
+            self._entries[entry.id] = entry
+            _, waiting = self.publish(own.kind, own.key, own.value, own.made_s)
+            return False, waiting
+        return True, self._store(entry, source)
+
+    def digest(self) -> int:
+        """Return a checksum over the active drain and cold-start marks."""
+        if self._digest is None:
+            marks = sorted(
+                (entry.kind, entry.key, entry.version, entry.value)
+                for entry in self._entries.values()
+                if entry.kind in MARKS and entry.value[0] != CLEARED
+            )
+            self._digest = zlib.crc32(msgspec.msgpack.encode(marks))
+        return self._digest
+
+    def resend_marks(self, peer: str) -> None:
+        """Queue all urgent records for a peer whose digest differs."""
+        outbox = self._outboxes.get(peer)
+        if outbox is None:
+            return
+        for entry in self.entries(*MARKS):
+            outbox.forget(entry.id)
+            outbox.offer(entry)
+
+    def batch(
+        self, outbox: Outbox, with_load: bool, now_s: float
+    ) -> tuple[list[Entry], list[Record], bytes, bytes]:
+        """Take the next records of a link in the form of a message."""
+        taken = outbox.take(self._entries, with_load, MAX_RECORDS_BYTES)
+        records = [
+            Record(
+                entry.kind,
+                entry.key,
+                entry.version,
+                max(0, round((now_s - entry.made_s) * 1000)),
+                entry.value,
+            )
+            for entry in taken
+            if entry.kind in URGENT
+        ]
+        loads = b"".join(_pack(e, now_s) for e in taken if e.kind is Kind.LOAD)
+        summaries = b"".join(_pack(e, now_s) for e in taken if e.kind is Kind.SUMMARY)
+        return taken, records, loads, summaries
+
+    def _overrides(self, own: Entry, other: Entry) -> bool:
+        later = own.made_s > other.made_s + CONFLICT_MARGIN_S
+        return own.kind in MARKS and later and own.value != other.value
+
+    def _store(self, entry: Entry, source: str | None) -> list[str]:
+        self._entries[entry.id] = entry
+        if entry.kind in MARKS:
+            self._digest = None
+        return [
+            peer
+            for peer, outbox in self._outboxes.items()
+            if peer != source and outbox.offer(entry)
+        ]
+
+
+def _keep_s(entry: Entry) -> float | None:
+    if entry.kind in (Kind.LOAD, Kind.SUMMARY):
+        return KEEP_S["load"]
+    if entry.kind is Kind.PEER:
+        return KEEP_S["live"] if entry.value[0] == CLEARED else None
+    if entry.kind in MARKS and entry.value[0] == CLEARED:
+        return KEEP_S["cleared"]
+    return KEEP_S["active_cold"] if entry.kind is Kind.COLD else None
+
+
+def _pack(entry: Entry, now_s: float) -> bytes:
+    age = min(255, max(0, round((now_s - entry.made_s) / _AGE_STEP_S)))
+    return _PACKED.pack(entry.key, entry.version & 0xFFFFFFFF, *entry.value, age)
+
+
+def received_entries(batch: Batch, now_s: float) -> list[Entry]:
+    """Return the records of a message; ages become local times.
+
+    Raises ``ValueError`` for a record that no node sends.
+    """
+    entries = []
+    for record in batch.records:
+        kind = Kind(record.kind)
+        if kind not in URGENT or record.age_ms < 0:
+            raise ValueError(f"record of kind {kind.name} with age {record.age_ms} ms")
+        if kind is not Kind.CONFIG and not record.value:
+            raise ValueError(f"empty value of {record.key!r}")
+        made_s = now_s - record.age_ms / 1000
+        entries.append(Entry(kind, record.key, record.version, record.value, made_s))
+    for kind, packed in ((Kind.LOAD, batch.loads), (Kind.SUMMARY, batch.summaries)):
+        if len(packed) % PACKED_BYTES:
+            raise ValueError(f"{len(packed)} bytes of packed records")
+        for key, version, *value, age in _PACKED.iter_unpack(packed):
+            made_s = now_s - age * _AGE_STEP_S
+            entries.append(Entry(kind, key, version, bytes(value), made_s))
+    return entries
+
+
+class ConfigChange(msgspec.Struct, array_like=True, frozen=True):
+    """The entries that differ between configuration versions.
+
+    ``changed`` maps a section to its changed entries, ``removed`` to the names
+    of removed ones.
+    """
+
+    base: int
+    version: int
+    changed: dict[str, dict[str, Any]]
+    removed: dict[str, list[str]]
+
+
+@dataclass
+class ConfigState:
+    """The configuration that a node has, and changes that wait for earlier ones."""
+
+    version: int = 0
+    sections: dict[str, dict[str, Any]] = field(default_factory=dict)
+    # Highest version heard of, with the time at which it was first heard.
+    newest: int = 0
+    newest_heard_s: float = 0.0
+    _held: dict[int, ConfigChange] = field(default_factory=dict)
+    _order: deque = field(default_factory=deque)
+
+    def hear(self, version: int, now_s: float) -> None:
+        """Note that a version exists."""
+        if version > self.newest:
+            self.newest = version
+            self.newest_heard_s = now_s
+
+    def replace(
+        self, version: int, sections: Mapping[str, Any], now_s: float
+    ) -> ConfigChange | None:
+        """Take a version from the table service or a peer.
+
+        Returns the change from the previous version, or None when there is
+        none or ``version`` is not higher than the present one.
+        """
+        self.hear(version, now_s)
+        if version <= self.version:
+            return None
+        base = self.version
+        change = _difference(base, version, self.sections, sections)
+        self.sections = {**self.sections, **sections}
+        self.version = version
+        self._drop_held()
+        return change if base else None
+
+    def apply(self, change: ConfigChange, now_s: float) -> list[str]:
+        """Apply a change and those that waited for it; return the sections."""
+        self.hear(change.version, now_s)
+        if change.version <= self.version:
+            return []
+        self._held[change.base] = change
+        if len(self._held) > KEPT_CHANGES:
+            del self._held[min(self._held)]
+        touched: set[str] = set()
+        while (following := self._held.pop(self.version, None)) is not None:
+            touched |= self._apply(following)
+        self._drop_held()
+        return sorted(touched)
+
+    def kept(self, key: str) -> str | None:
+        """Note a change that is kept; return the key to drop instead."""
+        self._order.append(key)
+        return self._order.popleft() if len(self._order) > KEPT_CHANGES else None
+
+    def _apply(self, change: ConfigChange) -> set[str]:
+        names = change.changed.keys() | change.removed.keys()
+        sections = dict(self.sections)
+        for name in names:
+            removed = set(change.removed.get(name, ()))
+            section = {
+                k: v for k, v in sections.get(name, {}).items() if k not in removed
+            }
+            sections[name] = {**section, **change.changed.get(name, {})}
+        self.sections = sections
+        self.version = change.version
+        return set(names)
+
+    def _drop_held(self) -> None:
+        for base in [base for base in self._held if base < self.version]:
+            del self._held[base]
+
+
+def _difference(
+    base: int, version: int, old: Mapping[str, Any], new: Mapping[str, Any]
+) -> ConfigChange:
+    changed: dict[str, dict[str, Any]] = {}
+    removed: dict[str, list[str]] = {}
+    for name, section in new.items():
+        before = old.get(name, {})
+        different = {k: v for k, v in section.items() if before.get(k, _ABSENT) != v}
+        gone = [k for k in before if k not in section]
+        if different:
+            changed[name] = different
+        if gone:
+            removed[name] = gone
+    return ConfigChange(base, version, changed, removed)
+
+
+_ABSENT = object()
