Add the command line

Cause: operators and newcomers need one program with help, exit codes and output for machines. Change: subcommands node, settings, config, status, drain, return, job, completion; standin, bench, capacity and demo load their own modules. Errors say what to do next; exit codes tell an unreachable peer, a conflict and an uncertain change apart.

--- a/papayarelay/document.py
+++ b/papayarelay/document.py
@@ -64,10 +64,11 @@
 
 def suggest(name: str, known: Iterable[str]) -> str:
     """Return a hint with the nearest known name, or an empty string."""
+    # Matching takes time that grows with the square of the length.
     if len(name) > LONGEST_NAME:
         return ""
-    near = difflib.get_close_matches(name, list(known), n=1, cutoff=0.5)
-    return f"did you mean {near[0]!r}?" if near else ""
+    near = difflib.get_close_matches(name, list(known), n=1, cutoff=0.0)
+    return f"the nearest is {near[0]!r}" if near else ""
 
 
 def decode_object(text: str, path: str, mistakes: Mistakes) -> dict[str, object]:
@@ -167,10 +168,9 @@
         for name in self._entries:
             if name in self._known:
                 continue
-            hint = suggest(name, self._known)
-            known = f"one of the keys {', '.join(sorted(self._known))}"
             path = join_path(self._path, name)
-            self._mistakes.add(path, name, "a known key" if hint else known, hint)
+            hint = suggest(name, self._known)
+            self._mistakes.add(path, name, "only known keys", hint)
 
     def text(self, name: str, default: object = _REQUIRED) -> str:
         """Return a string of 1 to 4096 characters; the default may be empty."""
--- a/papayarelay/logs.py
+++ b/papayarelay/logs.py
@@ -68,7 +68,16 @@
 REPEAT_WINDOW_S = 10.0
 REPEATS_PER_WINDOW = 5
 REPEAT_KEYS_LIMIT = 1024
-REPEAT_FIELDS = ("backend", "peer", "reason", "member", "kind", "section", "task")
+REPEAT_FIELDS = (
+    "backend",
+    "peer",
+    "reason",
+    "member",
+    "kind",
+    "section",
+    "task",
+    "error",
+)
 
 _logger = logbook.Logger("papayarelay")
 # A patched poll would switch to another task while a line is written.
--- /dev/null
+++ b/papayarelay/operators/client.py
@@ -0,0 +1,113 @@
+"""HTTP client of a node's operator interface."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from urllib.parse import quote
+
+import urllib3
+
+from .command import CommandError, ExitCode
+
+TIMEOUT_S = 5.0
+
+
+class OperatorClient:
+    """Calls one node's operator interface; raises CommandError on failure."""
+
+    def __init__(self, address: str, token: str, timeout_s: float = TIMEOUT_S):
+        self._address = address
+        self._headers = {"Authorization": f"Bearer {token}"}
+        self._pool = urllib3.PoolManager(
+            timeout=urllib3.Timeout(total=timeout_s), retries=False
+        )
+
+    def status(self) -> dict:
+        """Return the state of the node."""
+        return self._call("GET", "/operator/status")
+
+    def drain(self, name: str) -> dict:
+        """Take a data centre or backend server out of service."""
+        return self._call("POST", "/operator/drain", {"name": name})
+
+    def return_to_service(self, name: str) -> dict:
+        """Bring a data centre or backend server back."""
+        return self._call("POST", "/operator/return", {"name": name})
+
+    def look_up_job(self, member: str, kind: str, key: str) -> dict:
+        """Return the record of a job."""
+        parts = (quote(part, safe="") for part in (member, kind, key))
+        return self._call("GET", f"/operator/jobs/{'/'.join(parts)}")
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.clear()
+
+    def _call(self, method: str, path: str, body: dict | None = None) -> dict:
+        url = f"http://{self._address}{path}"
+        try:
+            response = self._pool.request(
+                method, url, json=body, headers=self._headers, redirect=False
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise self._unreachable(error, changes=method == "POST") from error
+        return self._decode(response)
+
+    def _decode(self, response: urllib3.BaseHTTPResponse) -> dict:
+        try:
+            answer = json.loads(response.data)
+        except ValueError:
+            answer = None
+        if response.status == 200 and isinstance(answer, dict):
+            return answer
+        error = answer.get("error") if isinstance(answer, dict) else None
+        reason = error.get("message") if isinstance(error, dict) else None
+        message = reason or f"unexpected answer with status {response.status}"
+        raise CommandError(
+            f"node at {self._address}: {message}", self._advise(response.status)
+        )
+
+    def _advise(self, status: int) -> str:
+        if status == 401:
+            return "Pass the file that the node's settings name as operator_token_file."
+        if status == 404:
+            return "Check the spelling; 'papayarelay status' lists known names."
+        if status == 503:
+            return "Try again in a few seconds, or ask another node."
+        return "Check that --node is the operator_address of a node of this version."
+
+    def _unreachable(self, error: Exception, changes: bool) -> CommandError:
+        not_sent = isinstance(
+            error,
+            urllib3.exceptions.NewConnectionError
+            | urllib3.exceptions.ConnectTimeoutError,
+        )
+        if changes and not not_sent:
+            return CommandError(
+                f"node at {self._address} did not answer: {type(error).__name__}",
+                "The change may have been made: run 'papayarelay status' to see.",
+                ExitCode.UNCERTAIN,
+            )
+        return CommandError(
+            f"cannot reach a node at {self._address}: {type(error).__name__}",
+            "Check that the node runs and that --node is its operator_address.",
+            ExitCode.UNREACHABLE,
+        )
+
+
+def read_token(path: str) -> str:
+    """Return the operator token in a file."""
+    try:
+        token = Path(path).read_text(encoding="utf-8").strip()
+    except (OSError, ValueError) as error:
+        raise CommandError(
+            f"cannot read the token file {path}: {error}",
+            "Pass --token-file with a file that holds the operator token.",
+        ) from error
+    if not (token and token.isascii() and token.isprintable()):
+        raise CommandError(
+            f"the token file {path} holds no token",
+            "Write the operator token into it as one line of printable ASCII.",
+        )
+    return token
--- /dev/null
+++ b/papayarelay/operators/command.py
@@ -0,0 +1,106 @@
+"""What all commands share: exit codes, errors with advice and output."""
+
+from __future__ import annotations
+
+import argparse
+import enum
+import json
+import sys
+from collections.abc import Iterable
+
+from ..errors import SettingsError
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the program."""
+
+    SUCCESS = 0
+    FAILED = 1
+    USAGE = 2
+    UNREACHABLE = 3
+    CONFLICT = 4
+    UNCERTAIN = 5
+
+
+EXIT_CODES_HELP = """\
+exit codes:
+  0  success; a node ended as planned
+  1  failed: mistakes in a document, a refusal, differences, a time limit
+  2  wrong usage
+  3  a node or the table service cannot be reached; nothing was changed
+  4  conflict: the configuration changed since the base version
+  5  uncertain: the change may have been made, look before repeating it"""
+
+
+class CommandError(Exception):
+    """A command failed; ``advice`` says what to do next.
+
+    ``mistakes`` lists the mistakes of a document, each with its path.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        advice: str,
+        code: ExitCode = ExitCode.FAILED,
+        mistakes: tuple[SettingsError, ...] = (),
+    ):
+        super().__init__(message)
+        self.message = message
+        self.advice = advice
+        self.code = code
+        self.mistakes = mistakes
+
+
+def add_parser(subparsers, name: str, summary: str, example: str, **options):
+    """Add a subcommand whose help ends with an example."""
+    return subparsers.add_parser(
+        name,
+        help=summary,
+        description=f"{summary[0].upper()}{summary[1:]}.",
+        epilog=f"example:\n  {example}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+        **options,
+    )
+
+
+def add_json_option(parser: argparse.ArgumentParser) -> None:
+    """Add ``--json``."""
+    parser.add_argument(
+        "--json", action="store_true", help="print one JSON object for machines"
+    )
+
+
+def print_result(
+    namespace: argparse.Namespace, result: object, lines: Iterable[str]
+) -> None:
+    """Print ``result`` as JSON with ``--json`` and the lines otherwise."""
+    if namespace.json:
+        print(json.dumps(result))
+        return
+    for line in lines:
+        print(line)
+
+
+def print_error(error: CommandError, as_json: bool) -> None:
+    """Print an error and its advice on standard error."""
+    if as_json:
+        mistakes = [
+            {"path": mistake.path, "allowed": mistake.allowed, "text": str(mistake)}
+            for mistake in error.mistakes
+        ]
+        fields = {"error": error.message, "advice": error.advice, "mistakes": mistakes}
+        print(json.dumps(fields), file=sys.stderr)
+        return
+    lines = [f"papayarelay: {error.message}"]
+    lines += [f"  {mistake}" for mistake in error.mistakes]
+    print("\n".join([*lines, error.advice]), file=sys.stderr)
+
+
+def describe_mistakes(group: ExceptionGroup, subject: str) -> CommandError:
+    """Return a command error that lists all mistakes of a document."""
+    return CommandError(
+        f"{group.message} of {subject}",
+        "Correct these places and run the command again.",
+        mistakes=group.exceptions,
+    )
--- a/papayarelay/program.py
+++ b/papayarelay/program.py
@@ -3,33 +3,195 @@
 from __future__ import annotations
 
 import argparse
+import importlib
+import os
+import sys
+from dataclasses import asdict
+from types import ModuleType
 
-from . import __version__, node
+from . import __version__, logs
+from .events import Event
+from .operators import node_commands
+from .operators.command import (
+    EXIT_CODES_HELP,
+    CommandError,
+    ExitCode,
+    add_json_option,
+    add_parser,
+    describe_mistakes,
+    print_error,
+    print_result,
+)
+from .operators.completion import render_completion
 from .settings import load_settings
-from .standins import program as standins
+
+DESCRIPTION = """\
+Serving layer between callers, model engines and plain services.
+
+Run 'papayarelay COMMAND --help' for the options and an example of each command.
+"""
+# Commands in modules of their own, loaded only when the command line names them:
+# the stand-ins and benchmarks would double the start time of a node.
+MODULES = {
+    "standin": ("standins.program", "run a stand-in of an engine, service or store"),
+    "bench": ("bench.program", "run the benchmarks"),
+    "capacity": ("bench.capacity", "compute the capacity page from measured slopes"),
+    "config": ("operators.config_commands", "check, show and change configuration"),
+}
+NODE_COMMANDS = ("status", "drain", "return", "job")
+# The shell's code for a program that SIGINT ended.
+INTERRUPTED = 130
 
 
 def parse_arguments(argv: list[str] | None = None) -> argparse.Namespace:
     """Parse the command line."""
-    parser = argparse.ArgumentParser(
-        prog="papayarelay", description="Serving layer in front of model engines."
-    )
-    parser.add_argument("--version", action="version", version=__version__)
-    subparsers = parser.add_subparsers(dest="command", required=True)
-    node_parser = subparsers.add_parser("node", help="run a node")
-    node_parser.add_argument("--settings", required=True)
-    standins.add_arguments(subparsers)
-    subparsers.add_parser("demo", help="run the demo")
-    return parser.parse_args(argv)
+    argv = sys.argv[1:] if argv is None else argv
+    return _create_parser(argv[0] if argv else "").parse_args(argv)
 
 
 def main(argv: list[str] | None = None) -> int:
     """Run the command line; return the process exit code."""
     namespace = parse_arguments(argv)
-    if namespace.command == "node":
-        return node.run(load_settings(namespace.settings))
-    if namespace.command == "demo":
-        from . import demo
+    try:
+        return int(_run(namespace))
+    except CommandError as error:
+        print_error(error, getattr(namespace, "json", False))
+        return int(error.code)
+    except KeyboardInterrupt:
+        return INTERRUPTED
+    except BrokenPipeError:
+        # Python would report the closed pipe once more at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return int(ExitCode.FAILED)
+
+
+def _create_parser(command: str, complete: bool = False) -> argparse.ArgumentParser:
+    """Return the parser; only the named command has its options unless complete."""
+    parser = argparse.ArgumentParser(
+        prog="papayarelay",
+        description=DESCRIPTION,
+        epilog=EXIT_CODES_HELP,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    subparsers = parser.add_subparsers(
+        dest="command", required=True, metavar="COMMAND", title="commands"
+    )
+    _add_node(subparsers)
+    node_commands.add_arguments(subparsers)
+    _add_settings(subparsers)
+    for name, (module_name, summary) in MODULES.items():
+        module = _load(module_name) if complete or name == command else None
+        if module is None:
+            subparsers.add_parser(name, help=summary)
+        else:
+            module.add_arguments(subparsers)
+    add_parser(
+        subparsers,
+        "demo",
+        "run a whole system on this machine and send requests",
+        "papayarelay demo",
+    )
+    _add_completion(subparsers)
+    return parser
+
+
+def _run(namespace: argparse.Namespace) -> int:
+    command = namespace.command
+    if command == "node":
+        return _run_node(namespace)
+    if command == "settings":
+        return _check_settings(namespace)
+    if command == "completion":
+        return _print_completion(namespace)
+    if command in NODE_COMMANDS:
+        return node_commands.run(namespace)
+    module = _load("demo" if command == "demo" else MODULES[command][0])
+    if module is None:
+        raise CommandError(
+            f"this build has no command {command}", "Run it from a source checkout."
+        )
+    return module.run(namespace)
+
+
+def _load(name: str) -> ModuleType | None:
+    """Import a module of the package; return None if it does not exist."""
+    full_name = f"{__package__}.{name}"
+    try:
+        return importlib.import_module(full_name)
+    except ModuleNotFoundError as error:
+        if error.name != full_name:
+            raise
+        return None
 
-        return demo.run(namespace)
-    return standins.run(namespace)
+
+def _run_node(namespace: argparse.Namespace) -> int:
+    try:
+        settings = load_settings(namespace.settings)
+    except ExceptionGroup as group:
+        logs.set_up_logs("")
+        for error in group.exceptions:
+            logs.log(Event.SETTINGS_REJECTED, error=error)
+        return int(ExitCode.FAILED)
+    return _load("node").run(settings)
+
+
+def _check_settings(namespace: argparse.Namespace) -> int:
+    try:
+        settings = load_settings(namespace.file)
+    except ExceptionGroup as group:
+        raise describe_mistakes(group, namespace.file) from group
+    for name in ("cluster_key_file", "operator_token_file"):
+        path = getattr(settings, name)
+        if path and not os.access(path, os.R_OK):
+            raise CommandError(
+                f"{name}: {path} cannot be read",
+                "Create the file, or correct its name in the settings.",
+            )
+    values = asdict(settings)
+    lines = [f"{name}: {value}" for name, value in values.items()]
+    print_result(namespace, values, lines)
+    return ExitCode.SUCCESS
+
+
+def _print_completion(namespace: argparse.Namespace) -> int:
+    parser = _create_parser("", complete=True)
+    print(render_completion(parser, namespace.shell), end="")
+    return ExitCode.SUCCESS
+
+
+def _add_node(subparsers) -> None:
+    parser = add_parser(
+        subparsers, "node", "run a node", "papayarelay node --settings node.json"
+    )
+    parser.add_argument(
+        "--settings", required=True, metavar="FILE", help="settings of the node"
+    )
+
+
+def _add_settings(subparsers) -> None:
+    parser = add_parser(
+        subparsers,
+        "settings",
+        "check the settings of a node",
+        "papayarelay settings check node.json",
+    )
+    actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+    check = add_parser(
+        actions,
+        "check",
+        "find all mistakes in a settings file and print what is in force",
+        "papayarelay settings check node.json",
+    )
+    check.add_argument("file", metavar="FILE", help="settings of a node")
+    add_json_option(check)
+
+
+def _add_completion(subparsers) -> None:
+    parser = add_parser(
+        subparsers,
+        "completion",
+        "print the completion script for a shell",
+        "source <(papayarelay completion bash)",
+    )
+    parser.add_argument("shell", choices=("bash", "zsh"))
--- /dev/null
+++ b/papayarelay/tests/test_program.py
@@ -0,0 +1,263 @@
+"""Tests of the command line."""
+
+import contextlib
+import io
+import json
+import pathlib
+import shutil
+import subprocess
+import tempfile
+import unittest
+
+from gevent import pywsgi
+from gevent.event import Event
+
+from ..errors import StoreUnavailableError
+from ..operators.api import OperatorApi
+from ..operators.command import ExitCode
+from ..program import main, parse_arguments
+from .test_config import example
+from .test_settings import REQUIRED
+
+TOKEN = "operator-token"
+
+
+class FakeNode:
+    """A node as operators see it."""
+
+    def __init__(self):
+        self.drained: dict[str, bool] = {}
+        self.version = 3
+
+    def status(self) -> dict:
+        return {"name": "n1", "config_version": self.version, "drained": self.drained}
+
+    def set_drained(self, name: str, drained: bool) -> dict:
+        if name == "dc9":
+            raise StoreUnavailableError("table service is down", step="w", peer="store")
+        self.drained[name] = drained
+        return {"name": name, "drained": drained}
+
+    def look_up_job(self, member: str, kind: str, key: str) -> dict | None:
+        if key == "no such key":
+            return None
+        return {"member": member, "kind": kind, "key": key, "state": "completed"}
+
+
+class ProgramTest(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = pathlib.Path(directory.name)
+        self.output = self.errors = ""
+
+    def write(self, name: str, text: str) -> str:
+        path = self.directory / name
+        path.write_text(text)
+        return str(path)
+
+    def run_program(self, *arguments: str) -> int:
+        """Run the program; keep what it wrote and return its exit code."""
+        output, errors = io.StringIO(), io.StringIO()
+        try:
+            with (
+                contextlib.redirect_stdout(output),
+                contextlib.redirect_stderr(errors),
+            ):
+                return main(list(arguments))
+        except SystemExit as stop:
+            return stop.code
+        finally:
+            self.output, self.errors = output.getvalue(), errors.getvalue()
+
+
+class HelpTest(ProgramTest):
+    def test_help_has_examples_and_exit_codes(self):
+        """Guards against a command that a newcomer cannot find out how to use."""
+        self.assertEqual(self.run_program("--help"), ExitCode.SUCCESS)
+        for code in ExitCode:
+            self.assertIn(f"\n  {code.value}  ", self.output)
+        for command in (
+            ["node"],
+            ["status"],
+            ["drain"],
+            ["return"],
+            ["job", "show"],
+            ["settings", "check"],
+            ["config", "check"],
+            ["config", "show"],
+            ["config", "diff"],
+            ["config", "apply"],
+            ["config", "history"],
+            ["config", "wait"],
+            ["completion"],
+        ):
+            with self.subTest(command=command):
+                self.assertEqual(self.run_program(*command, "--help"), 0)
+                self.assertIn("papayarelay " + " ".join(command), self.output)
+                self.assertIn("example:", self.output)
+
+    def test_examples_can_be_parsed(self):
+        """Guards against an example in the help that the program refuses."""
+        self.run_program("config", "apply", "--help")
+        example_line = self.output.splitlines()[-1].split()
+        self.assertEqual(example_line[0], "papayarelay")
+        self.assertEqual(parse_arguments(example_line[1:]).base, 12)
+
+    def test_wrong_usage(self):
+        """Guards against a mistake in the arguments that is taken for success."""
+        for arguments in (
+            [],
+            ["stats"],
+            ["node"],
+            ["status", "--token-file", "t", "--node", "nowhere"],
+            ["status", "--token-file", "t", "--timeout-s", "-1"],
+        ):
+            with self.subTest(arguments=arguments):
+                self.assertEqual(self.run_program(*arguments), ExitCode.USAGE)
+
+    def test_completion(self):
+        """Guards against completion scripts that do not run or miss commands."""
+        self.assertEqual(self.run_program("completion", "zsh"), 0)
+        self.assertIn("bashcompinit", self.output)
+        self.assertEqual(self.run_program("completion", "bash"), 0)
+        if shutil.which("bash") is None:
+            self.skipTest("bash is not installed")
+        script = self.write("completion.bash", self.output)
+        words = {
+            "papayarelay conf": "config",
+            "papayarelay config ap": "apply",
+            "papayarelay config apply x --sec": "--section",
+            "papayarelay completion b": "bash",
+        }
+        for line, expected in words.items():
+            command = (
+                f"source {script}; COMP_WORDS=({line});"
+                " COMP_CWORD=$((${#COMP_WORDS[@]} - 1));"
+                ' _papayarelay; echo "${COMPREPLY[@]}"'
+            )
+            found = subprocess.run(
+                ["bash", "-c", command], capture_output=True, text=True, check=True
+            )
+            self.assertEqual(found.stdout.strip(), expected)
+
+
+class SettingsTest(ProgramTest):
+    def test_check(self):
+        """Guards against settings that pass the check and then stop a node."""
+        path = self.write("node.json", json.dumps(REQUIRED))
+        self.assertEqual(self.run_program("settings", "check", path), ExitCode.FAILED)
+        self.assertIn("cluster_key_file", self.errors)
+        self.write("cluster.key", "key")
+        self.assertEqual(self.run_program("settings", "check", "--json", path), 0)
+        self.assertEqual(json.loads(self.output)["data_centre"], "dc1")
+
+    def test_mistakes(self):
+        """Guards against a report that names only the first mistake."""
+        path = self.write("node.json", '{"nam": "n1", "log_level": "loud"}')
+        arguments = ("settings", "check", "--json", path)
+        self.assertEqual(self.run_program(*arguments), ExitCode.FAILED)
+        found = json.loads(self.errors)
+        paths = {mistake["path"] for mistake in found["mistakes"]}
+        self.assertLessEqual({"nam", "name", "log_level", "region"}, paths)
+        self.assertTrue(found["advice"])
+        self.assertEqual(self.output, "")
+
+    def test_node_with_bad_settings(self):
+        """Guards against a node that starts with bad settings."""
+        path = self.write("node.json", '{"nam": "n1"}')
+        self.assertEqual(self.run_program("node", "--settings", path), ExitCode.FAILED)
+        events = [json.loads(line)["event"] for line in self.errors.splitlines()]
+        self.assertEqual(set(events), {"PR1007"})
+
+
+class ConfigCheckTest(ProgramTest):
+    def test_check(self):
+        """Guards against a check whose verdict differs from that of a node."""
+        path = self.write("config.json", json.dumps(example()))
+        self.assertEqual(self.run_program("config", "check", "--json", path), 0)
+        self.assertEqual(json.loads(self.output)["entries"]["backends"], 2)
+        document = example()
+        document["backends"]["engine-1"]["data_centre"] = "dc2"
+        path = self.write("config.json", json.dumps(document))
+        self.assertEqual(self.run_program("config", "check", path), ExitCode.FAILED)
+        self.assertIn("backends.engine-1.data_centre", self.errors)
+        self.assertIn("'dc1'", self.errors)
+
+
+class OperatorTest(ProgramTest):
+    def setUp(self):
+        super().setUp()
+        self.node = FakeNode()
+        app = OperatorApi(self.node, TOKEN, lambda: b"").create_app()
+        self.server = pywsgi.WSGIServer(("127.0.0.1", 0), app, log=None, error_log=None)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.address = f"127.0.0.1:{self.server.server_port}"
+        self.token_file = self.write("token", f"{TOKEN}\n")
+
+    def ask(self, *arguments: str) -> int:
+        options = ("--node", self.address, "--token-file", self.token_file)
+        return self.run_program(*arguments, *options)
+
+    def test_drain_and_return(self):
+        """Guards against a drain of another name, or one that reports no success."""
+        self.assertEqual(self.ask("drain", "dc1"), 0)
+        self.assertEqual(self.node.drained, {"dc1": True})
+        self.assertEqual(self.ask("return", "dc1", "--json"), 0)
+        self.assertEqual(self.node.drained, {"dc1": False})
+        self.assertEqual(json.loads(self.output), {"name": "dc1", "drained": False})
+
+    def test_refused_drain(self):
+        """Guards against a drain that failed and looks like a success."""
+        self.assertEqual(self.ask("drain", "dc9"), ExitCode.FAILED)
+        self.assertIn("table service is down", self.errors)
+
+    def test_status(self):
+        """Guards against a status without the fields of the node."""
+        self.assertEqual(self.ask("status"), 0)
+        self.assertIn("config_version: 3\n", self.output)
+
+    def test_job_with_any_key(self):
+        """Guards against keys that are cut or changed on the way to the node."""
+        for key in ("order-1", "a/b c", "50%", "čž", "..?x=1#y"):
+            with self.subTest(key=key):
+                job = ("job", "show", key, "--member", "m", "--kind", "k", "--json")
+                self.assertEqual(self.ask(*job), 0)
+                self.assertEqual(json.loads(self.output)["key"], key)
+        job = ("job", "show", "no such key", "--member", "m", "--kind", "k")
+        self.assertEqual(self.ask(*job), ExitCode.FAILED)
+
+    def test_wrong_token(self):
+        """Guards against a refusal whose cause stays unclear."""
+        self.token_file = self.write("token", "other")
+        self.assertEqual(self.ask("status"), ExitCode.FAILED)
+        self.assertIn("operator_token_file", self.errors)
+        self.token_file = self.write("token", "")
+        self.assertEqual(self.ask("status"), ExitCode.FAILED)
+        self.assertIn("holds no token", self.errors)
+
+    def test_no_node(self):
+        """Guards against a node that is away and looks like a refusal."""
+        self.server.stop()
+        self.assertEqual(self.ask("drain", "dc1"), ExitCode.UNREACHABLE)
+
+    def test_lost_answer(self):
+        """Guards against a lost answer that is reported as no change."""
+        self.server.application = _never_answer
+        drain = ("drain", "dc1", "--timeout-s", "0.2")
+        self.assertEqual(self.ask(*drain), ExitCode.UNCERTAIN)
+
+    def test_wait(self):
+        """Guards against a wait that ends before all nodes have the version."""
+        self.assertEqual(self.ask("config", "wait", "3", "--json"), 0)
+        wait = ("config", "wait", "4", "--timeout-s", "0.3")
+        self.assertEqual(self.ask(*wait), ExitCode.FAILED)
+        self.assertIn("version 3", self.errors)
+        self.server.stop()
+        wait = ("config", "wait", "3", "--timeout-s", "0.3")
+        self.assertEqual(self.ask(*wait), ExitCode.FAILED)
+
+
+def _never_answer(environ, start_response):
+    Event().wait()
