Run non-idempotent requests under a claim

Cause: ten engraving jobs sent to two nodes at once ran twenty times (make demo). Change: a claim is confirmed before the dispatch, a guard permits the dispatch once, and the outcome is recorded for repeats. A refusal of a keyed request before its claim says unknown, because an earlier request under the key may have run.

--- a/papayarelay/callers/answer.py
+++ b/papayarelay/callers/answer.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from ..backends.stream import Chunk
 from ..errors import RelayError
 from ..request import Request
 
@@ -44,12 +43,15 @@
     return b"data: " + error_body(error) + b"\n\n"
 
 
-def whole_answer(request: Request, text: str, last: Chunk, now_s: int) -> bytes:
+def whole_answer(
+    request: Request, text: str, tokens: int, reason: str | None, now_s: int
+) -> bytes:
     """Return the answer to a request that is not streamed.
 
-    ``last`` is the last chunk that carried an event, ``now_s`` the Unix time.
+    ``tokens`` is the length of the answer, ``reason`` why it ended and
+    ``now_s`` the Unix time.
     """
-    choice: dict = {"index": 0, "finish_reason": last.finish_reason or "stop"}
+    choice: dict = {"index": 0, "finish_reason": reason or "stop"}
     chat = request.path == "/v1/chat/completions"
     if chat:
         choice["message"] = {"role": "assistant", "content": text}
@@ -57,8 +59,8 @@
         choice["text"] = text
     usage = {
         "prompt_tokens": request.prompt_tokens,
-        "completion_tokens": last.offset,
-        "total_tokens": request.prompt_tokens + last.offset,
+        "completion_tokens": tokens,
+        "total_tokens": request.prompt_tokens + tokens,
     }
     return msgspec.json.encode(
         {
--- a/papayarelay/callers/api.py
+++ b/papayarelay/callers/api.py
@@ -5,13 +5,16 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
+from functools import partial
 
 import bottle
 
+from ..backends.service import ServiceAnswer
 from ..backends.stream import Chunk
 from ..config import Config
-from ..dispatch import Dispatcher
+from ..dispatch import NO_GUARD, Dispatcher, DispatchGuard
 from ..errors import BackendError, Outcome, OverloadError, RelayError
+from ..job import JobRunner
 from ..request import Request
 from . import answer
 from .body import BodyMemory, body_size, read_body
@@ -34,6 +37,7 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
+        jobs: JobRunner,
         gate: Gate,
         body_limit_bytes: int,
         body_memory_bytes: int,
@@ -41,6 +45,7 @@
     ):
         self.body_memory = BodyMemory(body_memory_bytes)
         self._dispatcher = dispatcher
+        self._jobs = jobs
         self._gate = gate
         self._body_limit_bytes = body_limit_bytes
         self._clock = clock
@@ -94,7 +99,9 @@
             if request.stream:
                 return self._stream_response(stack, request, environ)
             with stack:
-                return self._whole_response(request, environ)
+                sock = environ["papayarelay.socket"]
+                execute = partial(self._collect, sock)
+                return _whole_response(request, self._execute(request, execute))
         except RelayError as error:
             stack.close()
             return _error_response(error)
@@ -109,11 +116,16 @@
                 request = self._admit(
                     stack, bottle.request.environ, parse_service_request, kind
                 )
-                reply = self._dispatcher.call(request)
+                reply = self._execute(request, self._dispatcher.call)
             except RelayError as error:
                 return _error_response(error)
-            headers = {"Content-Type": reply.content_type, "X-Request-Id": request.id}
-            return bottle.HTTPResponse(reply.body, reply.status, headers)
+            return _whole_response(request, reply)
+
+    def _execute(self, request: Request, execute: Callable) -> ServiceAnswer:
+        """Run a request, under a claim unless its kind is idempotent."""
+        if request.kind.idempotent:
+            return execute(request, NO_GUARD)
+        return self._jobs.run(request, execute)
 
     def _admit(
         self, stack: ExitStack, environ: dict, parse: Callable, name: str
@@ -122,30 +134,35 @@
 
         What the request holds is given back when ``stack`` is closed.
         """
-        caller = self._authenticate()
-        stack.enter_context(self._gate.enter())
-        size = body_size(environ, self._body_limit_bytes)
-        stack.enter_context(self.body_memory.reserve(size))
-        body = read_body(environ, size, self._body_limit_bytes)
-        headers = bottle.request.headers
-        return parse(self._config, caller, name, headers, body, self._clock())
-
-    def _whole_response(self, request: Request, environ: dict) -> bottle.HTTPResponse:
-        sock = environ["papayarelay.socket"]
+        try:
+            caller = self._authenticate()
+            stack.enter_context(self._gate.enter())
+            size = body_size(environ, self._body_limit_bytes)
+            stack.enter_context(self.body_memory.reserve(size))
+            body = read_body(environ, size, self._body_limit_bytes)
+            headers = bottle.request.headers
+            return parse(self._config, caller, name, headers, body, self._clock())
+        except RelayError as error:
+            if "HTTP_IDEMPOTENCY_KEY" in environ:
+                # An earlier request under the same key may have run.
+                error.outcome = Outcome.UNKNOWN
+            raise
+
+    def _collect(self, sock, request: Request, guard: DispatchGuard) -> ServiceAnswer:
+        """Return the whole answer of an engine."""
         parts: list[str] = []
-        last = Chunk(b"")
         reason = None
-        for chunk in self._dispatcher.stream(request):
+        received = 0
+        for chunk in self._dispatcher.stream(request, guard):
             if chunk.event:
                 parts.append(chunk.content)
                 reason = chunk.finish_reason or reason
-                last = chunk
-            elif answer.is_gone(sock):
+                received = chunk.offset
+            elif request.kind.idempotent and answer.is_gone(sock):
                 raise _caller_gone()
-        last = Chunk(b"", "", last.offset, reason)
-        body = answer.whole_answer(request, "".join(parts), last, int(time.time()))
-        headers = {"Content-Type": JSON_TYPE, "X-Request-Id": request.id}
-        return bottle.HTTPResponse(body, 200, headers)
+        text = "".join(parts)
+        body = answer.whole_answer(request, text, received, reason, int(time.time()))
+        return ServiceAnswer(200, JSON_TYPE, body)
 
     def _stream_response(
         self, stack: ExitStack, request: Request, environ: dict
@@ -180,6 +197,11 @@
         self._stack.close()
 
 
+def _whole_response(request: Request, reply: ServiceAnswer) -> bottle.HTTPResponse:
+    headers = {"Content-Type": reply.content_type, "X-Request-Id": request.id}
+    return bottle.HTTPResponse(reply.body, reply.status, headers)
+
+
 def _wait_for_first(chunks: Iterator[Chunk], sock) -> Chunk:
     for chunk in chunks:
         if chunk.event:
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from typing import Protocol
 
 from .backends import engine, service
 from .backends.stream import KEEP_ALIVE, Chunk, StreamCounters
@@ -17,6 +18,29 @@
 QUEUE_TICK_S = 1.0
 
 
+class DispatchGuard(Protocol):
+    """Permits each dispatch of a request right before it is sent."""
+
+    def begin(self) -> None:
+        """Permit a dispatch; raises ``RelayError`` to forbid it."""
+
+    def undo(self) -> None:
+        """State that the last dispatch has sent no byte."""
+
+
+class _NoGuard:
+    """Permits every dispatch, for idempotent requests."""
+
+    def begin(self) -> None:
+        pass
+
+    def undo(self) -> None:
+        pass
+
+
+NO_GUARD = _NoGuard()
+
+
 class Dispatcher:
     """Runs requests on the backend servers of a table."""
 
@@ -34,7 +58,9 @@
         self._budget = budget
         self._clock = clock
 
-    def stream(self, request: Request) -> Iterator[Chunk]:
+    def stream(
+        self, request: Request, guard: DispatchGuard = NO_GUARD
+    ) -> Iterator[Chunk]:
         """Yield the chunks of an engine's answer, in order and each once.
 
         A stream that breaks is resumed on another engine from the tokens
@@ -53,7 +79,7 @@
                 for entry in self._queue(request, cost, tried):
                     if entry is None:
                         yield KEEP_ALIVE
-                for chunk in self._attempt(entry, request, cost, received):
+                for chunk in self._attempt(entry, request, received, guard):
                     received = chunk.offset if chunk.event else received
                     yield chunk
                 return
@@ -62,7 +88,9 @@
                 self._check_retry(request, error, entry, may_have_run)
                 tried |= {entry.id}
 
-    def call(self, request: Request) -> service.ServiceAnswer:
+    def call(
+        self, request: Request, guard: DispatchGuard = NO_GUARD
+    ) -> service.ServiceAnswer:
         """Run a request on a plain service.
 
         A request is sent again only when no byte of it was sent before, or
@@ -77,7 +105,7 @@
             try:
                 for found in self._queue(request, cost, tried):
                     entry = found
-                return self._call_once(entry, request, cost)
+                return self._call_once(entry, request, guard)
             except RelayError as error:
                 may_have_run |= error.outcome is not Outcome.NOT_RUN
                 self._check_retry(request, error, entry, may_have_run)
@@ -98,10 +126,16 @@
             self._scheduler.withdraw(ticket)
 
     def _attempt(
-        self, entry: BackendEntry, request: Request, cost: Cost, received: int
+        self,
+        entry: BackendEntry,
+        request: Request,
+        received: int,
+        guard: DispatchGuard,
     ) -> Iterator[Chunk]:
         """Yield the rest of the answer from one engine."""
+        cost = estimate_cost(request)
         now_s = self._clock()
+        guard.begin()
         try:
             with (
                 self._table.hold(entry, cost, now_s),
@@ -113,9 +147,12 @@
                     yield chunk
                     self._check_deadline(request, entry.id)
                     stream.limit_read(request.time_left_s(self._clock()))
-        except BackendError:
-            self._record_failure(entry)
-            self._check_deadline(request, entry.id)
+        except RelayError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                guard.undo()
+            if isinstance(error, BackendError):
+                self._record_failure(entry)
+                self._check_deadline(request, entry.id)
             raise
         finally:
             self._scheduler.wake()
@@ -124,13 +161,16 @@
         entry.warm_up.record_success(cost.kv_tokens, True, now_s)
 
     def _call_once(
-        self, entry: BackendEntry, request: Request, cost: Cost
+        self, entry: BackendEntry, request: Request, guard: DispatchGuard
     ) -> service.ServiceAnswer:
         now_s = self._clock()
+        guard.begin()
         try:
-            with self._table.hold(entry, cost, now_s):
+            with self._table.hold(entry, Cost(0, 0), now_s):
                 answer = service.call(entry.pool, request, now_s)
-        except RelayError:
+        except RelayError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                guard.undo()
             self._record_failure(entry)
             raise
         finally:
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -19,10 +19,12 @@
 from .callers.api import CallerApi
 from .callers.gate import Gate
 from .callers.server import CallerServer
+from .claim import Claims
 from .config import Config
 from .config_feed import ConfigFeed
 from .dispatch import Dispatcher
 from .errors import UnknownResourceError
+from .job import JobRunner
 from .operators.api import OperatorApi
 from .retry import RetryBudget
 from .routing import POLICIES
@@ -64,8 +66,12 @@
             self._rng,
         )
         self._watcher = Watcher(self.backends, self._record_load, self._rng, clock)
+        self.claims = Claims(
+            self.store, scopes=self._claim_scopes, writes_per_s=1.0, clock=clock
+        )
         self._api = CallerApi(
             self.dispatcher,
+            JobRunner(self.claims, clock),
             self.gate,
             settings.body_limit_bytes,
             settings.body_memory_bytes,
@@ -152,7 +158,27 @@
 
     def look_up_job(self, member: str, kind: str, key: str) -> dict | None:
         """Return the record of an idempotency key, or None."""
-        return None
+        row = self.claims.look_up(member, kind, key)
+        if row is None:
+            return None
+        return {
+            "member": member,
+            "kind": kind,
+            "state": row.state.value,
+            "claimed_at": row.claimed_wall_s,
+            "status": row.status,
+            "answer_bytes": row.body_bytes,
+        }
+
+    def _claim_scopes(self) -> list[tuple[str, str]]:
+        """Return the members and non-idempotent kinds whose claims are swept."""
+        config = self.feed.config
+        return [
+            (member, kind.name)
+            for member in config.members
+            for kind in config.kinds.values()
+            if not kind.idempotent
+        ]
 
     def _create_operator_server(self, token: str) -> pywsgi.WSGIServer:
         api = OperatorApi(self, token, lambda: b"")
@@ -165,6 +191,23 @@
         self.backends.apply(config)
         self._api.apply(config)
         self._watcher.watch(config.backends)
+        self._share_limits(config)
+
+    def _share_limits(self, config: Config) -> None:
+        """Give this node its part of the shares and of the claim writes."""
+        shares = {name: member.share for name, member in config.members.items()}
+        weights = {
+            (name, organisation.name): organisation.weight
+            for name, member in config.members.items()
+            for organisation in member.organisations.values()
+        }
+        self.scheduler.queue.set_shares(shares, weights)
+        writes_per_s = config.limits.claim_writes_per_s / max(1, self._node_count())
+        self.claims.set_writes_per_s(self._clock(), writes_per_s)
+
+    def _node_count(self) -> int:
+        """Return the number of nodes that share the limits."""
+        return 1
 
     def _publish_config(self, version: int, sections: Mapping[str, str]) -> None:
         """Send a new configuration to the other nodes."""
