Add claims of non-idempotent requests, first part

Cause: a non-idempotent request had no record before its dispatch. Change: the first part of claim.py and its token bucket.

--- a/papayarelay/bucket.py
+++ b/papayarelay/bucket.py
@@ -25,6 +25,17 @@
         self._tokens -= amount
         return True
 
+    def put_back(self, amount: float) -> None:
+        """Return tokens that were taken and not used."""
+        self._tokens = min(self.burst, self._tokens + amount)
+
+    def set_rate(self, now_s: float, rate_per_s: float, burst: float) -> None:
+        """Change the rate and the capacity from now on."""
+        self._refill(now_s)
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._tokens = min(burst, self._tokens)
+
     def wait_s(self, now_s: float, amount: float = 1.0) -> float:
         """Return the seconds until ``amount`` tokens are available."""
         self._refill(now_s)
--- /dev/null
+++ b/papayarelay/claim.py
@@ -0,0 +1,642 @@
+"""At-most-once claims of non-idempotent requests (design section 3.1).
+
+A request is claimed by a row in the table service before any byte is sent to a
+backend server.  The row is never taken over.  Rows end by the wall clock of the
+node that claimed them; see ``is_expired`` for the tolerance of clock offsets.
+Monotonic times end in ``_s``, wall-clock times in ``_wall_s``.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import time
+import uuid
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Protocol
+from urllib.parse import quote
+
+import gevent
+import msgspec
+
+from .bucket import TokenBucket
+from .errors import (
+    CheckFailedError,
+    ConflictError,
+    DeadlineError,
+    Outcome,
+    OverloadError,
+    RequestError,
+    StoreError,
+    StoreUnavailableError,
+)
+from .request import Request
+from .store.client import Check, Row, Write
+
+KEEP_S = 24 * 3600.0
+MAX_DEADLINE_S = 3600.0
+# Covers clock offsets of several seconds between nodes and the time that a
+# delayed write or delete may take.
+CLOCK_MARGIN_S = 60.0
+BODY_LIMIT_BYTES = 16 * 1024
+
+CLAIM_LIMIT_S = 2.0
+REFUSE_LIMIT_S = 1.0
+FINISH_LIMIT_S = 5.0
+# At most this part of the time left is spent on the claim, so that a refusal
+# can still be confirmed before the deadline.
+CLAIM_PART = 0.5
+RETRY_DELAY_S = 0.05
+# One call gets at most this part of the time left, so that a call whose answer
+# is lost can be repeated.
+CALL_PART = 0.5
+MIN_CALL_S = 0.01
+
+REPEAT_WAIT_S = 10.0
+POLL_DELAY_S = 0.1
+MAX_POLL_DELAY_S = 2.0
+MAX_WAITING = 64
+
+WRITES_PER_S = 20.0
+BURST_S = 2.0
+MIN_BURST = 4.0
+# A claim and its outcome are one write each.
+WRITES_PER_CLAIM = 2
+RETRY_AFTER_S = 1.0
+FAILURES_TO_SUSPEND = 3
+SUSPEND_S = 1.0
+
+SLOTS = 256
+SLOT_DIGITS = 2
+HEX_DIGITS = "0123456789abcdef"
+SWEEP_SCANS = 8
+SWEEP_SCAN_ROWS = 100
+SWEEP_DELETE_ROWS = 50
+
+
+class ClaimState(enum.Enum):
+    """State of a claim row."""
+
+    CLAIMED = "claimed"
+    COMPLETED = "completed"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True)
+class ClaimRow:
+    """Value of a claim row.
+
+    ``claimed_wall_s`` is the wall clock of the node that wrote the first state.
+    ``body`` is None when the answer is longer than ``BODY_LIMIT_BYTES``;
+    ``body_bytes`` is its full length.
+    """
+
+    state: ClaimState
+    attempt: str
+    digest: str
+    claimed_wall_s: float
+    status: int = 0
+    content_type: str = ""
+    body: bytes | None = None
+    body_bytes: int = 0
+
+
+@dataclass
+class Progress:
+    """What the node has done under a claim."""
+
+    dispatching: bool = False
+    finished: bool = False
+
+
+@dataclass(frozen=True)
+class Claim:
+    """A confirmed claim; only its holder may dispatch the request, once."""
+
+    row_key: str
+    version: int
+    row: ClaimRow
+    claimed_s: float
+    deadline_s: float
+    progress: Progress = field(default_factory=Progress, compare=False)
+
+
+@dataclass(frozen=True)
+class Recorded:
+    """The outcome of an earlier attempt: ``completed`` or ``not_run``."""
+
+    outcome: Outcome
+    status: int
+    content_type: str
+    body: bytes | None
+    body_bytes: int
+
+
+@dataclass(frozen=True)
+class SweepResult:
+    """Work of one call of ``Claims.sweep``; ``done`` at the end of a pass."""
+
+    scans: int
+    deleted: int
+    done: bool
+
+
+@dataclass
+class ClaimCounts:
+    """Numbers of claims by result since the start of the node."""
+
+    claimed: int = 0
+    recorded: int = 0
+    conflicts: int = 0
+    over_rate: int = 0
+    store_failed: int = 0
+    unrecorded: int = 0
+    swept: int = 0
+
+
+class Table(Protocol):
+    """The operations of the table service that claims need."""
+
+    def get(self, key: str, timeout_s: float | None = None) -> Row | None:
+        """Return a row or None."""
+
+    def scan(
+        self, prefix: str, limit: int, timeout_s: float | None = None
+    ) -> list[Row]:
+        """Return rows under a prefix in key order."""
+
+    def transact(
+        self,
+        checks: Sequence[Check],
+        writes: Sequence[Write],
+        timeout_s: float | None = None,
+    ) -> int:
+        """Apply writes if all checks hold; return the commit version."""
+
+
+def row_prefix(member: str, kind: str) -> str:
+    """Return the prefix of the claim rows of a member and kind."""
+    return f"claim/{quote(member, safe='')}/{quote(kind, safe='')}/"
+
+
+def row_key(member: str, kind: str, key: str) -> str:
+    """Return the row key of an idempotency key.
+
+    The key is hashed: row keys have one length, callers' texts stay out of them,
+    and their first hex digits divide the rows evenly for sweeps.
+    """
+    return row_prefix(member, kind) + hashlib.sha256(key.encode()).hexdigest()
+
+
+def request_digest(request: Request) -> str:
+    """Return the digest that tells a repeat from another request.
+
+    The organisation is part of it, so that no caller gets the recorded answer of
+    another organisation that happens to use the same key.
+    """
+    digest = hashlib.sha256()
+    for text in (request.organisation, request.model, request.path):
+        digest.update(len(text.encode()).to_bytes(8))
+        digest.update(text.encode())
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
+def is_expired(row: ClaimRow, wall_s: float) -> bool:
+    """Return whether a row may be deleted at the wall-clock time of this node.
+
+    The row carries the wall clock of another node.  A row is kept for
+    ``CLOCK_MARGIN_S`` longer than ``KEEP_S``, so an offset of up to that margin
+    between two nodes never shortens the time for which a key is kept.
+    """
+    return wall_s - row.claimed_wall_s > KEEP_S + CLOCK_MARGIN_S
+
+
+def may_dispatch(claim: Claim, now_s: float, wall_s: float) -> bool:
+    """Return whether the deadline of a claim lets it be dispatched.
+
+    The wall clock is checked as well because the monotonic clock may stand still
+    while a VM is suspended.  Both readings of the wall clock are from the same
+    node, so offsets between nodes have no effect; the margin allows for a step
+    of the clock.
+    """
+    allowed_s = claim.deadline_s - claim.claimed_s
+    elapsed_wall_s = wall_s - claim.row.claimed_wall_s
+    return now_s < claim.deadline_s and elapsed_wall_s < allowed_s + CLOCK_MARGIN_S
+
+
+def sweep_prefixes(
+    scopes: Iterable[tuple[str, str]], node_index: int, node_count: int
+) -> list[str]:
+    """Return the row prefixes that one of ``node_count`` nodes sweeps."""
+    slots = range(node_index, SLOTS, node_count)
+    return [
+        f"{row_prefix(member, kind)}{slot:0{SLOT_DIGITS}x}"
+        for member, kind in sorted(scopes)
+        for slot in slots
+    ]
+
+
+class Claims:
+    """Claims of one node.
+
+    ``scopes`` returns the pairs of member and non-idempotent kind whose rows are
+    swept.  ``writes_per_s`` is this node's share of the writes for claims.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        *,
+        scopes: Callable[[], Iterable[tuple[str, str]]] = tuple,
+        writes_per_s: float = WRITES_PER_S,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+        wait: Callable[[float], None] = gevent.sleep,
+    ):
+        self._table = table
+        self._scopes = scopes
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._wait = wait
+        self._writes = TokenBucket(writes_per_s, _burst(writes_per_s))
+        self._waiting = 0
+        self._failures = 0
+        self._suspended_until_s = 0.0
+        self._sweep_part: tuple[int, int] | None = None
+        self._sweep_prefixes: list[str] = []
+        self.counts = ClaimCounts()
+
+    def is_suspended(self, now_s: float) -> bool:
+        """Return whether claims fail at once because the store does not answer."""
+        return now_s < self._suspended_until_s
+
+    def set_writes_per_s(self, now_s: float, writes_per_s: float) -> None:
+        """Change this node's share of the writes for claims."""
+        self._writes.set_rate(now_s, writes_per_s, _burst(writes_per_s))
+
+    def claim(self, request: Request, now_s: float) -> Claim | Recorded:
+        """Claim a request, or return the outcome of an earlier attempt.
+
+        Raises RequestError without a key, OverloadError over the write rate,
+        ConflictError for another request under the same key, DeadlineError when
+        the deadline passes or an earlier attempt has no outcome yet, and
+        StoreError.  The outcome of the error is ``not_run`` only when a row in
+        state ``refused`` is confirmed.
+        """
+        _require_key(request)
+        if request.time_left_s(now_s) <= 0:
+            raise _deadline_passed(Outcome.UNKNOWN)
+        if self.is_suspended(now_s):
+            raise _store_failure("the table service does not answer")
+        if not self._writes.take(now_s, WRITES_PER_CLAIM):
+            self.counts.over_rate += 1
+            raise self._over_rate(now_s)
+        fresh = self._new_row(request, ClaimState.CLAIMED)
+        key = _request_row_key(request)
+        try:
+            version, found = self._put(key, 0, fresh, _claim_end_s(request, now_s))
+        except StoreError as error:
+            error.outcome = self._refuse(key, fresh, self._refuse_end_s(request))
+            self._count_failure()
+            raise
+        self._failures = 0
+        if found != fresh:
+            self._writes.put_back(1)
+            return self._repeat(request, key, fresh, found)
+        return self._own(request, key, version, fresh, now_s)
+
+    def begin_dispatch(self, claim: Claim, now_s: float) -> None:
+        """Permit the dispatch; call it right before connecting to the server.
+
+        Raises DeadlineError when the deadline has passed, with nothing
+        dispatched, and ConflictError when the claim is already used.
+        """
+        if claim.progress.dispatching or claim.progress.finished:
+            raise ConflictError(
+                "the claim has been dispatched already",
+                step="dispatch",
+                peer="caller",
+                outcome=Outcome.UNKNOWN,
+            )
+        if not may_dispatch(claim, now_s, self._wall_clock()):
+            raise _deadline_passed(Outcome.UNKNOWN)
+        claim.progress.dispatching = True
+
+    def undo_dispatch(self, claim: Claim) -> None:
+        """State that the connection was refused before any byte was sent."""
+        claim.progress.dispatching = False
+
+    def finish(
+        self,
+        claim: Claim,
+        outcome: Outcome,
+        status: int,
+        body: bytes,
+        now_s: float,
+        *,
+        content_type: str = "application/json",
+    ) -> Outcome:
+        """Record the outcome of a claim; return the outcome to answer with.
+
+        ``completed`` stays ``completed`` when it cannot be recorded, since the
+        answer is at hand.  ``not_run`` becomes ``unknown`` unless the refusal is
+        confirmed or when the request may have been dispatched.  ``unknown``
+        leaves the row as it is.
+        """
+        if claim.progress.finished:
+            return Outcome.UNKNOWN
+        claim.progress.finished = True
+        if outcome is Outcome.COMPLETED:
+            self._record(claim, status, body, now_s, content_type)
+            return Outcome.COMPLETED
+        if outcome is Outcome.UNKNOWN or claim.progress.dispatching:
+            return Outcome.UNKNOWN
+        return self._refuse_own(claim, now_s + REFUSE_LIMIT_S)
+
+    def refuse(self, request: Request, now_s: float) -> Outcome:
+        """Refuse a request that was not claimed; return the outcome to answer with.
+
+        Idempotent kinds need no store access.  For other kinds the outcome is
+        ``not_run`` once a row in state ``refused`` is confirmed.
+        """
+        if request.kind.idempotent or request.idempotency_key is None:
+            return Outcome.NOT_RUN
+        if request.time_left_s(now_s) <= 0 or not self._writes.take(now_s):
+            return Outcome.UNKNOWN
+        row = self._new_row(request, ClaimState.REFUSED)
+        end_s = min(now_s + REFUSE_LIMIT_S, request.deadline_s)
+        return self._refuse(_request_row_key(request), row, end_s)
+
+    def look_up(self, member: str, kind: str, key: str) -> ClaimRow | None:
+        """Return the claim row of a key or None; raises StoreUnavailableError."""
+        row = self._table.get(row_key(member, kind, key))
+        return None if row is None else _decode(row)
+
+    def sweep(self, now_s: float, node_index: int, node_count: int) -> SweepResult:
+        """Delete expired rows of this node's part, a bounded number per call.
+
+        Each call continues the pass where the last one stopped.  Nodes that
+        disagree about ``node_count`` at worst scan some rows twice, because each
+        deletion checks the version of its row.  Raises StoreError.
+        """
+        if not self._sweep_prefixes or self._sweep_part != (node_index, node_count):
+            self._sweep_part = (node_index, node_count)
+            prefixes = sweep_prefixes(self._scopes(), node_index, node_count)
+            self._sweep_prefixes = prefixes[::-1]
+        scans = deleted = 0
+        while self._sweep_prefixes and scans < SWEEP_SCANS:
+            if not self._writes.take(now_s):
+                break
+            scans += 1
+            deleted += self._sweep_prefix(self._sweep_prefixes[-1])
+        self.counts.swept += deleted
+        return SweepResult(scans, deleted, not self._sweep_prefixes)
+
+    def _sweep_prefix(self, prefix: str) -> int:
+        rows = self._table.scan(prefix, SWEEP_SCAN_ROWS)
+        if len(rows) == SWEEP_SCAN_ROWS:
+            # A scan cannot continue after its last row; the next hex digit of
+            # the hashed keys divides the rows further.
+            self._sweep_prefixes.pop()
+            self._sweep_prefixes += [prefix + digit for digit in HEX_DIGITS[::-1]]
+            self._writes.put_back(1)
+            return 0
+        wall_s = self._wall_clock()
+        old = [row for row in rows if is_expired(_decode(row), wall_s)]
+        part = old[:SWEEP_DELETE_ROWS]
+        if part:
+            checks = [Check(row.key, row.version) for row in part]
+            self._table.transact(checks, [Write(row.key, None) for row in part])
+        else:
+            self._writes.put_back(1)
+        if len(part) == len(old):
+            self._sweep_prefixes.pop()
+        return len(part)
+
+    def _own(
+        self, request: Request, key: str, version: int, row: ClaimRow, now_s: float
+    ) -> Claim:
+        deadline_s = min(request.deadline_s, now_s + MAX_DEADLINE_S)
+        claim = Claim(key, version, row, now_s, deadline_s)
+        present_s = self._clock()
+        if may_dispatch(claim, present_s, self._wall_clock()):
+            self.counts.claimed += 1
+            return claim
+        outcome = self.finish(claim, Outcome.NOT_RUN, 0, b"", present_s)
+        raise _deadline_passed(outcome)
+
+    def _repeat(
+        self, request: Request, key: str, fresh: ClaimRow, found: ClaimRow
+    ) -> Recorded:
+        if found.digest != fresh.digest:
+            self.counts.conflicts += 1
+            raise ConflictError(
+                "the idempotency key belongs to another request",
+                step="claim",
+                peer="caller",
+                outcome=Outcome.UNKNOWN,
+            )
+        if found.state is ClaimState.CLAIMED:
+            found = self._await_outcome(request, key, found)
+        if found.state is ClaimState.CLAIMED:
+            raise DeadlineError(
+                "an earlier attempt has no outcome yet; repeat with the same key",
+                step="claim",
+                peer="store",
+                outcome=Outcome.UNKNOWN,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        self.counts.recorded += 1
+        return _recorded(found)
+
+    def _await_outcome(self, request: Request, key: str, found: ClaimRow) -> ClaimRow:
+        if self._waiting >= MAX_WAITING:
+            return found
+        self._waiting += 1
+        try:
+            return self._poll(request, key, found)
+        finally:
+            self._waiting -= 1
+
+    def _poll(self, request: Request, key: str, found: ClaimRow) -> ClaimRow:
+        end_s = min(request.deadline_s, self._clock() + REPEAT_WAIT_S)
+        delay_s = POLL_DELAY_S
+        while self._clock() + delay_s < end_s:
+            self._wait(delay_s)
+            delay_s = min(2 * delay_s, MAX_POLL_DELAY_S)
+            try:
+                row = self._table.get(key, timeout_s=self._call_s(end_s))
+            except StoreUnavailableError:
+                continue
+            if row is None:
+                return found
+            found = _decode(row)
+            if found.state is not ClaimState.CLAIMED:
+                return found
+        return found
+
+    def _put(
+        self, key: str, version: int, row: ClaimRow, end_s: float
+    ) -> tuple[int, ClaimRow | None]:
+        """Write a row on the condition of its version until an answer is certain.
+
+        Returns the version and value that the table service confirms: ``row``
+        when it was written by this or an earlier try, another value otherwise,
+        None when a row that was there is gone.  Raises StoreError at ``end_s``.
+        """
+        delay_s = RETRY_DELAY_S
+        value = msgspec.json.encode(row)
+        while True:
+            try:
+                found = self._try_put(key, version, value, end_s)
+            except StoreError as error:
+                failure = error
+            else:
+                if found is not None:
+                    return found.version, _decode(found)
+                if version:
+                    return 0, None
+                failure = _store_failure("the row changed during the write")
+            now_s = self._clock()
+            if now_s + delay_s >= end_s or not self._writes.take(now_s):
+                raise failure
+            self._wait(delay_s)
+            delay_s *= 2
+
+    def _try_put(
+        self, key: str, version: int, value: bytes, end_s: float
+    ) -> Row | None:
+        write = Write(key, value)
+        try:
+            written = self._table.transact(
+                [Check(key, version)], [write], timeout_s=self._call_s(end_s)
+            )
+        except CheckFailedError:
+            return self._table.get(key, timeout_s=self._call_s(end_s))
+        return Row(key, value, written)
+
+    def _refuse(self, key: str, row: ClaimRow, end_s: float) -> Outcome:
+        """Write ``refused`` for an attempt that is not and will not be dispatched."""
+        refused = replace(row, state=ClaimState.REFUSED)
+        try:
+            version, found = self._put(key, 0, refused, end_s)
+            if found.state is ClaimState.CLAIMED and found.attempt == row.attempt:
+                _, found = self._put(key, version, refused, end_s)
+        except StoreError:
+            return Outcome.UNKNOWN
+        return _confirmed(found)
+
+    def _refuse_own(self, claim: Claim, end_s: float) -> Outcome:
+        refused = replace(claim.row, state=ClaimState.REFUSED)
+        try:
+            _, found = self._put(claim.row_key, claim.version, refused, end_s)
+        except StoreError:
+            return Outcome.UNKNOWN
+        return _confirmed(found)
+
+    def _record(
+        self, claim: Claim, status: int, body: bytes, now_s: float, content_type: str
+    ) -> None:
+        completed = replace(
+            claim.row,
+            state=ClaimState.COMPLETED,
+            status=status,
+            content_type=content_type,
+            body=body if len(body) <= BODY_LIMIT_BYTES else None,
+            body_bytes=len(body),
+        )
+        end_s = now_s + FINISH_LIMIT_S
+        try:
+            _, found = self._put(claim.row_key, claim.version, completed, end_s)
+        except StoreError:
+            found = None
+        if found != completed:
+            self.counts.unrecorded += 1
+
+    def _count_failure(self) -> None:
+        """Fail further claims at once after several in a row that got no answer.
+
+        Each of them would otherwise be held for the limits of a claim only to be
+        refused.
+        """
+        self.counts.store_failed += 1
+        self._failures += 1
+        if self._failures >= FAILURES_TO_SUSPEND:
+            self._suspended_until_s = self._clock() + SUSPEND_S
+
+    def _new_row(self, request: Request, state: ClaimState) -> ClaimRow:
+        digest = request_digest(request)
+        return ClaimRow(state, uuid.uuid4().hex, digest, self._wall_clock())
+
+    def _refuse_end_s(self, request: Request) -> float:
+        return min(self._clock() + REFUSE_LIMIT_S, request.deadline_s)
+
+    def _call_s(self, end_s: float) -> float:
+        return max(MIN_CALL_S, (end_s - self._clock()) * CALL_PART)
+
+    def _over_rate(self, now_s: float) -> OverloadError:
+        return OverloadError(
+            "too many non-idempotent requests; repeat with the same key",
+            step="claim",
+            peer="store",
+            outcome=Outcome.UNKNOWN,
+            retry_after_s=self._writes.wait_s(now_s, WRITES_PER_CLAIM),
+        )
+
+
+def _burst(writes_per_s: float) -> float:
+    return max(MIN_BURST, writes_per_s * BURST_S)
+
+
+def _require_key(request: Request) -> None:
+    if request.idempotency_key is None:
+        raise RequestError(
+            f"requests of kind {request.kind.name} need an Idempotency-Key header",
+            step="claim",
+            peer="caller",
+        )
+
+
+def _request_row_key(request: Request) -> str:
+    return row_key(request.member, request.kind.name, request.idempotency_key)
+
+
+def _claim_end_s(request: Request, now_s: float) -> float:
+    return now_s + min(CLAIM_LIMIT_S, request.time_left_s(now_s) * CLAIM_PART)
+
+
+def _deadline_passed(outcome: Outcome) -> DeadlineError:
+    return DeadlineError(
+        "the deadline passed before the request was dispatched",
+        step="claim",
+        peer="store",
+        outcome=outcome,
+    )
+
+
+def _store_failure(message: str) -> StoreUnavailableError:
+    return StoreUnavailableError(
+        message,
+        step="claim",
+        peer="store",
+        outcome=Outcome.UNKNOWN,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _confirmed(row: ClaimRow | None) -> Outcome:
+    if row is not None and row.state is ClaimState.REFUSED:
+        return Outcome.NOT_RUN
+    return Outcome.UNKNOWN
+
+
+def _recorded(row: ClaimRow) -> Recorded:
+    completed = row.state is ClaimState.COMPLETED
+    outcome = Outcome.COMPLETED if completed else Outcome.NOT_RUN
+    return Recorded(outcome, row.status, row.content_type, row.body, row.body_bytes)
+
+
+def _decode(row: Row) -> ClaimRow:
+    return msgspec.json.decode(row.value, type=ClaimRow)
