--- a/papayarelay/bench/experiments.py
+++ b/papayarelay/bench/experiments.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 
 from . import traces
-from .engine_capacity import measure_requests_per_s, measure_warm_up_s
 from .engine import EngineParameters
+from .engine_capacity import measure_requests_per_s, measure_warm_up_s
 from .replay import Fault, Record, Replay, ReplayResult, engine_names
 from .traces import Deployment, TraceRequest
 
