--- a/papayarelay/standins/engine.py
+++ b/papayarelay/standins/engine.py
@@ -2,98 +2,98 @@
 
 from __future__ import annotations
 
-import hashlib
+import random
 import time
 import uuid
-from collections import deque
+from collections import Counter
+from urllib.parse import parse_qs
 
 import gevent
 import msgspec
 from gevent.event import Event
 
 from ..cost import estimate_tokens
-from .model import EngineModel, EngineSettings, FinishEvent, TokenEvent
-from .server import StandIn, answer_json, read_json
+from .answers import Answer, digest_of, prefix_of, prompt_of
+from .engine_faults import EngineFaults
+from .model import EngineModel, EngineRefusedError, EngineSettings, FinishEvent
+from .orders import Order
+from .server import StandIn, answer_error, answer_json, read_json
+from .streams import (
+    CANCELLED,
+    DISCONNECTED,
+    STREAM_FAULTS,
+    EndedError,
+    Stream,
+    StreamFaults,
+)
 
-KEEP_ALIVE_INTERVAL_S = 1.0
-KEEP_ALIVE_LINE = b": keep-alive\n\n"
-DONE_LINE = b"data: [DONE]\n\n"
 DEFAULT_MAX_TOKENS = 16
-BLOCK_BYTES = 1024
-COMPLETION_PATHS = {
-    "/v1/chat/completions": "chat.completion",
-    "/v1/completions": "text_completion",
+DEFAULT_DEADLINE_S = 3600.0
+CHAT_PATH = "/v1/chat/completions"
+COMPLETION_PATH = "/v1/completions"
+UNAVAILABLE = "503 Service Unavailable"
+REFUSALS = {
+    "starting": (UNAVAILABLE, "the engine is starting"),
+    "memory": ("400 Bad Request", "the prompt does not fit into memory"),
+    "not_cached": ("404 Not Found", "the prefix is not in memory"),
 }
 
 
-def digest_of(request_id: str, prompt: str) -> str:
-    """Return the digest that each token of the answer carries."""
-    return hashlib.sha256(f"{request_id}\n{prompt}".encode()).hexdigest()[:8]
+class BlocksRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a KV export or import: the blocks, or a prompt to take them from."""
 
+    owner: str
+    ttl_s: float
+    blocks: list[str] | None = None
+    prompt: str | None = None
 
-def prompt_of(body: dict) -> str:
-    """Return the text of the prompt of either protocol.
 
-    Raises KeyError, TypeError or AttributeError for a malformed body.
-    """
-    if "messages" not in body:
-        prompt = body["prompt"]
-        return prompt if isinstance(prompt, str) else "\n".join(prompt)
-    contents = (message["content"] for message in body["messages"])
-    return "\n".join(
-        text if isinstance(text, str) else "".join(part["text"] for part in text)
-        for text in contents
-    )
-
-
-def prefix_of(prompt: bytes) -> list[str]:
-    """Return chained hashes of the full blocks of the prompt."""
-    chain = hashlib.sha256()
-    blocks = []
-    for start in range(0, len(prompt) - BLOCK_BYTES + 1, BLOCK_BYTES):
-        chain.update(prompt[start : start + BLOCK_BYTES])
-        blocks.append(chain.hexdigest()[:16])
-    return blocks
-
-
-class _Stream:
-    """A request that waits for events of the model."""
-
-    def __init__(self, request_id: str, key: str, digest: str, chat: bool, model: str):
-        self.request_id = request_id
-        self.key = key
-        self.digest = digest
-        self.chat = chat
-        self.model = model
-        self.prompt_tokens = 0
-        self.resume_from = 0
-        self.events: deque = deque()
-        self.ready = Event()
-
-    def put(self, event) -> None:
-        self.events.append(event)
-        self.ready.set()
-
-    def take(self, timeout_s: float | None):
-        """Return the next event, None after the timeout."""
-        if not self.events:
-            self.ready.clear()
-            if not self.ready.wait(timeout_s):
-                return None
-        return self.events.popleft()
+class ReleaseRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a KV release."""
+
+    hold: str
+    owner: str
 
 
 class EngineStandIn(StandIn):
-    """An engine that answers ``w<i>:<digest>`` tokens at the model's pace."""
+    """An engine that answers ``w<i>:<digest>`` tokens at the model's pace.
+
+    ``submissions`` counts the requests by request id.
+    """
 
     def __init__(
-        self, listen: str = "127.0.0.1:0", settings: EngineSettings | None = None
+        self,
+        listen: str = "127.0.0.1:0",
+        settings: EngineSettings | None = None,
+        seed: int = 1,
     ):
-        super().__init__(listen)
-        self.model = EngineModel(settings)
-        self._streams: dict[str, _Stream] = {}
+        settings = settings or EngineSettings()
+        faults = EngineFaults(
+            report_lag_s=settings.report_lag_s,
+            event_lag_s=settings.event_lag_s,
+            event_gap=settings.event_gap,
+        )
+        super().__init__(listen, faults)
+        self.model = EngineModel(settings, random.Random(seed), self.boot_id)
+        self.submissions: Counter[str] = Counter()
+        self._streams: dict[str, Stream] = {}
         self._wake = Event()
         self._runner: gevent.Greenlet | None = None
+        self._falls = 0
+        self.routes |= {
+            ("POST", CHAT_PATH): self._serve_answer,
+            ("POST", COMPLETION_PATH): self._serve_answer,
+            ("GET", "/v1/models"): self._serve_models,
+            ("POST", "/v1/cancel"): self._serve_cancel,
+            ("GET", "/load"): self._serve_load,
+            ("GET", "/events"): self._serve_events,
+            ("GET", "/orders"): self._serve_orders,
+            ("POST", "/orders"): self._serve_order,
+            ("POST", "/kv/export"): self._serve_export,
+            ("POST", "/kv/import"): self._serve_import,
+            ("POST", "/kv/release"): self._serve_release,
+            ("GET", "/requests"): self._serve_requests,
+        }
 
     def start(self) -> None:
         """Listen and run the model in the background."""
@@ -107,18 +107,34 @@
             self._runner = None
         super().close()
 
-    def application(self, environ, start_response):
-        """Answer one request (WSGI)."""
-        path = environ["PATH_INFO"]
-        if path in COMPLETION_PATHS:
-            return self._complete(environ, start_response)
-        if path == "/v1/cancel":
-            found = self._cancel(read_json(environ)["id"])
-            return answer_json(start_response, "200 OK", {"cancelled": found})
-        if path == "/load":
-            report = self.model.load(time.monotonic())
-            return answer_json(start_response, "200 OK", report)
-        return answer_json(start_response, "404 Not Found", {"error": "no such path"})
+    def cancel(self, request_id: str) -> bool:
+        """Cancel the streams of a request; return whether there were any."""
+        streams = [
+            stream
+            for stream in self._streams.values()
+            if stream.answer.request_id == request_id
+        ]
+        for stream in streams:
+            self._end(stream, CANCELLED)
+        return bool(streams)
+
+    def apply_faults(self) -> None:
+        """Do what the faults that act at once ask for, and clear them."""
+        faults, now_s = self.faults, time.monotonic()
+        self.model.speed = 1.0 / faults.slow
+        self.model.reports.lag_s = faults.report_lag_s
+        self.model.cache_log.lag_s = faults.event_lag_s
+        self.model.cache_log.gap = faults.event_gap
+        self.model.occupy(faults.memory_tokens, now_s)
+        if faults.turn_cold or faults.turn_cold_unreported:
+            reported = not faults.turn_cold_unreported
+            faults.turn_cold = faults.turn_cold_unreported = False
+            self.model.turn_cold(now_s, reported=reported)
+        if faults.kill:
+            faults.kill = False
+            self.model.fall_over(now_s)
+        super().apply_faults()
+        self._wake.set()
 
     def _run(self) -> None:
         while True:
@@ -126,160 +142,196 @@
             wait_s = None if due_s is None else due_s - time.monotonic()
             if wait_s is None or wait_s > 0:
                 self._wake.wait(wait_s)
-                self._wake.clear()
+            self._wake.clear()
             for key, event in self.model.step(time.monotonic()):
                 stream = self._streams.get(key)
                 if stream is not None:
                     stream.put(event)
+            if self.model.falls > self._falls:
+                self._falls = self.model.falls
+                self.cut_connections()
+                self.refuse_connections(self.model.settings.restart_s)
             # The streams write their tokens before the next step.
             gevent.sleep(0)
 
-    def _cancel(self, request_id: str) -> bool:
-        found = False
-        for stream in list(self._streams.values()):
-            if stream.request_id == request_id:
-                found |= self.model.cancel(stream.key)
-                stream.put(FinishEvent("cancelled"))
-        return found
+    def _end(self, stream: Stream, reason: str) -> None:
+        if self._streams.pop(stream.key, None) is not None:
+            self.model.cancel(stream.key)
+            stream.put(FinishEvent(reason))
+            self._wake.set()
 
-    def _complete(self, environ, start_response):
+    def _serve_answer(self, environ, start_response):
         body = read_json(environ)
+        if not isinstance(body, dict):
+            raise ValueError("body is not an object")
+        refusal = self.meet_faults(environ, start_response)
+        if refusal:
+            return refusal
+        if self._is_unknown(body.get("model", "")):
+            message = "model not loaded"
+            return answer_error(start_response, "404 Not Found", message, "no_model")
         try:
-            prompt = prompt_of(body)
-        except (KeyError, TypeError, AttributeError):
-            error = {"error": {"message": "malformed prompt", "code": "invalid"}}
-            return answer_json(start_response, "400 Bad Request", error)
-        stream = self._submit(environ, body, prompt)
+            stream = self._submit(environ, body, prompt_of(body))
+        except EngineRefusedError as error:
+            return _answer_refusal(start_response, error)
         if body.get("stream"):
             start_response("200 OK", [("Content-Type", "text/event-stream")])
             return self._chunks(stream)
         return self._whole(stream, start_response)
 
-    def _submit(self, environ, body: dict, prompt: str) -> _Stream:
+    def _is_unknown(self, model: str) -> bool:
+        """Return whether a model is not loaded; without a list, none is unknown."""
+        return bool(self.model.settings.models) and (
+            model not in self.model.orders.models
+        )
+
+    def _submit(self, environ, body: dict, prompt: str) -> Stream:
         request_id = environ.get("HTTP_X_REQUEST_ID") or uuid.uuid4().hex
-        chat = environ["PATH_INFO"] == "/v1/chat/completions"
-        # A resumed request may reach the engine before it sees the old stream break.
-        key = f"{request_id}#{uuid.uuid4().hex}"
-        digest = digest_of(request_id, prompt)
-        stream = _Stream(request_id, key, digest, chat, body.get("model", ""))
         data = prompt.encode()
-        stream.prompt_tokens = estimate_tokens(len(data))
-        stream.resume_from = int(environ.get("HTTP_X_RESUME_FROM", 0))
-        maximum = body.get("max_completion_tokens") or body.get("max_tokens")
+        answer = Answer(
+            request_id,
+            digest_of(request_id, prompt),
+            environ["PATH_INFO"] == CHAT_PATH,
+            body.get("model", ""),
+            estimate_tokens(len(data)),
+        )
+        resume_from = int(environ.get("HTTP_X_RESUME_FROM", 0))
+        limit = body.get("max_completion_tokens") or body.get("max_tokens")
+        max_tokens = int(limit or DEFAULT_MAX_TOKENS)
+        if resume_from < 0 or max_tokens < 1:
+            raise ValueError("token counts out of range")
+        deadline_ms = environ.get("HTTP_X_DEADLINE_MS", DEFAULT_DEADLINE_S * 1000)
+        now_s = time.monotonic()
+        stream = Stream(
+            answer,
+            resume_from,
+            environ=environ,
+            frozen=self._frozen,
+            find_other=self._find_other,
+        )
+        self.submissions[request_id] += 1
         self.model.submit(
-            key,
-            stream.prompt_tokens,
-            maximum or DEFAULT_MAX_TOKENS,
+            stream.key,
+            answer.prompt_tokens,
+            max_tokens,
             int(environ.get("HTTP_X_PRIORITY", 1)),
-            prefix_of(data),
-            time.monotonic(),
-            resume_from=stream.resume_from,
+            prefix_of(data, self.model.settings.block_tokens),
+            now_s,
+            resume_from=resume_from,
+            end_s=now_s + float(deadline_ms) / 1000,
         )
-        self._streams[key] = stream
+        stream.faults = self._choose_faults()
+        self._streams[stream.key] = stream
         self._wake.set()
         return stream
 
-    def _forget(self, stream: _Stream) -> None:
-        if self._streams.pop(stream.key, None) is not None:
-            self.model.cancel(stream.key)
+    def _choose_faults(self) -> StreamFaults:
+        names = frozenset(name for name in STREAM_FAULTS if self.faults.hits(name))
+        faults = self.faults
+        return StreamFaults(
+            names, faults.fault_after, faults.break_after, faults.late_s
+        )
+
+    def _find_other(self, request_id: str) -> Answer | None:
+        """Return the answer of some other request under way."""
+        for stream in self._streams.values():
+            if stream.answer.request_id != request_id:
+                return stream.answer
+        return None
 
-    def _chunks(self, stream: _Stream):
-        head, middle, tail = _chunk_parts(stream)
-        timeout_s = KEEP_ALIVE_INTERVAL_S
-        offset = stream.resume_from
+    def _chunks(self, stream: Stream):
+        watcher = stream.watch_disconnect(lambda: self._end(stream, DISCONNECTED))
         try:
-            yield KEEP_ALIVE_LINE
-            while True:
-                event = stream.take(timeout_s)
-                if event is None:
-                    yield KEEP_ALIVE_LINE
-                elif type(event) is TokenEvent:
-                    timeout_s = None
-                    offset = event.offset + 1
-                    yield b"%s%d%s%s%s" % (
-                        head,
-                        event.offset,
-                        middle,
-                        _token(event.offset, stream.digest),
-                        tail,
-                    )
-                else:
-                    yield _final_chunk(stream, offset, event.reason)
-                    yield DONE_LINE
-                    return
+            yield from stream.chunks()
         finally:
-            self._forget(stream)
+            watcher.close()
+            self._end(stream, DISCONNECTED)
 
-    def _whole(self, stream: _Stream, start_response):
-        tokens = []
-        reason = None
+    def _whole(self, stream: Stream, start_response):
+        watcher = stream.watch_disconnect(lambda: self._end(stream, DISCONNECTED))
         try:
-            while reason is None:
-                event = stream.take(None)
-                if type(event) is TokenEvent:
-                    tokens.append(_token(event.offset, stream.digest).decode())
-                else:
-                    reason = event.reason
+            return answer_json(start_response, "200 OK", stream.whole())
+        except EndedError as error:
+            return answer_error(start_response, UNAVAILABLE, str(error), error.reason)
         finally:
-            self._forget(stream)
-        text = "".join(tokens)
-        choice = {"index": 0, "finish_reason": reason}
-        if stream.chat:
-            choice["message"] = {"role": "assistant", "content": text}
-        else:
-            choice["text"] = text
-        answer = {
-            "id": stream.request_id,
-            "object": "chat.completion" if stream.chat else "text_completion",
-            "created": int(time.time()),
-            "model": stream.model,
-            "offset": stream.resume_from,
-            "choices": [choice],
-            "usage": _usage(stream, stream.resume_from + len(tokens)),
+            watcher.close()
+            self._end(stream, DISCONNECTED)
+
+    def _serve_models(self, environ, start_response):
+        models = sorted(self.model.orders.models)
+        data = [{"id": name, "object": "model"} for name in models]
+        body = {"object": "list", "data": data}
+        return answer_json(start_response, "200 OK", body)
+
+    def _serve_cancel(self, environ, start_response):
+        found = self.cancel(read_json(environ)["id"])
+        return answer_json(start_response, "200 OK", {"cancelled": found})
+
+    def _serve_load(self, environ, start_response):
+        if self.faults.hits("refuse_load"):
+            return answer_error(start_response, UNAVAILABLE, "refused")
+        report = self.model.load(time.monotonic())
+        return answer_json(start_response, "200 OK", report)
+
+    def _serve_events(self, environ, start_response):
+        query = parse_qs(environ["QUERY_STRING"])
+        after = int(query.get("after", ["0"])[0])
+        events = self.model.cache_events(after, time.monotonic())
+        body = {"boot_id": self.model.boot_id, "events": events}
+        return answer_json(start_response, "200 OK", body)
+
+    def _serve_orders(self, environ, start_response):
+        orders = self.model.orders
+        body = {
+            "models": sorted(orders.models),
+            "adapters": sorted(orders.adapters),
+            "version": orders.version,
+            "role": orders.role,
+            "highest_fencing": orders.highest_fencing,
+            "accepted": orders.accepted,
         }
-        return answer_json(start_response, "200 OK", answer)
-
-
-def _token(offset: int, digest: str) -> bytes:
-    separator = " " if offset else ""
-    return f"{separator}w{offset}:{digest}".encode()
-
-
-def _usage(stream: _Stream, completion_tokens: int) -> dict:
-    return {
-        "prompt_tokens": stream.prompt_tokens,
-        "completion_tokens": completion_tokens,
-        "total_tokens": stream.prompt_tokens + completion_tokens,
-    }
-
-
-def _chunk_head(stream: _Stream, request_id: str) -> dict:
-    kind = "chat.completion.chunk" if stream.chat else "text_completion"
-    return {
-        "id": request_id,
-        "object": kind,
-        "created": int(time.time()),
-        "model": stream.model,
-    }
-
-
-def _chunk_parts(stream: _Stream) -> tuple[bytes, bytes, bytes]:
-    """Return the bytes of a token chunk before and after its offset and text."""
-    head = msgspec.json.encode(_chunk_head(stream, stream.request_id))
-    head = b"data: " + head[:-1] + b',"offset":'
-    if stream.chat:
-        middle = b',"choices":[{"index":0,"delta":{"content":"'
-        return head, middle, b'"},"finish_reason":null}]}\n\n'
-    middle = b',"choices":[{"index":0,"text":"'
-    return head, middle, b'","finish_reason":null}]}\n\n'
-
-
-def _final_chunk(stream: _Stream, offset: int, reason: str) -> bytes:
-    body = {"delta": {}} if stream.chat else {"text": ""}
-    chunk = {
-        **_chunk_head(stream, stream.request_id),
-        "offset": offset,
-        "choices": [{"index": 0, **body, "finish_reason": reason}],
-        "usage": _usage(stream, offset),
-    }
-    return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
+        return answer_json(start_response, "200 OK", body)
+
+    def _serve_order(self, environ, start_response):
+        order = msgspec.convert(read_json(environ), Order)
+        if not self.model.orders.apply(order):
+            highest = self.model.orders.highest_fencing
+            message = f"fencing number {order.fencing} is below {highest}"
+            return answer_error(start_response, "409 Conflict", message, "fencing")
+        return answer_json(start_response, "200 OK", {"accepted": True})
+
+    def _serve_export(self, environ, start_response):
+        return self._serve_blocks(environ, start_response, self.model.export_blocks)
+
+    def _serve_import(self, environ, start_response):
+        return self._serve_blocks(environ, start_response, self.model.import_blocks)
+
+    def _serve_blocks(self, environ, start_response, take):
+        request = msgspec.json.decode(environ["wsgi.input"].read(), type=BlocksRequest)
+        blocks = request.blocks
+        if blocks is None:
+            prompt = (request.prompt or "").encode()
+            blocks = prefix_of(prompt, self.model.settings.block_tokens)
+        now_s = time.monotonic()
+        try:
+            hold = take(blocks, request.owner, now_s + request.ttl_s, now_s)
+        except EngineRefusedError as error:
+            return _answer_refusal(start_response, error)
+        self._wake.set()
+        body = {"hold": hold.id, "blocks": hold.blocks, "tokens": hold.tokens}
+        return answer_json(start_response, "200 OK", body)
+
+    def _serve_release(self, environ, start_response):
+        body = environ["wsgi.input"].read()
+        request = msgspec.json.decode(body, type=ReleaseRequest)
+        found = self.model.release(request.hold, request.owner, time.monotonic())
+        self._wake.set()
+        return answer_json(start_response, "200 OK", {"released": found})
+
+    def _serve_requests(self, environ, start_response):
+        return answer_json(start_response, "200 OK", self.submissions)
+
+
+def _answer_refusal(start_response, error: EngineRefusedError):
+    status, message = REFUSALS[error.code]
+    return answer_error(start_response, status, message, error.code)
--- /dev/null
+++ b/papayarelay/standins/engine_faults.py
@@ -0,0 +1,43 @@
+"""Faults of the engine stand-in."""
+
+from __future__ import annotations
+
+from .server import Faults
+
+
+class EngineFaults(Faults, forbid_unknown_fields=True):
+    """Faults of the engine besides the common ones.
+
+    Counts of answers, which the fault hits after ``fault_after`` tokens:
+    ``crossed`` puts a chunk with another request's id into the stream,
+    ``duplicate`` repeats a chunk, ``silent`` sends nothing more without closing,
+    ``late`` sends nothing for ``late_s``.  ``break_after`` cuts the connection of
+    each stream after that many tokens.  ``refuse_load`` is a count of load reports.
+
+    ``slow`` divides the engine's speed, ``memory_tokens`` takes KV memory away,
+    ``report_lag_s``, ``event_lag_s`` and ``event_gap`` make reports and cache events
+    worse.  These act when they are set: ``turn_cold``, ``turn_cold_unreported``
+    (the load report still says ready) and ``kill`` (the engine crashes and restarts
+    with a new boot id).
+    """
+
+    crossed: int = 0
+    duplicate: int = 0
+    silent: int = 0
+    late: int = 0
+    late_s: float = 1.0
+    fault_after: int = 1
+    break_after: int | None = None
+    refuse_load: int = 0
+    slow: float = 1.0
+    memory_tokens: int = 0
+    report_lag_s: float = 0.0
+    event_lag_s: float = 0.0
+    event_gap: float = 0.0
+    turn_cold: bool = False
+    turn_cold_unreported: bool = False
+    kill: bool = False
+
+    def __post_init__(self):
+        if self.slow <= 0:
+            raise ValueError("slow must be above 0")
--- a/papayarelay/standins/server.py
+++ b/papayarelay/standins/server.py
@@ -2,19 +2,73 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import uuid
+from collections.abc import Callable
 
 import gevent
 import msgspec
+from gevent.event import Event
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 SOCKET_KEY = "papayarelay.socket"
+EVERY = -1
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults that every stand-in has.
+
+    A count is the number of requests that the fault still hits; EVERY (-1) hits
+    all of them.  ``delay_s`` is waited before an answer.  ``refuse`` answers 503
+    without doing anything, ``hang`` does nothing and never answers.  These two act
+    when they are set: ``refuse_s`` closes the listening socket for that many
+    seconds; ``freeze`` stops the open connections from carrying data for good,
+    except the one that sets it, while new ones work.
+    """
+
+    delay_s: float = 0.0
+    refuse: int = 0
+    hang: int = 0
+    refuse_s: float = 0.0
+    freeze: bool = False
+
+    def hits(self, fault: str) -> bool:
+        """Return whether a counted fault hits this request, and count it down."""
+        left = getattr(self, fault)
+        if left > 0:
+            setattr(self, fault, left - 1)
+        return left != 0
+
+
+class BrokenConnectionError(ConnectionError):
+    """Ends a request whose connection is broken; the server does not log it."""
+
+    def __init__(self):
+        super().__init__(errno.ECONNRESET, "connection broken by a fault")
+
+
+class _Server(WSGIServer):
+    """Knows the open connections and those that are frozen."""
+
+    def __init__(self, *arguments, connections: set, frozen: set, **options):
+        super().__init__(*arguments, **options)
+        self.connections = connections
+        self.frozen = frozen
 
 
 class _Handler(WSGIHandler):
-    """Adds the connection's socket to the environment, so faults can cut it."""
+    """Adds the connection's socket to the environment, so faults can break it."""
+
+    def handle(self):
+        self.server.connections.add(self.socket)
+        connection = self.socket
+        try:
+            super().handle()
+        finally:
+            self.server.connections.discard(connection)
+            self.server.frozen.discard(connection)
 
     def get_environ(self):
         environ = super().get_environ()
@@ -23,15 +77,26 @@
 
 
 class StandIn:
-    """Base of the stand-ins: serves ``application`` on a loopback address."""
+    """Base of the stand-ins: routes, faults and a listening socket.
+
+    Subclasses add to ``routes``, which maps method and path to a function of the
+    WSGI environment and start_response, and may replace ``serve_other``.
+    """
 
-    def __init__(self, listen: str = "127.0.0.1:0"):
+    def __init__(self, listen: str = "127.0.0.1:0", faults: Faults | None = None):
         host, _, port = listen.rpartition(":")
+        self.boot_id = uuid.uuid4().hex
+        self.faults = faults or Faults()
+        self.routes: dict[tuple[str, str], Callable] = {
+            ("POST", "/faults"): self._serve_faults,
+            ("GET", "/faults"): self._serve_faults,
+        }
         self._listen = (host, int(port))
-        self._connections = Pool()
-        self._server: WSGIServer | None = None
+        self._tasks = Pool()
+        self._connections: set = set()
+        self._frozen: set = set()
+        self._server: _Server | None = None
         self._relisten: gevent.Greenlet | None = None
-        self.boot_id = uuid.uuid4().hex
 
     @property
     def address(self) -> str:
@@ -40,17 +105,7 @@
 
     def start(self) -> None:
         """Listen and serve in the background."""
-        self._server = WSGIServer(
-            self._listen,
-            self.application,
-            spawn=self._connections,
-            log=None,
-            error_log=None,
-            handler_class=_Handler,
-        )
-        self._server.start()
-        # A restart listens on the same port.
-        self._listen = (self._server.server_host, self._server.server_port)
+        self._start_listening()
 
     def close(self) -> None:
         """Stop listening and cut the open connections."""
@@ -60,7 +115,37 @@
         if self._server is not None:
             self._server.close()
             self._server = None
-        self._connections.kill()
+        self._tasks.kill()
+        self._frozen.clear()
+
+    def application(self, environ, start_response):
+        """Answer one request (WSGI)."""
+        self.stop_if_frozen(environ)
+        route = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
+        serve = self.routes.get(route, self.serve_other)
+        try:
+            return serve(environ, start_response)
+        except (msgspec.MsgspecError, ValueError, KeyError) as error:
+            return answer_error(start_response, "400 Bad Request", repr(error))
+
+    def serve_other(self, environ, start_response):
+        """Answer a request without a route."""
+        return answer_error(start_response, "404 Not Found", "no such path")
+
+    def set_faults(self, **fields) -> None:
+        """Change the named faults; raises msgspec.ValidationError for others."""
+        known = msgspec.to_builtins(self.faults)
+        self.faults = msgspec.convert({**known, **fields}, type(self.faults))
+        self.apply_faults()
+
+    def apply_faults(self) -> None:
+        """Do what the faults that act at once ask for, and clear them."""
+        if self.faults.freeze:
+            self.faults.freeze = False
+            self.freeze_connections()
+        if self.faults.refuse_s:
+            duration_s, self.faults.refuse_s = self.faults.refuse_s, 0.0
+            self.refuse_connections(duration_s)
 
     def refuse_connections(self, duration_s: float) -> None:
         """Close the listening socket for that long; open connections go on."""
@@ -68,30 +153,104 @@
             return
         self._server.close()
         self._server = None
-        self._relisten = gevent.spawn_later(duration_s, StandIn.start, self)
+        self._relisten = gevent.spawn_later(duration_s, self._start_listening)
 
-    def application(self, environ, start_response):
-        """Answer one request (WSGI)."""
-        raise NotImplementedError
+    def freeze_connections(self) -> None:
+        """Let the open connections carry no more data, without closing them."""
+        self._frozen |= self._connections
 
+    def stop_if_frozen(self, environ) -> None:
+        """Answer nothing more on a frozen connection."""
+        if environ[SOCKET_KEY] in self._frozen:
+            wait_until_closed(environ)
 
-def cut_connection(environ) -> None:
-    """Shut the connection of the request down in both directions."""
+    def cut_connections(self) -> None:
+        """Cut all open connections, as the death of a process does."""
+        for connection in list(self._connections):
+            _shut_down(connection)
+
+    def meet_faults(self, environ, start_response):
+        """Apply the common faults to a request; return an answer or None."""
+        if self.faults.hits("hang"):
+            wait_until_closed(environ)
+        if self.faults.delay_s:
+            gevent.sleep(self.faults.delay_s)
+        if self.faults.hits("refuse"):
+            return answer_error(start_response, "503 Service Unavailable", "refused")
+        return None
+
+    def _start_listening(self) -> None:
+        self._server = _Server(
+            self._listen,
+            self.application,
+            spawn=self._tasks,
+            log=None,
+            error_log=None,
+            handler_class=_Handler,
+            connections=self._connections,
+            frozen=self._frozen,
+        )
+        self._server.start()
+        # The address stays the same when the stand-in listens again.
+        self._listen = (self._server.server_host, self._server.server_port)
+
+    def _serve_faults(self, environ, start_response):
+        if environ["REQUEST_METHOD"] == "POST":
+            self.set_faults(**read_json(environ))
+            # The connection of the one who sets faults goes on.
+            self._frozen.discard(environ[SOCKET_KEY])
+        return answer_json(start_response, "200 OK", self.faults)
+
+
+def _shut_down(connection) -> None:
     try:
-        environ[SOCKET_KEY].shutdown(socket.SHUT_RDWR)
+        connection.shutdown(socket.SHUT_RDWR)
     except OSError:
         return
 
 
+def cut_connection(environ) -> None:
+    """Cut the connection of the request.  Raises BrokenConnectionError."""
+    _shut_down(environ[SOCKET_KEY])
+    raise BrokenConnectionError
+
+
+def is_closed(connection) -> bool:
+    """Return whether the peer closed a connection that is readable."""
+    try:
+        return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def wait_until_closed(environ) -> None:
+    """Send nothing until the peer closes.  Raises BrokenConnectionError."""
+    connection = environ[SOCKET_KEY]
+    gevent.socket.wait_read(connection.fileno())
+    if not is_closed(connection):
+        # More data arrived; a frozen connection leaves it unread.
+        Event().wait()
+    raise BrokenConnectionError
+
+
 def read_json(environ):
     """Return the decoded JSON body; an empty body is an empty object."""
     body = environ["wsgi.input"].read()
     return msgspec.json.decode(body) if body else {}
 
 
-def answer_json(start_response, status: str, body, headers=()) -> list[bytes]:
+def answer_json(start_response, status: str, body) -> list[bytes]:
     """Send a JSON answer."""
     data = msgspec.json.encode(body)
-    fields = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
-    start_response(status, [*fields, *headers])
+    length = str(len(data))
+    headers = [("Content-Type", "application/json"), ("Content-Length", length)]
+    start_response(status, headers)
     return [data]
+
+
+def answer_error(start_response, status: str, message: str, code: str = "error"):
+    """Send an error object of the OpenAI protocol."""
+    error = {"error": {"message": message, "type": "backend", "code": code}}
+    return answer_json(start_response, status, error)
