Estimate waits per size class in cost_aware

Cause: cost_aware took the whole reported queue as the wait of a short request. Engines prefill short requests first, so the estimate was wrong, short requests were held on the node and the best engine was misjudged.

Change: waits count only the size classes served before the request, from the node's own work times the number of nodes, at most the reported total. Own requests in flight and a long prefill in progress add to the score. The priority sent to an engine is never more urgent than the size class.

--- a/papayarelay/bench/experiments.py
+++ b/papayarelay/bench/experiments.py
@@ -240,6 +240,8 @@
             records, lambda each: (each.ttft_s or TTFT_LIMIT_S + 1) <= TTFT_LIMIT_S
         ),
         "answered_in_deadline": _fraction(admitted, _answered_in_deadline),
+        "long_ttft_median_s": percentile([each.ttft_s or 0.0 for each in long], 0.5),
+        "long_ttft_p95_s": _ttft(long),
         "long_finished_fraction": _fraction(
             long, lambda each: each.finished_s is not None
         ),
--- a/papayarelay/bench/replay.py
+++ b/papayarelay/bench/replay.py
@@ -21,7 +21,14 @@
 from ..errors import OverloadError
 from ..request import Request
 from ..retry import RetryBudget
-from ..routing import POLICIES, BackendView, CostAware, choose
+from ..routing import (
+    POLICIES,
+    BackendView,
+    CostAware,
+    choose,
+    engine_priority,
+    size_class,
+)
 from ..warmup import WATCHERS, WarmUp
 from .engine import BenchEngine, EngineParameters, EngineReport, EngineRequest
 from .traces import KINDS, Deployment, TraceRequest
@@ -113,6 +120,7 @@
             state="drained" if self.drained else "warm",
             own_inflight=len(self.own),
             own_prefill_tokens=sum(prefill for _, prefill, _ in own),
+            own_prefill_by_size=self._prefill_by_size(),
             own_tokens=sum(tokens for _, _, tokens in own),
             sent_prefill_tokens=sum(p for sent, p, _ in own if sent > reported_s),
             sent_kv_tokens=sum(t for sent, _, t in own if sent > reported_s),
@@ -121,6 +129,12 @@
         self.stale = False
         return self.view
 
+    def _prefill_by_size(self) -> tuple[int, int, int]:
+        sizes = [0, 0, 0]
+        for _, prefill, _ in self.own.values():
+            sizes[size_class(prefill)] += prefill
+        return tuple(sizes)
+
 
 class ReplayNode:
     """The deciding code of one node."""
@@ -423,7 +437,7 @@
             request.id,
             request.prompt_tokens,
             request.max_tokens,
-            request.kind.priority,
+            engine_priority(request.kind.priority, request.prompt_tokens),
             group=trace.prefix_group,
             prefix_tokens=trace.prefix_tokens,
         )
--- a/papayarelay/routing.py
+++ b/papayarelay/routing.py
@@ -40,6 +40,7 @@
     own_tokens: int = 0
     sent_prefill_tokens: int = 0
     sent_kv_tokens: int = 0
+    own_prefill_by_size: tuple[int, int, int] = (0, 0, 0)
     cached_tokens: int = 0
 
 
@@ -64,31 +65,55 @@
     """
 
 
+SHORT_TOKENS = 4_096
 LONG_TOKENS = 32_000
 """Prompts above this length are sent to the elastic set of engines."""
-TIE_S = 0.05
-TIE_FRACTION = 0.25
-MAX_WAIT_S = 0.5
-LONG_MAX_WAIT_S = 2.0
+DEFAULT_NODES = 7
+MAX_WAIT_S = (0.5, 1.0, 2.0)
+"""Longest expected wait on an engine per size class; longer ones stay queued."""
+KV_FRACTION = (1.0, 0.85, 0.85)
+"""Part of an engine's memory per size class; the rest is for short requests."""
+INFLIGHT_S = 0.02
+"""Weight of one own request in flight, which slows decoding and hides a wait."""
+LONG_PREFILL_S = 0.05
+"""Weight of a long prefill in progress, which lengthens each step."""
+TIE_S = 0.005
 MIN_LONG_FRACTION = 0.25
 MAX_LONG_FRACTION = 0.6
 DEFAULT_PREFILL_TOKENS_PER_S = 20_000.0
 UNUSABLE_STATES = frozenset({"drained", "leaving", "down"})
 
 
+def size_class(prompt_tokens: int) -> int:
+    """Return 0 for a short prompt, 1 for a medium one and 2 for a long one."""
+    return (prompt_tokens > SHORT_TOKENS) + (prompt_tokens > LONG_TOKENS)
+
+
+def engine_priority(kind_priority: int, prompt_tokens: int) -> int:
+    """Return the priority to send to an engine.
+
+    A long prompt is never more urgent than a short one on an engine, whatever
+    its kind, since short requests would wait for the whole of its prefill.
+    """
+    return max(kind_priority, size_class(prompt_tokens))
+
+
 @dataclass(frozen=True)
 class CostAware:
     """Takes an engine with a near-lowest estimated time to first token.
 
-    Prompts over ``long_tokens`` go to an elastic set of engines, which all
-    nodes derive in the same way from the engine ids.  A request for which no
-    engine is expected to start within the allowed wait stays in the queue of
-    the node: ``choose`` returns None.
+    Engines prefill the shorter size classes first, so a request waits only for
+    work of its own class or a shorter one.  Load reports do not say which part
+    of a queue that is: the policy takes the node's own part times ``nodes``,
+    since all nodes receive like traffic, and at most the reported total.
+
+    Long prompts go to an elastic set of engines, which all nodes derive in the
+    same way from the engine ids.  A request for which no engine is expected to
+    start within the allowed wait stays in the queue of the node: ``choose``
+    returns None.
     """
 
-    long_tokens: int = LONG_TOKENS
-    max_wait_s: float = MAX_WAIT_S
-    long_max_wait_s: float = LONG_MAX_WAIT_S
+    nodes: int = DEFAULT_NODES
 
 
 @singledispatch
@@ -128,50 +153,60 @@
 
 @choose.register
 def _(policy: CostAware, cost, views, now_s, rng):
-    usable = [view for view in views if _has_room(cost, view)]
-    if not usable:
-        return None
-    long = cost.prefill_tokens > policy.long_tokens
-    limit_s = policy.long_max_wait_s if long else policy.max_wait_s
-    if long:
-        usable = _long_set(usable, limit_s)
-    estimates = [(estimate_wait_s(view), view) for view in usable]
-    estimates = [(wait_s, view) for wait_s, view in estimates if wait_s <= limit_s]
-    if not estimates:
+    size = size_class(cost.prefill_tokens)
+    usable = [view for view in views if _has_room(cost, size, view)]
+    if size == 2:
+        usable = _long_set(usable, policy, now_s)
+    scores = []
+    for view in usable:
+        wait_s = estimate_wait_s(view, size, policy.nodes, now_s)
+        if wait_s <= MAX_WAIT_S[size]:
+            scores.append((wait_s + _own_s(cost, size, view), view))
+    if not scores:
         return None
-    firsts = [(wait_s + _prefill_s(cost, view), view) for wait_s, view in estimates]
-    best_s = min(first_s for first_s, _ in firsts)
-    near_s = best_s + TIE_S + TIE_FRACTION * best_s
-    return rng.choice([view for first_s, view in firsts if first_s <= near_s])
+    limit_s = min(score for score, _ in scores) + TIE_S
+    return rng.choice([view for score, view in scores if score <= limit_s])
 
 
-def estimate_wait_s(view: BackendView) -> float:
-    """Return the seconds of prefill work ahead of a new request."""
-    queued = view.queued_prefill_tokens + view.sent_prefill_tokens
-    return queued / _rate(view)
+def estimate_wait_s(view: BackendView, size: int, nodes: int, now_s: float) -> float:
+    """Return the seconds of prefill ahead of a new request of a size class."""
+    reported = view.queued_prefill_tokens + nodes * view.sent_prefill_tokens
+    if size == 2:
+        return reported / _rate(view)
+    own = sum(view.own_prefill_by_size[: size + 1])
+    return min(reported, nodes * own) / _rate(view)
 
 
-def _rate(view: BackendView) -> float:
-    return view.prefill_tokens_per_s or DEFAULT_PREFILL_TOKENS_PER_S
+def _own_s(cost: Cost, size: int, view: BackendView) -> float:
+    """Return the seconds that the request itself and its neighbours add."""
+    prefill = max(0, cost.prefill_tokens - view.cached_tokens)
+    seconds = prefill / _rate(view) + INFLIGHT_S * view.own_inflight
+    if size < 2 and view.queued_prefill_tokens > LONG_TOKENS:
+        seconds += LONG_PREFILL_S
+    return seconds
 
 
-def _prefill_s(cost: Cost, view: BackendView) -> float:
-    return max(0, cost.prefill_tokens - view.cached_tokens) / _rate(view)
+def _rate(view: BackendView) -> float:
+    return view.prefill_tokens_per_s or DEFAULT_PREFILL_TOKENS_PER_S
 
 
-def _has_room(cost: Cost, view: BackendView) -> bool:
+def _has_room(cost: Cost, size: int, view: BackendView) -> bool:
     """Return whether the engine can hold the request within its bounds."""
     if view.state in UNUSABLE_STATES:
         return False
     if view.bound is not None and view.own_tokens + cost.kv_tokens > view.bound:
         return False
+    if not view.kv_capacity_tokens:
+        return True
     used = view.kv_used_tokens + view.sent_kv_tokens
-    return not view.kv_capacity_tokens or (
-        used + cost.kv_tokens <= view.kv_capacity_tokens
-    )
+    if used == 0:
+        return cost.kv_tokens <= view.kv_capacity_tokens
+    return used + cost.kv_tokens <= KV_FRACTION[size] * view.kv_capacity_tokens
 
 
-def _long_set(views: Sequence[BackendView], limit_s: float) -> list[BackendView]:
+def _long_set(
+    views: Sequence[BackendView], policy: CostAware, now_s: float
+) -> list[BackendView]:
     """Return the engines for long prompts; the set grows while it is busy.
 
     The order is a hash of the id, so that all nodes use the same engines
@@ -181,7 +216,8 @@
     size = max(1, round(MIN_LONG_FRACTION * len(ranked)))
     largest = max(1, round(MAX_LONG_FRACTION * len(ranked)))
     while size < largest and all(
-        estimate_wait_s(view) > limit_s for view in ranked[:size]
+        estimate_wait_s(view, 2, policy.nodes, now_s) > MAX_WAIT_S[2]
+        for view in ranked[:size]
     ):
         size += 1
     return ranked[:size]
