Connect the node with its peers and the VM list

Cause: each node polled every engine and knew nothing of drains, cold starts or newer configuration seen by others. Change: peering owns the exchange and the VM list; watchers poll their engines and disseminate load, cold-start marks and drains; the configuration comes from peers while the table service is down; claim writes are divided by the number of live nodes. A cold engine takes work only from its watchers.

--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -47,7 +47,10 @@
     def __init__(self, rng: random.Random):
         self._rng = rng
         self._entries: dict[str, BackendEntry] = {}
-        self._drained: frozenset[str] = frozenset()
+        self._config = Config()
+        self._marks: dict[str, bool] = {}
+        self._cold: set[str] = set()
+        self._watched: frozenset[str] = frozenset()
 
     @property
     def entries(self) -> list[BackendEntry]:
@@ -60,8 +63,7 @@
 
     def apply(self, config: Config) -> None:
         """Follow a new configuration; running requests keep their connections."""
-        drained = (n for n, dc in config.data_centres.items() if dc.state != "active")
-        self._drained = frozenset(drained)
+        self._config = config
         for backend_id in set(self._entries) - set(config.backends):
             self._entries.pop(backend_id).pool.close()
         for backend_id, backend in config.backends.items():
@@ -73,6 +75,24 @@
                 entry.pool.close()
             self._entries[backend_id] = self._create(backend_id, backend)
 
+    def mark_drained(self, target: str, drained: bool | None) -> None:
+        """Overrule the configuration's state of a target; None ends this.
+
+        ``target`` is ``data_centre/<name>`` or ``backend/<id>``.
+        """
+        if drained is None:
+            self._marks.pop(target, None)
+        else:
+            self._marks[target] = drained
+
+    def mark_cold(self, backend_id: str, cold: bool) -> None:
+        """Note what a watcher says of an engine."""
+        (self._cold.add if cold else self._cold.discard)(backend_id)
+
+    def set_watched(self, backend_ids: Iterable[str]) -> None:
+        """Set the servers that this node watches; a cold engine serves no other."""
+        self._watched = frozenset(backend_ids)
+
     def record_load(self, backend_id: str, load: LoadReport, now_s: float) -> bool:
         """Keep a load report; return whether it shows that the server is cold."""
         entry = self._entries.get(backend_id)
@@ -125,12 +145,29 @@
         return BackendEntry(backend_id, backend, pool, warm_up, circuit)
 
     def _serves(self, backend: Backend, target: str, name: str) -> bool:
-        if backend.target != target or backend.state != "active":
+        if backend.target != target:
             return False
-        if backend.data_centre in self._drained:
+        if self._is_drained(backend):
             return False
         return name in (backend.models if target == "engine" else backend.kinds)
 
+    def _is_drained(self, backend: Backend) -> bool:
+        data_centre = self._config.data_centres[backend.data_centre]
+        targets = (
+            (f"data_centre/{data_centre.name}", data_centre.state),
+            (f"backend/{backend.id}", backend.state),
+        )
+        return any(
+            self._marks.get(target, state != "active") for target, state in targets
+        )
+
+    def _bound(self, entry: BackendEntry) -> int | None:
+        """Return how many tokens in flight this node may have on a server."""
+        if entry.id in self._watched:
+            return entry.warm_up.bound_tokens
+        cold = entry.id in self._cold or entry.load.state == "cold"
+        return 0 if cold else None
+
     def _view(self, entry: BackendEntry) -> BackendView:
         load = entry.load
         unseen = [w.cost for w in entry.work if w.sent_s >= entry.reported_s]
@@ -148,7 +185,7 @@
             reported_s=entry.reported_s,
             own_inflight=len(entry.work),
             own_prefill_tokens=sum(w.cost.prefill_tokens for w in entry.work),
-            bound=entry.warm_up.bound_tokens,
+            bound=self._bound(entry),
             own_tokens=sum(w.cost.kv_tokens for w in entry.work),
             sent_prefill_tokens=sum(cost.prefill_tokens for cost in unseen),
             sent_kv_tokens=sum(cost.kv_tokens for cost in unseen),
--- a/papayarelay/local.py
+++ b/papayarelay/local.py
@@ -145,7 +145,7 @@
         """Start everything and wait until all nodes are ready."""
         nodes, engines, services = self._counts
         self.store_address = self._start_standin("tables")
-        self.vms_address = "127.0.0.1:9"
+        self.vms_address = self._start_standin("vms")
         self.engine_addresses = [
             self._start_standin("engine", *self._engine_arguments)
             for _ in range(engines)
@@ -240,6 +240,7 @@
             "node_address": "127.0.0.1:0",
             "store_url": f"http://{self.store_address}",
             "vms_url": f"http://{self.vms_address}",
+            "vms_poll_interval_s": 1.0,
             "cluster_key_file": "cluster.key",
             "operator_token_file": "operator.token",
             "drain_grace_s": 0,
@@ -251,8 +252,19 @@
         addresses = process.read_line()
         self.node_addresses.append(addresses["callers"])
         self.operator_addresses.append(addresses["operators"])
+        self._list_vm(settings, addresses["nodes"])
         return process
 
+    def _list_vm(self, settings: Mapping[str, object], address: str) -> None:
+        """Add a node to the VM list."""
+        fields = {
+            "address": address,
+            "data_centre": settings["data_centre"],
+            "region": settings["region"],
+        }
+        url = f"http://{self.vms_address}/vms/{settings['name']}"
+        self._http.request("PUT", url, json=fields)
+
     def is_ready(self, address: str) -> bool:
         """Return whether a node says that it is ready."""
         try:
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -25,6 +25,7 @@
 from .dispatch import Dispatcher
 from .errors import UnknownResourceError
 from .job import JobRunner
+from .nodes.peering import Peering
 from .operators.api import OperatorApi
 from .retry import RetryBudget
 from .routing import POLICIES
@@ -65,6 +66,9 @@
             settings.config_poll_interval_s,
             self._rng,
         )
+        self.peering = Peering(
+            settings, self.backends, self.feed, self._divide_work, self._rng, clock
+        )
         self._watcher = Watcher(self.backends, self._record_load, self._rng, clock)
         self.claims = Claims(
             self.store, scopes=self._claim_scopes, writes_per_s=1.0, clock=clock
@@ -100,17 +104,36 @@
         self.store.start()
         self._operator_server.start()
         self._server.start()
-        addresses = {"callers": self.caller_address, "operators": self.operator_address}
-        print(json.dumps(addresses), flush=True)
-        while not self.feed.poll() or not self.feed.config.version:
+        self.peering.start()
+        self._print_addresses()
+        while not self._get_config():
             gevent.sleep(START_RETRY_S)
         self.feed.start()
         self.scheduler.start()
         self.gate.ready = True
 
+    def _get_config(self) -> bool:
+        """Get the first configuration; return whether there is one.
+
+        Peers are asked when the table service does not answer.
+        """
+        answered = self.feed.poll()
+        if self.feed.config.version:
+            return True
+        return not answered and self.peering.fetch_config()
+
+    def _print_addresses(self) -> None:
+        addresses = {
+            "callers": self.caller_address,
+            "operators": self.operator_address,
+            "nodes": self.peering.address,
+        }
+        print(json.dumps(addresses), flush=True)
+
     def stop(self) -> None:
         """Stop as planned: refuse new work, then finish what is in flight."""
         self.gate.ready = False
+        self.peering.leave()
         gevent.sleep(self.settings.drain_grace_s)
         self._server.stop_listening()
         self.gate.close()
@@ -121,6 +144,7 @@
         self.feed.close()
         self.scheduler.close()
         self._watcher.close()
+        self.peering.close()
         self._server.close()
         self._operator_server.stop(timeout=0)
         self.backends.close()
@@ -137,6 +161,7 @@
             "requests_queued": len(self.scheduler.queue),
             "config_version": self.feed.config.version,
             "config_error": self.feed.error,
+            "peers": self.peering.status(),
             "backends": {
                 entry.id: {
                     "state": entry.load.state,
@@ -149,12 +174,16 @@
         }
 
     def set_drained(self, name: str, drained: bool) -> dict:
-        """Drain or return a data centre or backend server."""
-        raise UnknownResourceError(
-            f"{name!r} is no data centre or backend server",
-            step="drain",
-            peer="operator",
-        )
+        """Drain or return a data centre or backend server on all nodes."""
+        config = self.feed.config
+        if name in config.data_centres:
+            target = f"data_centre/{name}"
+        elif name in config.backends:
+            target = f"backend/{name}"
+        else:
+            raise _unknown_target(name)
+        self.peering.publish_drain(target, drained)
+        return {"target": target, "drained": drained}
 
     def look_up_job(self, member: str, kind: str, key: str) -> dict | None:
         """Return the record of an idempotency key, or None."""
@@ -190,8 +219,14 @@
     def _apply_config(self, config: Config) -> None:
         self.backends.apply(config)
         self._api.apply(config)
-        self._watcher.watch(config.backends)
-        self._share_limits(config)
+        self._divide_work()
+
+    def _divide_work(self) -> None:
+        """Take this node's part of what is divided among the live nodes."""
+        watched = self.peering.watched(self.feed.config)
+        self._watcher.watch(watched)
+        self.backends.set_watched(watched)
+        self._share_limits(self.feed.config)
 
     def _share_limits(self, config: Config) -> None:
         """Give this node its part of the shares and of the claim writes."""
@@ -202,18 +237,17 @@
             for organisation in member.organisations.values()
         }
         self.scheduler.queue.set_shares(shares, weights)
-        writes_per_s = config.limits.claim_writes_per_s / max(1, self._node_count())
+        writes_per_s = config.limits.claim_writes_per_s / self.peering.node_count
         self.claims.set_writes_per_s(self._clock(), writes_per_s)
 
-    def _node_count(self) -> int:
-        """Return the number of nodes that share the limits."""
-        return 1
-
     def _publish_config(self, version: int, sections: Mapping[str, str]) -> None:
-        """Send a new configuration to the other nodes."""
+        self.peering.publish_config(version, sections)
 
     def _record_load(self, backend_id: str, load: LoadReport, now_s: float) -> None:
-        self.backends.record_load(backend_id, load, now_s)
+        turned_cold = self.backends.record_load(backend_id, load, now_s)
+        if turned_cold:
+            self.peering.publish_cold(backend_id, True, now_s)
+        self.peering.publish_load(backend_id, load, now_s)
         self.scheduler.wake()
 
 
@@ -232,7 +266,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, on_signal)
     starter = gevent.spawn(node.start)
+    starter.link_exception(lambda _: stopping.set())
     stopping.wait()
+    if starter.ready() and not starter.successful():
+        node.close()
+        return 1
     starter.kill()
     stopper = gevent.spawn(node.stop)
     gevent.wait([stopper, ending], count=1)
@@ -241,6 +279,12 @@
     return 1 if interrupted else 0
 
 
+def _unknown_target(name: str) -> UnknownResourceError:
+    return UnknownResourceError(
+        f"{name!r} is no data centre or backend server", step="drain", peer="operator"
+    )
+
+
 def _read_token(settings: Settings) -> str:
     if not settings.operator_token_file:
         return ""
--- a/papayarelay/nodes/exchange.py
+++ b/papayarelay/nodes/exchange.py
@@ -108,6 +108,8 @@
     policy: str = "fixed_overlay"
     bytes_per_s: float = BYTES_PER_S
     suspect_after_s: float = SUSPECT_AFTER_S
+    # Load records go to nodes of the same "data_centre" or "region".
+    load_scope: str = "data_centre"
     timing: LinkTiming = field(default_factory=LinkTiming)
 
 
@@ -920,7 +922,7 @@
             return
         if link is not None:
             self._close_link(name)
-        same = peer.data_centre == self._settings.data_centre
+        same = self._in_load_scope(peer)
         self._spread.open(name, same, now_s)
         link = Link(
             name,
@@ -935,6 +937,11 @@
         self._links[name] = link
         link.start()
 
+    def _in_load_scope(self, peer: Peer) -> bool:
+        if self._settings.load_scope == "region":
+            return peer.region == self._settings.region
+        return peer.data_centre == self._settings.data_centre
+
     def _on_redial(self, link: Link) -> None:
         outbox = self._spread.outbox(link.name)
         if outbox is not None:
--- /dev/null
+++ b/papayarelay/nodes/peering.py
@@ -0,0 +1,242 @@
+"""Connects a node's configuration, backend servers and limits with its peers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Mapping
+from pathlib import Path
+
+import gevent
+import msgspec
+import pyjson5
+
+from ..backends.load import LoadReport
+from ..backends.table import BackendTable
+from ..config import Config
+from ..config_feed import ConfigFeed
+from ..events import Event
+from ..logs import log
+from ..settings import Settings
+from ..vms.client import VmListClient, VmListError
+from . import watch
+from .exchange import (
+    ConfigFetchError,
+    DrainState,
+    Exchange,
+    ExchangeSettings,
+    Handlers,
+    LoadRecord,
+)
+from .view import PeerState
+
+FETCH_LIMIT_S = 2.0
+
+
+class Peering:
+    """Owns the exchange with other nodes and the polling of the VM list.
+
+    ``on_change`` is called when the set of live nodes changes, so that work
+    that is divided among the nodes can be divided again.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        backends: BackendTable,
+        feed: ConfigFeed,
+        on_change: Callable[[], None],
+        rng: random.Random,
+        clock: Callable[[], float],
+    ):
+        self._settings = settings
+        self._backends = backends
+        self._feed = feed
+        self._rng = rng
+        self._clock = clock
+        self._vms = VmListClient(settings.vms_url)
+        self._tasks: list[gevent.Greenlet] = []
+        handlers = Handlers(
+            on_load=self._take_load,
+            on_cold=backends.mark_cold,
+            on_drain=self._take_drain,
+            on_config=self._take_config,
+            on_peers=on_change,
+        )
+        self._exchange = Exchange(
+            ExchangeSettings(
+                name=settings.name,
+                data_centre=settings.data_centre,
+                region=settings.region,
+                key=Path(settings.cluster_key_file).read_bytes().strip(),
+                listen=settings.node_address,
+                bytes_per_s=settings.link_send_bytes_per_s,
+                load_scope=settings.load_scope,
+            ),
+            rng,
+            handlers,
+            clock,
+        )
+
+    @property
+    def address(self) -> str:
+        """Return the address for other nodes as ``host:port``."""
+        return self._exchange.address
+
+    @property
+    def node_count(self) -> int:
+        """Return the number of live nodes with this one."""
+        return 1 + sum(p.state is PeerState.LIVE for p in self._exchange.peers())
+
+    @property
+    def node_index(self) -> int:
+        """Return the place of this node among the names of the live nodes."""
+        own = self._settings.name
+        names = [p.name for p in self._exchange.peers() if p.state is PeerState.LIVE]
+        return sum(name < own for name in names)
+
+    def start(self) -> None:
+        """Link to the other nodes."""
+        self._vms.start()
+        self._exchange.start()
+        self._poll_vms()
+        self._tasks.append(gevent.spawn(self._run))
+
+    def close(self) -> None:
+        """Close all links."""
+        gevent.killall(self._tasks)
+        self._exchange.close()
+        self._vms.close()
+
+    def leave(self) -> None:
+        """Tell the other nodes that this one is stopping."""
+        self._exchange.leave(self._clock())
+
+    def status(self) -> dict:
+        """Return the peers, links and counters for operators."""
+        return self._exchange.status(self._clock())
+
+    def fetch_config(self) -> bool:
+        """Take the configuration of a peer, while the table service is down."""
+        if not self._exchange.peers():
+            return False
+        try:
+            version, sections = self._exchange.fetch_config(FETCH_LIMIT_S)
+        except ConfigFetchError:
+            return False
+        return self._feed.offer(version, _as_texts(sections))
+
+    def publish_config(self, version: int, sections: Mapping[str, str]) -> None:
+        """Send a configuration that was read from the table service."""
+        values = {name: pyjson5.decode(text) for name, text in sections.items()}
+        self._exchange.publish_config(version, values)
+
+    def publish_drain(self, target: str, drained: bool) -> None:
+        """Mark ``data_centre/<name>`` or ``backend/<id>`` on all nodes."""
+        state = DrainState.DRAINED if drained else DrainState.RETURNED
+        self._exchange.publish_drain(target, state, self._clock())
+        self._take_drain(target, state)
+
+    def publish_load(self, backend_id: str, load: LoadReport, now_s: float) -> None:
+        """Send the load report of a watched backend server."""
+        self._exchange.publish_load(_as_record(backend_id, load, now_s), now_s)
+
+    def publish_cold(self, backend_id: str, cold: bool, now_s: float) -> None:
+        """Mark a watched engine as cold, or as warm again."""
+        self._exchange.publish_cold(backend_id, cold, now_s)
+
+    def watched(self, config: Config) -> set[str]:
+        """Return the backend servers that this node watches.
+
+        Nodes of the same data centre watch a server.  Where none is live, two
+        of all nodes do.
+        """
+        now_s = self._clock()
+        live = [p for p in self._exchange.peers() if p.state is PeerState.LIVE]
+        places: dict[str, list[str]] = {}
+        for backend in config.backends.values():
+            places.setdefault(backend.data_centre, []).append(backend.id)
+        occupied = {peer.data_centre for peer in live} | {self._settings.data_centre}
+        own = self._settings.name
+        names = [peer.name for peer in live] + [own]
+        found = set(
+            self._exchange.watched(places.get(self._settings.data_centre, []), now_s)
+        )
+        for data_centre, backend_ids in places.items():
+            if data_centre not in occupied:
+                found |= _ranked(own, backend_ids, names)
+        self._exchange.register_ids(config.backends)
+        return found
+
+    def _take_load(self, record: LoadRecord) -> None:
+        entry = self._backends.get(record.id)
+        if entry is None or entry.reported_s >= record.reported_s:
+            return
+        load = LoadReport(
+            boot_id=entry.load.boot_id,
+            state=record.state,
+            kv_capacity_tokens=record.kv_capacity_tokens,
+            kv_used_tokens=record.kv_used_tokens,
+            queued_prefill_tokens=record.queued_prefill_tokens,
+            running=record.running,
+            prefill_tokens_per_s=record.prefill_tokens_per_s,
+        )
+        self._backends.record_load(record.id, load, record.reported_s)
+
+    def _take_drain(self, target: str, state: DrainState) -> None:
+        mark = {DrainState.DRAINED: True, DrainState.RETURNED: False}.get(state)
+        self._backends.mark_drained(target, mark)
+        event = Event.DRAIN_APPLIED if mark else Event.RETURN_APPLIED
+        log(event, target=target)
+
+    def _take_config(self, version: int, sections: Mapping[str, object] | None) -> None:
+        if sections is None:
+            self._feed.poll()
+            return
+        self._feed.offer(version, {**self._feed.sections, **_as_texts(sections)})
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(self._settings.vms_poll_interval_s * self._rng.uniform(0.7, 1))
+            self._poll_vms()
+
+    def _poll_vms(self) -> None:
+        try:
+            vms = self._vms.read()
+        except VmListError as error:
+            log(Event.VMS_UNKNOWN, error=error)
+            return
+        peers = [
+            {
+                "name": vm.name,
+                "address": vm.address,
+                "data_centre": vm.data_centre,
+                "region": vm.region,
+                "state": vm.state,
+            }
+            for vm in vms
+            if vm.name != self._settings.name
+        ]
+        self._exchange.set_peers(peers)
+
+
+def _as_texts(sections: Mapping[str, object]) -> dict[str, str]:
+    return {
+        name: msgspec.json.encode(value).decode() for name, value in sections.items()
+    }
+
+
+def _as_record(backend_id: str, load: LoadReport, now_s: float) -> LoadRecord:
+    return LoadRecord(
+        id=backend_id,
+        state=load.state,
+        kv_capacity_tokens=load.kv_capacity_tokens,
+        kv_used_tokens=load.kv_used_tokens,
+        queued_prefill_tokens=load.queued_prefill_tokens,
+        running=load.running,
+        prefill_tokens_per_s=load.prefill_tokens_per_s,
+        reported_s=now_s,
+    )
+
+
+def _ranked(own: str, backend_ids: Iterable[str], names: list[str]) -> set[str]:
+    return {b for b in backend_ids if watch.rank(own, b, names) is not None}
--- a/papayarelay/settings.py
+++ b/papayarelay/settings.py
@@ -9,6 +9,7 @@
 
 LOG_LEVELS = ("debug", "info", "warning", "error")
 ROUTING_POLICIES = ("cost_aware", "least_requests", "power_of_two", "round_robin")
+LOAD_SCOPES = ("data_centre", "region")
 SHORTEST_S = 0.001
 LONGEST_S = 86_400
 MOST_BYTES = 2**36
@@ -22,6 +23,7 @@
     "operator_token_file": "",
     "log_level": "info",
     "routing_policy": "cost_aware",
+    "load_scope": "region",
     "body_limit_bytes": 16 * 2**20,
     "body_memory_bytes": 256 * 2**20,
     "header_timeout_s": 10.0,
@@ -48,6 +50,7 @@
 _RULES = (
     ("log_level", ObjectReader.choice, LOG_LEVELS),
     ("routing_policy", ObjectReader.choice, ROUTING_POLICIES),
+    ("load_scope", ObjectReader.choice, LOAD_SCOPES),
     ("drain_grace_s", ObjectReader.number, 0, LONGEST_S),
     ("_address", ObjectReader.address),
     ("_url", ObjectReader.url),
@@ -80,6 +83,7 @@
     operator_token_file: str = DEFAULTS["operator_token_file"]
     log_level: str = DEFAULTS["log_level"]
     routing_policy: str = DEFAULTS["routing_policy"]
+    load_scope: str = DEFAULTS["load_scope"]
     body_limit_bytes: int = DEFAULTS["body_limit_bytes"]
     body_memory_bytes: int = DEFAULTS["body_memory_bytes"]
     header_timeout_s: float = DEFAULTS["header_timeout_s"]
