Add gap, crossed-answer and late-answer faults to the stand-ins

Streams with a missing offset and answers of a service that arrive late or belong to another request could not be produced. The engine now leaves out a chunk on request, and the service echoes the request id in X-Request-Id, delays answers after execution and crosses them. A closed engine that is started again is cold and has a new boot id. Raising the lag of load reports showed the state at boot; it now shows the state at the time of the change.

--- a/papayarelay/standins/engine.py
+++ b/papayarelay/standins/engine.py
@@ -101,10 +101,16 @@
         self._runner = gevent.spawn(self._run)
 
     def close(self) -> None:
-        """Stop the engine; open streams break."""
+        """Stop the engine; open streams break.
+
+        It can be started again, cold and with a new boot id, as after a crash.
+        """
         if self._runner is not None:
             self._runner.kill()
             self._runner = None
+            self._streams.clear()
+            self.model.fall_over(time.monotonic())
+            self._falls = self.model.falls
         super().close()
 
     def cancel(self, request_id: str) -> bool:
@@ -122,7 +128,7 @@
         """Do what the faults that act at once ask for, and clear them."""
         faults, now_s = self.faults, time.monotonic()
         self.model.speed = 1.0 / faults.slow
-        self.model.reports.lag_s = faults.report_lag_s
+        self.model.reports.set_lag(faults.report_lag_s, now_s)
         self.model.cache_log.lag_s = faults.event_lag_s
         self.model.cache_log.gap = faults.event_gap
         self.model.occupy(faults.memory_tokens, now_s)
--- a/papayarelay/standins/engine_faults.py
+++ b/papayarelay/standins/engine_faults.py
@@ -10,9 +10,10 @@
 
     Counts of answers, which the fault hits after ``fault_after`` tokens:
     ``crossed`` puts a chunk with another request's id into the stream,
-    ``duplicate`` repeats a chunk, ``silent`` sends nothing more without closing,
-    ``late`` sends nothing for ``late_s``.  ``break_after`` cuts the connection of
-    each stream after that many tokens.  ``refuse_load`` is a count of load reports.
+    ``duplicate`` repeats a chunk, ``gap`` leaves one out, ``silent`` sends nothing
+    more without closing, ``late`` sends nothing for ``late_s``.  ``break_after``
+    cuts the connection of each stream after that many tokens.  ``refuse_load`` is a
+    count of load reports.
 
     ``slow`` divides the engine's speed, ``memory_tokens`` takes KV memory away,
     ``report_lag_s``, ``event_lag_s`` and ``event_gap`` make reports and cache events
@@ -23,6 +24,7 @@
 
     crossed: int = 0
     duplicate: int = 0
+    gap: int = 0
     silent: int = 0
     late: int = 0
     late_s: float = 1.0
--- a/papayarelay/standins/load_report.py
+++ b/papayarelay/standins/load_report.py
@@ -35,17 +35,23 @@
     """
 
     def __init__(self, lag_s: float, build: Callable[[float], LoadReport]):
-        self.lag_s = lag_s
+        self._lag_s = lag_s
         self._build = build
         self._changed_s = -math.inf
         self._records = deque([(-math.inf, build(-math.inf))])
 
+    def set_lag(self, lag_s: float, now_s: float) -> None:
+        """Change the lag; a report never goes back to before the change."""
+        if not self._lag_s:
+            self._records = deque([(now_s, self._build(now_s))])
+        self._lag_s = lag_s
+
     def note_change(self, now_s: float) -> None:
         """Record the state after a change."""
         self._changed_s = now_s
-        if not self.lag_s:
+        if not self._lag_s:
             return
-        spacing_s = self.lag_s / RECORDS_PER_LAG
+        spacing_s = self._lag_s / RECORDS_PER_LAG
         if len(self._records) > 1 and now_s - self._records[-2][0] < spacing_s:
             self._records.pop()
         self._records.append((now_s, self._build(now_s)))
@@ -53,12 +59,12 @@
 
     def read(self, now_s: float) -> LoadReport:
         """Return the report that is visible at ``now_s``."""
-        visible_s = now_s - self.lag_s
+        visible_s = now_s - self._lag_s
         if self._changed_s <= visible_s:
             return self._build(visible_s)
         self._drop_old(now_s)
         return self._records[0][1]
 
     def _drop_old(self, now_s: float) -> None:
-        while len(self._records) > 1 and self._records[1][0] <= now_s - self.lag_s:
+        while len(self._records) > 1 and self._records[1][0] <= now_s - self._lag_s:
             self._records.popleft()
--- a/papayarelay/standins/server.py
+++ b/papayarelay/standins/server.py
@@ -104,7 +104,8 @@
         return f"{self._listen[0]}:{self._listen[1]}"
 
     def start(self) -> None:
-        """Listen and serve in the background."""
+        """Listen and serve in the background; each start is a new boot."""
+        self.boot_id = uuid.uuid4().hex
         self._start_listening()
 
     def close(self) -> None:
@@ -241,12 +242,12 @@
     return msgspec.json.decode(body) if body else {}
 
 
-def answer_json(start_response, status: str, body) -> list[bytes]:
-    """Send a JSON answer."""
+def answer_json(start_response, status: str, body, fields=()) -> list[bytes]:
+    """Send a JSON answer; ``fields`` are further header fields."""
     data = msgspec.json.encode(body)
     length = str(len(data))
     headers = [("Content-Type", "application/json"), ("Content-Length", length)]
-    start_response(status, headers)
+    start_response(status, [*headers, *fields])
     return [data]
 
 
--- a/papayarelay/standins/service.py
+++ b/papayarelay/standins/service.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from dataclasses import dataclass
 
+import gevent
+
 from .server import (
     Faults,
     StandIn,
@@ -17,14 +19,17 @@
 
 
 class ServiceFaults(Faults, forbid_unknown_fields=True):
-    """Faults of the service besides the common ones; both are counts.
+    """Faults of the service besides the common ones, which all execute.
 
-    ``die_after`` executes and cuts the connection without an answer,
-    ``hang_after`` executes and never answers.
+    Counts: ``die_after`` cuts the connection without an answer, ``hang_after``
+    never answers, ``crossed`` sends the answer to another request.
+    ``answer_delay_s`` is waited between the execution and the answer.
     """
 
     die_after: int = 0
     hang_after: int = 0
+    crossed: int = 0
+    answer_delay_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -36,10 +41,14 @@
     path: str
 
 
+OTHER_EXECUTION = Execution("other-key", "other-request", "/other")
+
+
 class ServiceStandIn(StandIn):
     """Accepts ``POST /<path>`` and runs every request it gets.
 
-    It does not check keys, so a request that is sent twice is executed twice.
+    Answers carry the request id in the body and in ``X-Request-Id``.  It does not
+    check keys, so a request that is sent twice is executed twice.
     ``GET /executions`` returns the counts by key, ``GET /load`` the load report.
     """
 
@@ -83,17 +92,30 @@
         key = environ.get("HTTP_IDEMPOTENCY_KEY", NO_KEY)
         request_id = environ.get("HTTP_X_REQUEST_ID", "")
         path = environ["PATH_INFO"]
-        self.executions.append(Execution(key, request_id, path))
+        execution = Execution(key, request_id, path)
+        self.executions.append(execution)
         if self.faults.hits("die_after"):
             cut_connection(environ)
         if self.faults.hits("hang_after"):
             wait_until_closed(environ)
+        if self.faults.answer_delay_s:
+            gevent.sleep(self.faults.answer_delay_s)
         self.stop_if_frozen(environ)
+        if self.faults.hits("crossed"):
+            execution = self._find_other(execution)
         answer = {
-            "id": request_id,
-            "key": key,
-            "path": path,
+            "id": execution.request_id,
+            "key": execution.key,
+            "path": execution.path,
             "execution": len(self.executions),
             "bytes": len(body),
         }
-        return answer_json(start_response, "200 OK", answer)
+        fields = [("X-Request-Id", execution.request_id)]
+        return answer_json(start_response, "200 OK", answer, fields)
+
+    def _find_other(self, execution: Execution) -> Execution:
+        """Return the latest other execution, an invented one if there is none."""
+        for other in reversed(self.executions):
+            if other.request_id != execution.request_id:
+                return other
+        return OTHER_EXECUTION
--- a/papayarelay/standins/streams.py
+++ b/papayarelay/standins/streams.py
@@ -24,9 +24,10 @@
 KEEP_ALIVE_INTERVAL_S = 1.0
 CROSSED = "crossed"
 DUPLICATE = "duplicate"
+GAP = "gap"
 SILENT = "silent"
 LATE = "late"
-STREAM_FAULTS = (LATE, DUPLICATE, CROSSED, SILENT)
+STREAM_FAULTS = (LATE, DUPLICATE, GAP, CROSSED, SILENT)
 CANCELLED = "cancelled"
 DISCONNECTED = "disconnected"
 OTHER_ID = "other-request"
@@ -104,6 +105,7 @@
         timeout_s = KEEP_ALIVE_INTERVAL_S
         parts = self.answer.chunk_parts()
         digest = self.answer.digest
+        gap_at = self.faults.after if GAP in self.faults.names else None
         sent = 0
         yield from self._faulty_chunks(sent, b"")
         while True:
@@ -117,7 +119,8 @@
             timeout_s = None
             for offset in range(event.offset, event.offset + event.count):
                 chunk = _token_chunk(parts, offset, digest)
-                yield chunk
+                if sent != gap_at:
+                    yield chunk
                 sent += 1
                 yield from self._faulty_chunks(sent, chunk)
 
--- a/papayarelay/tests/test_standins.py
+++ b/papayarelay/tests/test_standins.py
@@ -103,6 +103,15 @@
             self.post("a", timeout=SHORT_TIMEOUT_S)
         self.assertEqual(self.counts(), {"a": 1})
 
+    def test_crossed_and_late_answers(self):
+        """Guards against answer faults that change what was executed."""
+        self.set_faults(self.service, crossed=1, answer_delay_s=0.01)
+        self.assertEqual(self.post("a").headers["X-Request-Id"], "other-request")
+        answer = self.post("b")
+        self.assertEqual(answer.headers["X-Request-Id"], "r-b")
+        self.assertEqual(answer.json()["id"], "r-b")
+        self.assertEqual(self.counts(), {"a": 1, "b": 1})
+
     def test_refused_connections(self):
         """Guards against a refused connection that reaches the service."""
         self.service.refuse_connections(BOUND_S)
@@ -256,9 +265,35 @@
         chunks, _ = self.read(self.ask(engine))
         offsets = [chunk["offset"] for chunk in chunks]
         self.assertEqual(offsets, [0, 1, 1, 2, 3, 4, 5])
+        self.set_faults(engine, gap=1, fault_after=2)
+        chunks, _ = self.read(self.ask(engine))
+        self.assertEqual([chunk["offset"] for chunk in chunks], [0, 1, 3, 4, 5])
         chunks, _ = self.read(self.ask(engine))
         self.assertEqual(len(chunks), 6)
 
+    def test_crossed_chunk_of_a_request_under_way(self):
+        """Guards against crossed chunks that only an invented request can have."""
+        engine = self.run_engine()
+        other = self.ask(engine, "r2", "other prompt", 100_000)
+        self.set_faults(engine, crossed=1, fault_after=0)
+        chunks, done = self.read(self.ask(engine))
+        self.assertTrue(done)
+        self.assertEqual((chunks[0]["id"], chunks[0]["offset"]), ("r2", 0))
+        text = self.text(chunks[:1])
+        self.assertEqual(text, self.expected("r2", "other prompt", (0,)))
+        other.close()
+
+    def test_cancelled_whole_answer(self):
+        """Guards against part of an answer that is sent as the whole."""
+        engine = self.run_engine(STUCK)
+        headers = {"X-Request-Id": "r1"}
+        body = {"prompt": LONG_PROMPT}
+        task = gevent.spawn(self.call, engine, "POST", COMPLETION_PATH, body, headers)
+        self.wait_until(lambda: engine.cancel("r1"))
+        answer = task.get(timeout=BOUND_S)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.json()["error"]["code"], "cancelled")
+
     def test_crossed_whole_answer(self):
         """Guards against a crossed answer that looks like the caller's own."""
         engine = self.run_engine()
@@ -386,8 +421,9 @@
         self.assertEqual(orders["models"], ["m5", "m6"])
 
     def test_close(self):
-        """Guards against streams that outlive their stand-in."""
+        """Guards against streams or memory that outlive their engine."""
         engine = self.run_engine()
+        address, boot_id = engine.address, engine.model.boot_id
         answer = self.ask(engine, count=100_000)
         engine.close()
         with self.assertRaises(urllib3.exceptions.ProtocolError):
@@ -395,6 +431,11 @@
         self.http.clear()
         with self.assertRaises(urllib3.exceptions.NewConnectionError):
             self.ask(engine)
+        engine.start()
+        self.assertEqual(engine.address, address)
+        report = self.call(engine, "GET", "/load").json()
+        self.assertEqual(report["kv_used_tokens"], 0)
+        self.assertNotEqual(report["boot_id"], boot_id)
 
 
 class VmListTest(StandInTest):
