Replay against the engine model of the stand-ins

Cause: the bench had its own engine model, so that its figures and those of the stand-in engine could differ.

Change: bench/engine.py wraps standins.model.EngineModel; the replay resumes broken streams, marks restarted engines cold by time and uses the model's cold bound.

--- a/papayarelay/bench/capacity.py
+++ b/papayarelay/bench/capacity.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 from functools import lru_cache
 
-from .engine import BenchEngine, EngineParameters, EngineRequest
+from ..standins.model import EngineSettings
+from .engine import BenchEngine
 from .traces import DEPLOYMENTS, KINDS, TraceRequest, generate
 
 CALIBRATION_REQUESTS_PER_S = 10.0
@@ -15,66 +17,62 @@
 
 
 @lru_cache
-def measure_requests_per_s(parameters: EngineParameters) -> float:
+def measure_requests_per_s(settings: EngineSettings) -> float:
     """Return the requests/s of the trace mix that one saturated engine completes."""
-    trace = _calibration_trace(parameters)
-    engine = BenchEngine("calibration", parameters)
-    waiting = deque(enumerate(trace))
-    now_s = 0.0
-    held = 0
     finished = 0
+    now_s = 0.0
+    feed = _Feed(settings, _calibration_trace(settings))
     # Requests that still run when the waiting ones are used up do not count,
     # since the engine is not saturated from then on.
-    while waiting:
-        while waiting and held + waiting[0][1].tokens <= parameters.kv_capacity_tokens:
-            index, request = waiting.popleft()
-            held += request.tokens
-            engine.submit(_work(index, request), now_s)
-        duration_s = engine.begin_step()
-        now_s += duration_s
-        for work in engine.end_step(duration_s, now_s).finished:
-            held -= work.kv_tokens
-            finished += 1
+    while feed.waiting:
+        feed.fill(settings.kv_capacity_tokens, now_s)
+        now_s, count = feed.step()
+        finished += count
     return finished / now_s
 
 
 @lru_cache
-def measure_warm_up_s(parameters: EngineParameters) -> float:
+def measure_warm_up_s(settings: EngineSettings) -> float:
     """Return the time a cold engine takes when it always has all it can hold."""
-    trace = [each for each in _calibration_trace(parameters) if each.short]
-    engine = BenchEngine("calibration", parameters)
-    engine.become_cold()
-    waiting = deque(enumerate(trace))
+    trace = [each for each in _calibration_trace(settings) if each.short]
+    feed = _Feed(replace(settings, starts_cold=True), trace)
+    model = feed.engine.model
     now_s = 0.0
-    held = 0
-    while engine.cold and now_s < WARM_UP_LIMIT_S:
-        while waiting and held + waiting[0][1].tokens <= engine.limit_tokens:
-            index, request = waiting.popleft()
-            held += request.tokens
-            engine.submit(_work(index, request), now_s)
-        duration_s = engine.begin_step()
-        now_s += duration_s
-        for work in engine.end_step(duration_s, now_s).finished:
-            held -= work.kv_tokens
+    while model.is_cold and now_s < WARM_UP_LIMIT_S:
+        feed.fill(model.cold_bound_tokens, now_s)
+        now_s, _ = feed.step()
     return now_s
 
 
-def _calibration_trace(parameters: EngineParameters) -> list[TraceRequest]:
+class _Feed:
+    """Keeps one engine supplied with requests up to a number of tokens."""
+
+    def __init__(self, settings: EngineSettings, trace: list[TraceRequest]):
+        self.engine = BenchEngine("calibration", settings)
+        self.waiting = deque(enumerate(trace))
+
+    def fill(self, limit_tokens: int, now_s: float) -> None:
+        """Submit requests while they fit."""
+        model = self.engine.model
+        while self.waiting:
+            index, request = self.waiting[0]
+            if model.in_flight_tokens + request.tokens > limit_tokens:
+                return
+            self.waiting.popleft()
+            priority = KINDS[request.kind].priority
+            self.engine.submit(str(index), request, priority, 0, now_s)
+
+    def step(self) -> tuple[float, int]:
+        """Run the next step; return its end and the number of finished requests."""
+        now_s = self.engine.model.next_step_s()
+        return now_s, len(self.engine.step(now_s).finished)
+
+
+def _calibration_trace(settings: EngineSettings) -> list[TraceRequest]:
     trace = generate(
         DEPLOYMENTS["dentists"],
         CALIBRATION_REQUESTS_PER_S,
         CALIBRATION_S,
         CALIBRATION_SEED,
     )
-    return [each for each in trace if each.tokens <= parameters.kv_capacity_tokens]
-
-
-def _work(index: int, request: TraceRequest) -> EngineRequest:
-    return EngineRequest(
-        str(index),
-        request.prompt_tokens,
-        request.output_tokens,
-        KINDS[request.kind].priority,
-        group=request.prefix_group,
-        prefix_tokens=request.prefix_tokens,
-    )
+    return [each for each in trace if each.tokens <= settings.kv_capacity_tokens]
--- a/papayarelay/bench/experiments.py
+++ b/papayarelay/bench/experiments.py
@@ -7,9 +7,10 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from ..standins.model import EngineSettings
 from . import traces
 from .capacity import measure_requests_per_s, measure_warm_up_s
-from .engine import EngineParameters
+from .engine import BENCH_SETTINGS, work_s
 from .replay import Fault, Record, Replay, ReplayResult, engine_names
 from .traces import Deployment, TraceRequest
 
@@ -38,13 +39,13 @@
     policy: str | object
     load: float
     seed: int
-    parameters: EngineParameters = EngineParameters()
+    settings: EngineSettings = BENCH_SETTINGS
     recorded: tuple[TraceRequest, ...] = ()
 
     @property
     def requests_per_s(self) -> float:
         """Return the arrival rate at the load."""
-        rate = measure_requests_per_s(self.parameters)
+        rate = measure_requests_per_s(self.settings)
         return self.load * rate * self.deployment.engines
 
     def trace(
@@ -74,7 +75,7 @@
             self.deployment,
             self.policy,
             self.seed if seed is None else seed,
-            parameters=self.parameters,
+            settings=self.settings,
             faults=faults,
             removed_engines=removed,
             progress=progress,
@@ -158,13 +159,13 @@
     cold = tuple(names[: round(COLD_FRACTION * len(names))])
     run = setup.replay(trace, faults=[Fault(FAULT_START_S, "cold", engines=cold)])
     normal = setup.replay(trace)
-    warm_up_s = measure_warm_up_s(setup.parameters)
+    warm_up_s = measure_warm_up_s(setup.settings)
     recovery_s = _recovery_s(setup, run, normal)
     return {
         "over_bound_tokens": max(
             engine.max_over_bound_tokens for engine in run.engines.values()
         ),
-        "cold_failures": sum(engine.cold_failures for engine in run.engines.values()),
+        "falls": sum(engine.model.falls for engine in run.engines.values()),
         "recovery_s": recovery_s,
         "recovery_per_warm_up": recovery_s / warm_up_s,
         "failed": sum(each.failed_s is not None for each in run.records),
@@ -285,7 +286,7 @@
 def _gap_within(result: ReplayResult) -> float:
     gaps: Counter[int] = Counter()
     for engine in result.engines.values():
-        gaps.update(engine.gaps)
+        gaps.update(engine.gaps_ms)
     within = sum(count for gap, count in gaps.items() if gap <= GAP_LIMIT_MS)
     return within / max(1, gaps.total())
 
@@ -312,23 +313,23 @@
     setup: Setup, records: Sequence[Record], start_s: float, end_s: float
 ) -> float:
     """Return the engine time of the requests finished per second of a window."""
-    work_s = sum(
-        setup.parameters.work_s(each.request.prompt_tokens, each.request.output_tokens)
+    done_s = sum(
+        setup.settings.work_s(each.request.prompt_tokens, each.request.output_tokens)
         for each in records
         if each.finished_s is not None and start_s <= each.finished_s < end_s
     )
-    return work_s / (end_s - start_s)
+    return done_s / (end_s - start_s)
 
 
 def _capacity_work_per_s(setup: Setup) -> float:
     """Return the same measure for the saturated deployment."""
     trace = traces.generate(setup.deployment, 10.0, 1000.0, 0)
     fitting = [
-        setup.parameters.work_s(each.prompt_tokens, each.output_tokens)
+        work_s(setup.settings, each)
         for each in trace
-        if each.tokens <= setup.parameters.kv_capacity_tokens
+        if each.tokens <= setup.settings.kv_capacity_tokens
     ]
-    rate = measure_requests_per_s(setup.parameters) * setup.deployment.engines
+    rate = measure_requests_per_s(setup.settings) * setup.deployment.engines
     return rate * sum(fitting) / len(fitting)
 
 
--- a/papayarelay/bench/replay.py
+++ b/papayarelay/bench/replay.py
@@ -10,6 +10,7 @@
 import hashlib
 import heapq
 import itertools
+import math
 import random
 from collections import OrderedDict, deque
 from collections.abc import Callable, Mapping, Sequence
@@ -29,8 +30,10 @@
     engine_priority,
     size_class,
 )
+from ..standins.load_report import READY, STARTING, LoadReport
+from ..standins.model import EngineSettings
 from ..warmup import WATCHERS, WarmUp
-from .engine import BenchEngine, EngineParameters, EngineReport, EngineRequest
+from .engine import BENCH_SETTINGS, BenchEngine
 from .traces import KINDS, Deployment, TraceRequest
 
 MODEL = "m"
@@ -39,6 +42,8 @@
 MARK_DELAY_S = (0.02, 0.3)
 DRAIN_DELAY_S = (0.1, 1.5)
 TICK_S = 0.1
+SAME_FAULT_S = 3.0
+"""Signs of a restart within this time are taken as signs of the same restart."""
 MAX_PREFIXES = 4096
 
 
@@ -53,7 +58,7 @@
     first_s: float | None = None
     finished_s: float | None = None
     deadline_s: float = 0.0
-    attempts: int = 0
+    received_tokens: int = 0
     sent: list[tuple[float, str]] = field(default_factory=list)
 
     @property
@@ -99,8 +104,10 @@
         self.view = view
         self.warm_up = warm_up
         self.circuit = Circuit(rng)
-        self.boot_id = 0
+        self.boot_id = ""
+        self.cold_s = -math.inf
         self.cold_marked = False
+        self.available = True
         self.drained = False
         # Request id -> (time sent, prefill tokens left, tokens in flight).
         self.own: dict[str, tuple[float, int, int]] = {}
@@ -117,7 +124,7 @@
             bound = 0
         self.view = replace(
             self.view,
-            state="drained" if self.drained else "warm",
+            state="ready" if self.available else "down",
             own_inflight=len(self.own),
             own_prefill_tokens=sum(prefill for _, prefill, _ in own),
             own_prefill_by_size=self._prefill_by_size(),
@@ -157,18 +164,18 @@
         self._states: dict[str, _EngineState] = {}
         self._watched: set[str] = set()
         # Prefix group -> engines that have computed it, newest last.
-        self._prefixes: OrderedDict[str, dict[str, int]] = OrderedDict()
+        self._prefixes: OrderedDict[str, dict[str, str]] = OrderedDict()
         self._parked: deque[Request] = deque()
-        parameters = replay.parameters
+        settings = replay.settings
         for engine_id, data_centre in replay.data_centre_of.items():
             view = BackendView(
                 engine_id,
                 data_centre,
                 "engine",
                 (MODEL,),
-                kv_capacity_tokens=parameters.kv_capacity_tokens,
+                kv_capacity_tokens=settings.kv_capacity_tokens,
             )
-            warm_up = WarmUp(parameters.cold_bound_tokens, parameters.warm_tokens)
+            warm_up = WarmUp(settings.cold_bound_tokens, settings.warmup_tokens)
             self._states[engine_id] = _EngineState(view, warm_up, rng)
             if name in replay.watchers(engine_id):
                 self._watched.add(engine_id)
@@ -209,41 +216,45 @@
             self._parked.remove(request)
         return parked + self.queue.expire(now_s)
 
-    def receive_report(self, engine_id: str, report: EngineReport) -> None:
+    def receive_report(
+        self, engine_id: str, report: LoadReport, reported_s: float
+    ) -> None:
         """Take over a load report unless a newer one is known."""
         state = self._states[engine_id]
-        if report.reported_s <= state.view.reported_s:
+        if reported_s <= state.view.reported_s:
             return
-        if state.boot_id and report.boot_id > state.boot_id:
-            self.mark_cold(engine_id, report.boot_id, report.reported_s)
-        state.boot_id = max(state.boot_id, report.boot_id)
-        if report.state == "warm" and report.boot_id == state.boot_id:
+        if state.boot_id and report.boot_id != state.boot_id:
+            self.mark_cold(engine_id, reported_s)
+        state.boot_id = report.boot_id
+        state.available = report.state != STARTING
+        # The ramp of a watcher ends by answers only, whatever the report says.
+        if report.state == READY and reported_s > state.cold_s + SAME_FAULT_S:
             state.cold_marked = state.cold_marked and state.warm_up.cold
         state.view = replace(
             state.view,
             kv_used_tokens=report.kv_used_tokens,
             queued_prefill_tokens=report.queued_prefill_tokens,
-            running=report.running,
+            running=report.running + report.waiting,
             prefill_tokens_per_s=report.prefill_tokens_per_s,
-            reported_s=report.reported_s,
+            reported_s=reported_s,
         )
         state.stale = True
 
-    def mark_cold(self, engine_id: str, boot_id: int, now_s: float) -> bool:
-        """Start the ramp of an engine; returns whether this boot was not known."""
+    def mark_cold(self, engine_id: str, at_s: float) -> bool:
+        """Start the ramp of an engine; returns whether this restart was not known."""
         state = self._states[engine_id]
-        if boot_id <= state.boot_id and state.cold_marked:
+        if at_s <= state.cold_s + SAME_FAULT_S:
             return False
-        state.boot_id = max(state.boot_id, boot_id)
+        state.cold_s = at_s
         state.cold_marked = True
-        state.warm_up.turn_cold(now_s)
+        state.warm_up.turn_cold(at_s)
         state.stale = True
         return True
 
-    def mark_warm(self, engine_id: str, boot_id: int) -> None:
+    def mark_warm(self, engine_id: str, at_s: float) -> None:
         """Lift the ban of an engine whose ramp a watcher has completed."""
         state = self._states[engine_id]
-        if boot_id >= state.boot_id and engine_id not in self._watched:
+        if at_s > state.cold_s and engine_id not in self._watched:
             state.cold_marked = False
             state.stale = True
 
@@ -282,7 +293,7 @@
         state.warm_up.record_success(own[2], now_s <= request.deadline_s, now_s)
         if was_cold and not state.warm_up.cold:
             state.cold_marked = False
-            self._replay.broadcast_warm(self, engine_id, state.boot_id)
+            self._replay.broadcast_warm(self, engine_id, now_s)
 
     def record_failure(self, request: Request, engine_id: str, now_s: float) -> bool:
         """Record a broken stream; returns whether the request is tried again."""
@@ -352,12 +363,12 @@
         policy: str | object,
         seed: int,
         *,
-        parameters: EngineParameters | None = None,
+        settings: EngineSettings = BENCH_SETTINGS,
         faults: Sequence[Fault] = (),
         removed_engines: Sequence[str] = (),
         progress: Callable[[float], None] | None = None,
     ):
-        self.parameters = parameters or EngineParameters()
+        self.settings = settings
         self._trace = trace
         self._rng = random.Random(f"replay/{seed}")
         self._progress = progress
@@ -371,9 +382,9 @@
             if name not in removed_engines
         }
         self._engines = {
-            name: BenchEngine(name, self.parameters) for name in self.data_centre_of
+            name: BenchEngine(name, settings) for name in self.data_centre_of
         }
-        self._stepping: dict[str, int] = {}
+        self._due_s: dict[str, float] = {}
         self._node_names = [f"node-{index}" for index in range(deployment.nodes)]
         shares = {member: 1 / len(deployment.members) for member in deployment.members}
         self._nodes = []
@@ -382,8 +393,8 @@
             rng = random.Random(f"{seed}/{index}")
             self._nodes.append(ReplayNode(name, self, node_policy, shares, rng))
         self._records: list[Record] = []
-        # Request id -> (node, engine id, engine request).
-        self._running: dict[str, tuple[ReplayNode, str, EngineRequest]] = {}
+        # Request id -> (node, engine id).
+        self._running: dict[str, tuple[ReplayNode, str]] = {}
         self._requests: dict[str, Request] = {}
         self._open = 0
         self._max_queue = 0
@@ -430,36 +441,26 @@
     ) -> None:
         """Submit a request to an engine."""
         record = self._records[int(request.id)]
-        record.attempts += 1
         record.sent.append((now_s, engine_id))
-        trace = record.request
-        work = EngineRequest(
-            request.id,
-            request.prompt_tokens,
-            request.max_tokens,
-            engine_priority(request.kind.priority, request.prompt_tokens),
-            group=trace.prefix_group,
-            prefix_tokens=trace.prefix_tokens,
-        )
+        priority = engine_priority(request.kind.priority, request.prompt_tokens)
         engine = self._engines[engine_id]
-        if not engine.submit(work, now_s):
-            self._at(now_s, lambda: self._fail(node, request, engine_id))
-            return
-        self._running[request.id] = (node, engine_id, work)
-        failed = engine.check_cold()
-        if failed:
-            self._break(engine, failed)
+        taken = engine.submit(
+            request.id, record.request, priority, record.received_tokens, now_s
+        )
+        if taken:
+            self._running[request.id] = (node, engine_id)
+            self._schedule(engine)
         else:
-            self._step(engine)
+            self._at(now_s, lambda: self._fail(node, request, engine_id))
 
-    def broadcast_warm(self, sender: ReplayNode, engine_id: str, boot_id: int) -> None:
+    def broadcast_warm(self, sender: ReplayNode, engine_id: str, at_s: float) -> None:
         """Tell the other nodes that a ramp is complete."""
         for node in self._nodes:
             if node is not sender:
                 delay_s = self._rng.uniform(*MARK_DELAY_S)
                 self._at(
                     self._now_s + delay_s,
-                    lambda node=node: node.mark_warm(engine_id, boot_id),
+                    lambda node=node: node.mark_warm(engine_id, at_s),
                 )
 
     def _at(self, at_s: float, action: Callable[[], None]) -> None:
@@ -492,7 +493,7 @@
         )
         self._records.append(record)
         self._arrive_next()
-        if trace.tokens > self.parameters.kv_capacity_tokens:
+        if trace.tokens > self.settings.kv_capacity_tokens:
             # Prompts larger than an engine are refused by the node at once.
             record.refused_s = self._now_s
             return
@@ -521,8 +522,10 @@
         if running is None:
             node.forget(request)
         else:
-            self._engines[running[1]].cancel(running[2])
+            engine = self._engines[running[1]]
+            engine.cancel(request.id)
             node.record_end(request, running[1], self._now_s, False)
+            self._schedule(engine)
         self._close(request)
 
     def _tick(self, node: ReplayNode) -> None:
@@ -534,55 +537,75 @@
         self._at(self._now_s + TICK_S, lambda: self._tick(node))
 
     def _report(self, engine: BenchEngine) -> None:
-        report = engine.report(self._now_s)
+        at_s = self._now_s
+        report = engine.report(at_s)
         for node in self._nodes:
             lag_s = self._rng.uniform(*REPORT_LAG_S)
             self._at(
                 self._now_s + lag_s,
-                lambda node=node: node.receive_report(engine.id, report),
+                lambda node=node: node.receive_report(engine.id, report, at_s),
             )
         self._at(self._now_s + REPORT_INTERVAL_S, lambda: self._report(engine))
 
-    def _step(self, engine: BenchEngine) -> None:
-        if self._stepping.get(engine.id) == engine.boot_id or not engine.busy:
+    def _schedule(self, engine: BenchEngine) -> None:
+        """Plan the next step of an engine."""
+        due_s = engine.model.next_step_s()
+        if due_s is None or self._due_s.get(engine.id) == due_s:
             return
-        boot_id = engine.boot_id
-        self._stepping[engine.id] = boot_id
-        duration_s = engine.begin_step()
-        self._at(
-            self._now_s + duration_s,
-            lambda: self._end_step(engine, boot_id, duration_s),
-        )
+        self._due_s[engine.id] = due_s
+        self._at(due_s, lambda: self._step(engine, due_s))
 
-    def _end_step(self, engine: BenchEngine, boot_id: int, duration_s: float) -> None:
-        if engine.boot_id != boot_id:
+    def _step(self, engine: BenchEngine, due_s: float) -> None:
+        if self._due_s.get(engine.id) != due_s:
             return
-        del self._stepping[engine.id]
-        result = engine.end_step(duration_s, self._now_s)
-        pumped = []
-        for work in result.first:
-            node = self._running[work.request_id][0]
-            record = self._records[int(work.request_id)]
-            if record.first_s is None:
-                record.first_s = self._now_s
-            node.record_first(self._requests[work.request_id], engine.id, self._now_s)
-            pumped.append(node)
-        for work in result.finished:
-            node = self._running.pop(work.request_id)[0]
-            self._records[int(work.request_id)].finished_s = self._now_s
-            request = self._requests[work.request_id]
-            node.record_end(request, engine.id, self._now_s, True)
-            self._close(request)
-            pumped.append(node)
-        for node in dict.fromkeys(pumped):
+        del self._due_s[engine.id]
+        result = engine.step(self._now_s)
+        nodes = [self._take_first(each, engine.id) for each in result.first]
+        nodes += [self._take_finished(each, engine.id) for each in result.finished]
+        self._take_dropped(result.dropped, engine)
+        for node in dict.fromkeys(nodes):
             node.pump(self._now_s)
-        self._step(engine)
+        self._schedule(engine)
+
+    def _take_first(self, request_id: str, engine_id: str) -> ReplayNode:
+        node = self._running[request_id][0]
+        record = self._records[int(request_id)]
+        if record.first_s is None:
+            record.first_s = self._now_s
+        node.record_first(self._requests[request_id], engine_id, self._now_s)
+        return node
+
+    def _take_finished(self, request_id: str, engine_id: str) -> ReplayNode:
+        node = self._running.pop(request_id)[0]
+        request = self._requests[request_id]
+        self._records[int(request_id)].finished_s = self._now_s
+        node.record_end(request, engine_id, self._now_s, True)
+        self._close(request)
+        return node
+
+    def _take_dropped(
+        self, dropped: Sequence[tuple[str, int]], engine: BenchEngine
+    ) -> None:
+        """Fail the streams of a restarted engine.
+
+        A node that sees a stream break reads the load report of that engine at
+        once, learns of the restart and tells the other nodes.
+        """
+        for request_id, received in dropped:
+            node = self._running[request_id][0]
+            self._records[int(request_id)].received_tokens = received
+            if node.mark_cold(engine.id, self._now_s):
+                self._broadcast_cold(node, engine.id)
+        for request_id, _ in dropped:
+            node = self._running[request_id][0]
+            self._fail(node, self._requests[request_id], engine.id)
 
     def _apply(self, fault: Fault) -> None:
         if fault.action == "cold":
             for engine_id in fault.engines:
                 engine = self._engines[engine_id]
-                self._break(engine, engine.become_cold())
+                engine.model.turn_cold(self._now_s, reported=False)
+                self._schedule(engine)
             return
         engine_ids = [
             name
@@ -596,27 +619,13 @@
                 lambda node=node: node.set_drained(engine_ids, fault.action == "drain"),
             )
 
-    def _break(self, engine: BenchEngine, failed: Sequence[EngineRequest]) -> None:
-        """Break the streams of a restarted engine; their nodes mark it cold."""
-        boot_id = engine.boot_id
-        engine.down_until_s = self._now_s + self.parameters.restart_s
-        for work in failed:
-            node = self._running[work.request_id][0]
-            request = self._requests[work.request_id]
-            if node.mark_cold(engine.id, boot_id, self._now_s):
-                self._broadcast_cold(node, engine.id, boot_id)
-            self._at(
-                self._now_s,
-                lambda node=node, request=request: self._fail(node, request, engine.id),
-            )
-
-    def _broadcast_cold(self, sender: ReplayNode, engine_id: str, boot_id: int) -> None:
+    def _broadcast_cold(self, sender: ReplayNode, engine_id: str) -> None:
+        at_s = self._now_s
         for node in self._nodes:
             if node is not sender:
                 delay_s = self._rng.uniform(*MARK_DELAY_S)
                 self._at(
-                    self._now_s + delay_s,
-                    lambda node=node: node.mark_cold(engine_id, boot_id, self._now_s),
+                    at_s + delay_s, lambda node=node: node.mark_cold(engine_id, at_s)
                 )
 
     def _fail(self, node: ReplayNode, request: Request, engine_id: str) -> None:
