Build the program as one zipapp file

Cause: the program ships as one file and no parent process may stay alive. Conclusion: shiv is used; PyInstaller keeps a parent process alive.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,10 @@
 	$(BIN)/ruff check papayarelay
 	$(BIN)/python -m papayarelay.tests
 
+binary: $(STAMP)
+	$(BIN)/python packaging/build.py dist/papayarelay
+	$(BIN)/python packaging/selftest.py dist/papayarelay
+
 format: $(STAMP)
 	$(BIN)/ruff format papayarelay
 	$(BIN)/ruff check --fix papayarelay
--- /dev/null
+++ b/packaging/build.py
@@ -0,0 +1,116 @@
+"""Builds the one-file program from the locked libraries of this environment."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from importlib import metadata
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+LOCK = ROOT / "requirements.lock"
+LOCKED_PATTERN = re.compile(r"^([a-z0-9-]+)==(\S+) ", re.MULTILINE)
+ENTRY_POINT = "papayarelay.__main__:main"
+# -s and -E keep libraries of the user and PYTHONPATH out of the program.
+INTERPRETER = "/usr/bin/env -S python3.11 -sE"
+# Only tests, the demo and benchmarks use these; a node must not contain faults
+# that can be switched on.
+LEFT_OUT = ("tests", "standins", "bench", "demo.py", "local.py")
+LEFT_OUT_LIBRARY_DIRECTORIES = ("tests", "testing", "__pycache__")
+TIMESTAMP_S = "1700000000"
+
+
+def stage(directory: Path) -> None:
+    """Copy the program and its locked libraries into a directory.
+
+    Raises RuntimeError when an installed library is not the locked version.
+    """
+    for name, version in LOCKED_PATTERN.findall(LOCK.read_text()):
+        distribution = metadata.distribution(name)
+        if distribution.version != version:
+            raise RuntimeError(
+                f"{name} {distribution.version} is installed, {version} is locked"
+            )
+        _copy_distribution(distribution, directory)
+    shutil.copytree(
+        ROOT / "papayarelay",
+        directory / "papayarelay",
+        ignore=shutil.ignore_patterns(*LEFT_OUT, "__pycache__"),
+    )
+
+
+def build_shiv(output: Path) -> None:
+    """Build a zipapp that runs with an installed Python 3.11."""
+    with tempfile.TemporaryDirectory() as directory:
+        stage(Path(directory))
+        command = [_tool("shiv"), "--site-packages", directory, "--compressed"]
+        command += ["--reproducible", "-e", ENTRY_POINT, "-p", INTERPRETER]
+        environment = {**os.environ, "SOURCE_DATE_EPOCH": TIMESTAMP_S}
+        _run([*command, "-o", str(output)], environment)
+
+
+def build_pyinstaller(output: Path) -> None:
+    """Build a one-file program with its own Python, to compare with."""
+    with tempfile.TemporaryDirectory() as directory:
+        staged, work = Path(directory, "staged"), Path(directory, "work")
+        staged.mkdir()
+        stage(staged)
+        # A module named __main__ cannot be the script of a frozen program.
+        script = Path(directory, "start.py")
+        script.write_text(
+            "import sys\nfrom papayarelay.__main__ import main\nsys.exit(main())\n"
+        )
+        command = [_tool("pyinstaller"), "--onefile", "--name", output.name]
+        command += ["--paths", str(staged), "--collect-submodules", "papayarelay"]
+        command += ["--copy-metadata", "opentelemetry-sdk"]
+        command += ["--copy-metadata", "opentelemetry-api"]
+        command += ["--collect-submodules", "opentelemetry", "--log-level", "ERROR"]
+        command += ["--distpath", str(output.parent), "--workpath", str(work)]
+        # Submodules are collected by a process that does not know --paths.
+        environment = {**os.environ, "PYTHONPATH": str(staged)}
+        _run([*command, "--specpath", directory, str(script)], environment)
+
+
+def _copy_distribution(distribution: metadata.Distribution, target: Path) -> None:
+    for file in distribution.files or ():
+        if file.parts[0] == ".." or file.is_absolute():
+            continue
+        if set(file.parts[:-1]) & set(LEFT_OUT_LIBRARY_DIRECTORIES):
+            continue
+        source = Path(distribution.locate_file(file))
+        destination = target / file
+        destination.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copyfile(source, destination)
+
+
+def _tool(name: str) -> str:
+    return str(Path(sys.executable).parent / name)
+
+
+def _run(command: list[str], environment: dict[str, str]) -> None:
+    subprocess.run(command, env=environment, check=True, stdout=subprocess.DEVNULL)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Build one variant; return the process exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("output", type=Path, help="file to write")
+    parser.add_argument("--pyinstaller", action="store_true", help="compare with this")
+    namespace = parser.parse_args(argv)
+    # File modes go into the file, which is to be the same for every builder.
+    os.umask(0o022)
+    output = namespace.output.resolve()
+    output.parent.mkdir(parents=True, exist_ok=True)
+    build = build_pyinstaller if namespace.pyinstaller else build_shiv
+    build(output)
+    print(f"{namespace.output}: {output.stat().st_size / 2**20:.1f} MiB")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packaging/running.py
@@ -0,0 +1,119 @@
+"""Runs a built program in a clean environment and looks at its processes."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+LIMIT_S = 60.0
+# A RAM-backed directory, as on the VMs, which have no disks.
+RAM_DIRECTORY = "/dev/shm"
+SETTINGS = {
+    "name": "selftest",
+    "data_centre": "dc1",
+    "region": "r1",
+    # Nothing listens here; the node starts and waits for its configuration.
+    "store_url": "http://127.0.0.1:9",
+    "vms_url": "http://127.0.0.1:9",
+    "cluster_key_file": "cluster.key",
+    "operator_token_file": "operator.token",
+    "caller_address": "127.0.0.1:0",
+    "operator_address": "127.0.0.1:0",
+    "node_address": "127.0.0.1:0",
+    "drain_grace_s": 0.1,
+}
+
+
+@dataclass(frozen=True)
+class Installed:
+    """A built program with the directory into which it unpacks itself."""
+
+    command: tuple[str, ...]
+    directory: Path
+
+    @property
+    def settings_file(self) -> Path:
+        """Return a settings file that the program accepts."""
+        return self.directory / "node.json"
+
+    def environment(self) -> dict[str, str]:
+        """Return an environment without the virtual environment of the build."""
+        interpreter = Path(sys.base_prefix, "bin")
+        return {
+            "PATH": f"{interpreter}:/usr/bin:/bin",
+            "HOME": str(self.directory),
+            "TMPDIR": str(self.directory),
+            "SHIV_ROOT": str(self.directory / "unpacked"),
+        }
+
+    def run(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Run the program to its end."""
+        return subprocess.run(
+            [*self.command, *arguments],
+            env=self.environment(),
+            cwd=self.directory,
+            capture_output=True,
+            text=True,
+            timeout=LIMIT_S,
+            check=False,
+        )
+
+    @contextlib.contextmanager
+    def run_node(self) -> Iterator[tuple[subprocess.Popen, dict]]:
+        """Yield a started node and its addresses, then stop it as planned."""
+        command = [*self.command, "node", "--settings", str(self.settings_file)]
+        process = subprocess.Popen(
+            command,
+            env=self.environment(),
+            cwd=self.directory,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        try:
+            yield process, json.loads(process.stdout.readline())
+            process.terminate()
+            if process.wait(LIMIT_S) != 0:
+                raise RuntimeError(f"node ended with code {process.returncode}")
+        finally:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+            process.stdout.close()
+
+
+@contextlib.contextmanager
+def install(command: tuple[str, ...]) -> Iterator[Installed]:
+    """Yield a program with an empty directory in RAM, removed at the end."""
+    with tempfile.TemporaryDirectory(dir=RAM_DIRECTORY) as directory:
+        installed = Installed(command, Path(directory))
+        installed.settings_file.write_text(json.dumps(SETTINGS))
+        (installed.directory / "cluster.key").write_text("0123456789abcdef" * 4)
+        (installed.directory / "operator.token").write_text("selftest-token\n")
+        yield installed
+
+
+def list_processes(root: int) -> list[int]:
+    """Return a process and all its descendants, as /proc shows them."""
+    parents = {}
+    for entry in os.listdir("/proc"):
+        if entry.isdigit():
+            with contextlib.suppress(OSError):
+                fields = Path("/proc", entry, "stat").read_text().rpartition(")")[2]
+                parents[int(entry)] = int(fields.split()[1])
+    found = [root]
+    for process in found:
+        found += [child for child, parent in parents.items() if parent == process]
+    return found
+
+
+def resident_bytes(process: int) -> int:
+    """Return the memory that a process uses, in bytes."""
+    pages = int(Path("/proc", str(process), "statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
