Escape names in mistakes of a document

Cause: since hints always name the nearest key, a hint could contain a name with characters that a terminal or log cannot show; the generated documents of test_config found it. Change: SettingsError escapes its path, allowed values and hint. Measured: python -m papayarelay.tests papayarelay.tests.test_config papayarelay.tests.test_settings papayarelay.tests.test_logs papayarelay.tests.test_program, 42 passed. Conclusion: messages are printable ASCII for every generated document.

--- a/papayarelay/document.py
+++ b/papayarelay/document.py
@@ -55,11 +55,8 @@
 
 
 def join_path(path: str, name: object) -> str:
-    """Return the path of an entry below another path, in printable ASCII."""
-    name = str(name)
-    if not (name.isascii() and name.isprintable()):
-        name = ascii(name)
-    return f"{path}.{name}" if path else name
+    """Return the path of an entry below another path."""
+    return f"{path}.{name}" if path else str(name)
 
 
 def suggest(name: str, known: Iterable[str]) -> str:
--- a/papayarelay/errors.py
+++ b/papayarelay/errors.py
@@ -148,14 +148,22 @@
         shown = value if value is ABSENT else ascii(value)
         if len(shown) > SHOWN_VALUE_LIMIT:
             shown = f"{shown[:SHOWN_VALUE_LIMIT]}..."
-        message = f"{path or 'document'}: found {shown}, expected {allowed}"
+        # Names in a bad document may contain anything, also terminal controls.
+        self.path = _escape(path)
+        self.value = value
+        self.allowed = _escape(allowed)
+        self.hint = _escape(hint)
+        message = f"{self.path or 'document'}: found {shown}, expected {self.allowed}"
         if hint:
-            message = f"{message}; {hint}"
+            message = f"{message}; {self.hint}"
         super().__init__(message, step="settings", peer="operator")
-        self.path = path
-        self.value = value
-        self.allowed = allowed
-        self.hint = hint
 
     def __str__(self) -> str:
         return self.message
+
+
+def _escape(text: str) -> str:
+    """Return the text in printable ASCII."""
+    if text.isascii() and text.isprintable():
+        return text
+    return ascii(text)[1:-1]
