--- a/papayarelay/callers/api.py
+++ b/papayarelay/callers/api.py
@@ -20,8 +20,10 @@
 from .body import BodyMemory, body_size, read_body
 from .gate import Gate
 from .parse import Caller, KeyIndex, parse_engine_request, parse_service_request
+from .record import RequestRecorder
 
 JSON_TYPE = "application/json"
+KEEP_ALIVE_EVENT = b": keep-alive\n\n"
 STREAM_TYPE = "text/event-stream; charset=utf-8"
 
 
@@ -39,6 +41,7 @@
         dispatcher: Dispatcher,
         jobs: JobRunner,
         gate: Gate,
+        recorder: RequestRecorder,
         body_limit_bytes: int,
         body_memory_bytes: int,
         clock: Callable[[], float] = time.monotonic,
@@ -47,6 +50,7 @@
         self._dispatcher = dispatcher
         self._jobs = jobs
         self._gate = gate
+        self._recorder = recorder
         self._body_limit_bytes = body_limit_bytes
         self._clock = clock
         self._config = Config()
@@ -90,36 +94,49 @@
 
     def _serve_engine(self):
         """Answer one request to an engine."""
+        path = bottle.request.environ["PATH_INFO"]
+        return self._serve(parse_engine_request, path, self._answer_engine)
+
+    def _serve_service(self, kind: str):
+        """Answer one request to a plain service."""
+        return self._serve(parse_service_request, kind, self._answer_service)
+
+    def _serve(self, parse: Callable, name: str, respond: Callable):
+        """Admit a request and answer it; errors become answers too."""
         environ = bottle.request.environ
         stack = ExitStack()
+        request = None
         try:
-            request = self._admit(
-                stack, environ, parse_engine_request, environ["PATH_INFO"]
-            )
-            if request.stream:
-                return self._stream_response(stack, request, environ)
-            with stack:
-                sock = environ["papayarelay.socket"]
-                execute = partial(self._collect, sock)
-                return _whole_response(request, self._execute(request, execute))
+            request = self._admit(stack, environ, parse, name)
+            return respond(stack, request, environ)
         except RelayError as error:
             stack.close()
+            if request is None:
+                self._recorder.rejected(error)
+            else:
+                self._recorder.failed(request, error)
             return _error_response(error)
         except BaseException:
             stack.close()
             raise
 
-    def _serve_service(self, kind: str):
-        """Answer one request to a plain service."""
-        with ExitStack() as stack:
-            try:
-                request = self._admit(
-                    stack, bottle.request.environ, parse_service_request, kind
-                )
-                reply = self._execute(request, self._dispatcher.call)
-            except RelayError as error:
-                return _error_response(error)
-            return _whole_response(request, reply)
+    def _answer_engine(self, stack: ExitStack, request: Request, environ: dict):
+        if request.stream:
+            return self._stream_response(stack, request, environ)
+        collect = partial(self._collect, environ["papayarelay.socket"])
+        return self._whole_response(stack, request, collect)
+
+    def _answer_service(self, stack: ExitStack, request: Request, environ: dict):
+        return self._whole_response(stack, request, self._dispatcher.call)
+
+    def _whole_response(
+        self, stack: ExitStack, request: Request, execute: Callable
+    ) -> bottle.HTTPResponse:
+        reply = self._execute(request, execute)
+        self._recorder.finished(request)
+        stack.close()
+        headers = {"Content-Type": reply.content_type, "X-Request-Id": request.id}
+        return bottle.HTTPResponse(reply.body, reply.status, headers)
 
     def _execute(self, request: Request, execute: Callable) -> ServiceAnswer:
         """Run a request, under a claim unless its kind is idempotent."""
@@ -141,19 +158,23 @@
             stack.enter_context(self.body_memory.reserve(size))
             body = read_body(environ, size, self._body_limit_bytes)
             headers = bottle.request.headers
-            return parse(self._config, caller, name, headers, body, self._clock())
+            now_s = self._clock()
+            request = parse(self._config, caller, name, headers, body, now_s)
         except RelayError as error:
             if "HTTP_IDEMPOTENCY_KEY" in environ:
                 # An earlier request under the same key may have run.
                 error.outcome = Outcome.UNKNOWN
             raise
+        self._recorder.admitted(request)
+        return request
 
     def _collect(self, sock, request: Request, guard: DispatchGuard) -> ServiceAnswer:
         """Return the whole answer of an engine."""
         parts: list[str] = []
         reason = None
         received = 0
-        for chunk in self._dispatcher.stream(request, guard):
+        chunks = self._recorder.watch(request, self._dispatcher.stream(request, guard))
+        for chunk in chunks:
             if chunk.event:
                 parts.append(chunk.content)
                 reason = chunk.finish_reason or reason
@@ -169,17 +190,38 @@
     ) -> bottle.HTTPResponse:
         """Wait for the first chunk, so that a failure before it has a status."""
         sock = environ["papayarelay.socket"]
-        chunks = self._dispatcher.stream(request)
-        stack.callback(chunks.close)
+        source = self._dispatcher.stream(request)
+        stack.callback(source.close)
+        chunks = self._recorder.watch(request, source)
         first = _wait_for_first(chunks, sock)
         headers = {
             "Content-Type": STREAM_TYPE,
             "Cache-Control": "no-cache",
             "X-Request-Id": request.id,
         }
-        events = _EventBody(_events(first, chunks), stack)
+        events = _EventBody(self._events(request, first, chunks), stack)
         return bottle.HTTPResponse(events, 200, headers)
 
+    def _events(
+        self, request: Request, first: Chunk, chunks: Iterator[Chunk]
+    ) -> Iterator[bytes]:
+        """Yield the events for the caller, the last one an error if need be."""
+        try:
+            yield first.event
+            for chunk in chunks:
+                # The engine's comment is passed on, so that a caller that has
+                # gone is noticed while no token arrives.
+                yield chunk.event or KEEP_ALIVE_EVENT
+        except RelayError as error:
+            self._recorder.failed(request, error)
+            yield answer.error_event(error)
+        except GeneratorExit:
+            self._recorder.failed(request, _caller_gone())
+            raise
+        else:
+            self._recorder.finished(request)
+            yield answer.DONE_EVENT
+
 
 class _EventBody:
     """The events of an answer; releases what the request holds at the end."""
@@ -197,11 +239,6 @@
         self._stack.close()
 
 
-def _whole_response(request: Request, reply: ServiceAnswer) -> bottle.HTTPResponse:
-    headers = {"Content-Type": reply.content_type, "X-Request-Id": request.id}
-    return bottle.HTTPResponse(reply.body, reply.status, headers)
-
-
 def _wait_for_first(chunks: Iterator[Chunk], sock) -> Chunk:
     for chunk in chunks:
         if chunk.event:
@@ -216,19 +253,6 @@
     )
 
 
-def _events(first: Chunk, chunks: Iterator[Chunk]) -> Iterator[bytes]:
-    """Yield the events for the caller, the last one an error if need be."""
-    yield first.event
-    try:
-        for chunk in chunks:
-            # The engine's comment is passed on, so that a caller that has gone
-            # is noticed while no token arrives.
-            yield chunk.event or b": keep-alive\n\n"
-        yield answer.DONE_EVENT
-    except RelayError as error:
-        yield answer.error_event(error)
-
-
 def _caller_gone() -> CallerGoneError:
     return CallerGoneError(
         "caller closed the connection",
--- /dev/null
+++ b/papayarelay/callers/record.py
@@ -0,0 +1,86 @@
+"""Metrics and log lines of caller requests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from ..backends.stream import Chunk
+from ..errors import Outcome, OverloadError, RelayError
+from ..events import Event
+from ..logs import log
+from ..metrics import Metrics
+from ..request import Request
+
+UNKNOWN_LABEL = "unknown"
+
+
+class RequestRecorder:
+    """Records what happens to the requests of a node."""
+
+    def __init__(self, metrics: Metrics, clock: Callable[[], float]):
+        self._metrics = metrics
+        self._clock = clock
+
+    def admitted(self, request: Request) -> None:
+        """Record a request that has passed validation."""
+        self._metrics.record_admitted(request.member, request.kind.name)
+
+    def rejected(self, error: RelayError) -> None:
+        """Record a request that was refused before it was validated."""
+        self._metrics.record_refused(UNKNOWN_LABEL, UNKNOWN_LABEL, error.code)
+
+    def finished(self, request: Request) -> None:
+        """Record a complete answer."""
+        member, kind = request.member, request.kind.name
+        self._metrics.record_finished(member, kind, Outcome.COMPLETED)
+        duration_s = self._clock() - request.received_s
+        log(
+            Event.REQUEST_FINISHED,
+            request=request.id,
+            member=member,
+            kind=kind,
+            prompt_tokens=request.prompt_tokens,
+            duration_s=round(duration_s, 3),
+        )
+
+    def failed(self, request: Request, error: RelayError) -> None:
+        """Record a request that ended with an error."""
+        member, kind = request.member, request.kind.name
+        if isinstance(error, OverloadError):
+            self._metrics.record_refused(member, kind, error.code)
+        self._metrics.record_finished(member, kind, error.outcome, error.code)
+        log(
+            _failure_event(request, error),
+            request=request.id,
+            member=member,
+            kind=kind,
+            error=error,
+        )
+
+    def watch(self, request: Request, chunks: Iterator[Chunk]) -> Iterator[Chunk]:
+        """Pass chunks on and record the times of their tokens."""
+        first = True
+        last_s = request.received_s
+        intervals = self._metrics.token_intervals
+        for chunk in chunks:
+            if chunk.content:
+                now_s = self._clock()
+                if first:
+                    self._metrics.record_first_token(
+                        request.kind.name, request.prompt_tokens, now_s - last_s
+                    )
+                    first = False
+                else:
+                    intervals.record(now_s - last_s)
+                last_s = now_s
+            yield chunk
+
+
+def _failure_event(request: Request, error: RelayError) -> Event:
+    if error.code == "caller_gone":
+        return Event.CALLER_GONE
+    if isinstance(error, OverloadError):
+        return Event.OVERLOADED
+    if not request.kind.idempotent and error.outcome is Outcome.UNKNOWN:
+        return Event.JOB_UNCERTAIN
+    return Event.REQUEST_FAILED
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -18,13 +18,17 @@
 from .backends.watcher import Watcher
 from .callers.api import CallerApi
 from .callers.gate import Gate
+from .callers.record import RequestRecorder
 from .callers.server import CallerServer
 from .claim import Claims
 from .config import Config
 from .config_feed import ConfigFeed
 from .dispatch import Dispatcher
 from .errors import UnknownResourceError
+from .events import Event as LogEvent
 from .job import JobRunner
+from .logs import log, set_up_logs
+from .metrics import Metrics
 from .nodes.peering import Peering
 from .operators.api import OperatorApi
 from .retry import RetryBudget
@@ -34,6 +38,7 @@
 from .store.client import TableClient
 
 START_RETRY_S = 0.5
+WITHOUT_PLACE = "unknown"
 
 
 class Node:
@@ -50,6 +55,7 @@
         self._clock = clock
         self._rng = random.Random(seed)
         self.gate = Gate()
+        self.metrics = Metrics()
         self.store = TableClient(settings.store_url, settings.store_timeout_s)
         self.backends = BackendTable(self._rng)
         policy = POLICIES[settings.routing_policy]()
@@ -77,6 +83,7 @@
             self.dispatcher,
             JobRunner(self.claims, clock),
             self.gate,
+            RequestRecorder(self.metrics, clock),
             settings.body_limit_bytes,
             settings.body_memory_bytes,
             clock,
@@ -87,6 +94,7 @@
             settings.caller_connections_limit,
         )
         self._operator_server = self._create_operator_server(operator_token)
+        self._observe()
 
     @property
     def caller_address(self) -> str:
@@ -106,11 +114,13 @@
         self._server.start()
         self.peering.start()
         self._print_addresses()
+        log(LogEvent.NODE_STARTED, address=self.caller_address)
         while not self._get_config():
             gevent.sleep(START_RETRY_S)
         self.feed.start()
         self.scheduler.start()
         self.gate.ready = True
+        log(LogEvent.NODE_READY, version=self.feed.config.version)
 
     def _get_config(self) -> bool:
         """Get the first configuration; return whether there is one.
@@ -210,13 +220,40 @@
         ]
 
     def _create_operator_server(self, token: str) -> pywsgi.WSGIServer:
-        api = OperatorApi(self, token, lambda: b"")
+        api = OperatorApi(self, token, self.metrics.render)
         host, _, port = self.settings.operator_address.rpartition(":")
         return pywsgi.WSGIServer(
             (host, int(port)), api.create_app(), log=None, error_log=None
         )
 
+    def _observe(self) -> None:
+        """Publish the plain counters of the parts."""
+        counters = self.dispatcher.counters
+        observe = self.metrics.observe_gauge
+        observe("requests_in_flight", "Requests in flight", lambda: self.gate.inflight)
+        observe("requests_queued", "Requests queued", lambda: len(self.scheduler.queue))
+        observe(
+            "config_version",
+            "Configuration version in force",
+            lambda: self.feed.config.version,
+        )
+        self.metrics.observe_counter(
+            "chunks_refused",
+            "Chunks that were not passed on to a caller",
+            lambda: {
+                "other_request": counters.other_request,
+                "duplicate": counters.duplicate,
+                "malformed": counters.malformed,
+            },
+        )
+        self.metrics.observe_counter(
+            "attempts_repeated",
+            "Attempts after the first",
+            lambda: {"failure": self.dispatcher.retries},
+        )
+
     def _apply_config(self, config: Config) -> None:
+        log(LogEvent.CONFIG_APPLIED, version=config.version)
         self.backends.apply(config)
         self._api.apply(config)
         self._divide_work()
@@ -257,6 +294,8 @@
     The first signal starts a planned stop, a second one ends the process at
     once with exit code 1 if requests were interrupted.
     """
+    set_up_logs(settings.name, settings.log_level)
+    gevent.get_hub().print_exception = _log_task_failure
     node = Node(settings, _read_token(settings))
     stopping, ending = Event(), Event()
 
@@ -272,13 +311,28 @@
         node.close()
         return 1
     starter.kill()
+    log(LogEvent.SHUTDOWN_STARTED, requests_count=node.gate.inflight)
     stopper = gevent.spawn(node.stop)
     gevent.wait([stopper, ending], count=1)
     interrupted = node.gate.inflight
     node.close()
+    event = LogEvent.SHUTDOWN_FORCED if interrupted else LogEvent.SHUTDOWN_FINISHED
+    log(event, requests_count=interrupted)
     return 1 if interrupted else 0
 
 
+def _log_task_failure(context, kind, error, traceback) -> None:
+    """Log an error that ended a task; replaces gevent's traceback."""
+    frame = traceback
+    while frame is not None and frame.tb_next is not None:
+        frame = frame.tb_next
+    place = WITHOUT_PLACE
+    if frame is not None:
+        name = frame.tb_frame.f_globals.get("__name__", "")
+        place = f"{name}:{frame.tb_lineno}"
+    log(LogEvent.TASK_FAILED, task=place, error=error)
+
+
 def _unknown_target(name: str) -> UnknownResourceError:
     return UnknownResourceError(
         f"{name!r} is no data centre or backend server", step="drain", peer="operator"
