Test the node end to end and fix what the tests found

Cause: with little traffic one dead engine used up the retry budget (4 of 10 requests failed, test_engine_gone) before its circuit opened at 5 failures; an answer of a plain service to another request reached the caller (test_crossed_answer); a caller's queue wait could hide that an earlier attempt may have run. Change: the circuit opens at 3 failures, which is not above the retry reserve; a refused connection is retried once per server without the budget; answers of plain services are tied to the request id; all attempts of a request share one record of what may have run.

--- a/papayarelay/backends/service.py
+++ b/papayarelay/backends/service.py
@@ -60,6 +60,8 @@
         message = f"no complete answer: {type(error).__name__}"
         raise _error(pool, message, Outcome.UNKNOWN) from error
     response.close()
+    if response.headers.get("X-Request-Id", request.id) != request.id:
+        raise _error(pool, "answer belongs to another request", Outcome.UNKNOWN)
     if len(body) > ANSWER_LIMIT_BYTES:
         raise _error(pool, "answer exceeds the limit", Outcome.UNKNOWN)
     content_type = response.headers.get("Content-Type", "application/json")
--- a/papayarelay/circuit.py
+++ b/papayarelay/circuit.py
@@ -6,7 +6,9 @@
 import random
 from collections import deque
 
-FAILURE_THRESHOLD = 5
+# Not above the reserve of the retry budget, so that on a node with little
+# traffic one failing server cannot use up the retries before it is left out.
+FAILURE_THRESHOLD = 3
 FAILURE_RATE = 0.5
 WINDOW_S = 10.0
 OPEN_S = 1.0
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from .backends import engine, service
@@ -41,6 +42,20 @@
 NO_GUARD = _NoGuard()
 
 
+@dataclass
+class _Progress:
+    """What the attempts of one request have led to."""
+
+    received: int = 0
+    tried: set[str] = field(default_factory=set)
+    may_have_run: bool = False
+
+    def correct(self, error: RelayError) -> None:
+        """Give the final error the outcome of all attempts together."""
+        if self.may_have_run:
+            error.outcome = Outcome.UNKNOWN
+
+
 class Dispatcher:
     """Runs requests on the backend servers of a table."""
 
@@ -68,25 +83,19 @@
         Raises ``RelayError`` when the request fails; its outcome is ``not_run``
         only when no attempt may have run.
         """
-        cost = estimate_cost(request)
         self._budget.record_request(self._clock())
-        received = 0
-        tried: frozenset[str] = frozenset()
-        may_have_run = False
-        while True:
-            entry = None
-            try:
-                for entry in self._queue(request, cost, tried):
-                    if entry is None:
-                        yield KEEP_ALIVE
-                for chunk in self._attempt(entry, request, received, guard):
-                    received = chunk.offset if chunk.event else received
-                    yield chunk
-                return
-            except RelayError as error:
-                may_have_run |= error.outcome is not Outcome.NOT_RUN
-                self._check_retry(request, error, entry, may_have_run)
-                tried |= {entry.id}
+        progress = _Progress()
+        try:
+            while True:
+                entry = yield from self._wait(request, progress)
+                try:
+                    yield from self._attempt(entry, request, progress, guard)
+                    return
+                except (BackendError, OverloadError) as error:
+                    self._check_retry(request, error, entry, progress)
+        except RelayError as error:
+            progress.correct(error)
+            raise
 
     def call(
         self, request: Request, guard: DispatchGuard = NO_GUARD
@@ -96,32 +105,31 @@
         A request is sent again only when no byte of it was sent before, or
         when its kind is idempotent.
         """
-        cost = Cost(0, 0)
         self._budget.record_request(self._clock())
-        tried: frozenset[str] = frozenset()
-        may_have_run = False
-        while True:
-            entry = None
-            try:
-                for found in self._queue(request, cost, tried):
-                    entry = found
-                return self._call_once(entry, request, guard)
-            except RelayError as error:
-                may_have_run |= error.outcome is not Outcome.NOT_RUN
-                self._check_retry(request, error, entry, may_have_run)
-                tried |= {entry.id}
-
-    def _queue(
-        self, request: Request, cost: Cost, tried: frozenset[str]
-    ) -> Iterator[BackendEntry | None]:
-        """Wait for a backend server: yield None for each tick, then the server."""
+        progress = _Progress()
+        try:
+            while True:
+                entry = _finish(self._wait(request, progress))
+                try:
+                    return self._call_once(entry, request, guard)
+                except BackendError as error:
+                    self._check_retry(request, error, entry, progress)
+        except RelayError as error:
+            progress.correct(error)
+            raise
+
+    def _wait(
+        self, request: Request, progress: _Progress
+    ) -> Generator[Chunk, None, BackendEntry]:
+        """Wait in the queue, with a keep-alive for each tick; return the server."""
         if request.time_left_s(self._clock()) <= 0:
             raise DeadlineError("deadline passed", step="route", peer="backends")
-        ticket = self._scheduler.offer(request, cost, tried)
+        cost = _cost_of(request)
+        ticket = self._scheduler.offer(request, cost, frozenset(progress.tried))
         try:
             while (entry := ticket.wait(QUEUE_TICK_S)) is None:
-                yield None
-            yield entry
+                yield KEEP_ALIVE
+            return entry
         finally:
             self._scheduler.withdraw(ticket)
 
@@ -129,21 +137,22 @@
         self,
         entry: BackendEntry,
         request: Request,
-        received: int,
+        progress: _Progress,
         guard: DispatchGuard,
     ) -> Iterator[Chunk]:
         """Yield the rest of the answer from one engine."""
-        cost = estimate_cost(request)
+        cost = _cost_of(request)
         now_s = self._clock()
         guard.begin()
         try:
             with (
                 self._table.hold(entry, cost, now_s),
                 engine.open_stream(
-                    entry.pool, request, received, self.counters, now_s
+                    entry.pool, request, progress.received, self.counters, now_s
                 ) as stream,
             ):
                 for chunk in stream:
+                    progress.received = stream.offset
                     yield chunk
                     self._check_deadline(request, entry.id)
                     stream.limit_read(request.time_left_s(self._clock()))
@@ -166,7 +175,7 @@
         now_s = self._clock()
         guard.begin()
         try:
-            with self._table.hold(entry, Cost(0, 0), now_s):
+            with self._table.hold(entry, _cost_of(request), now_s):
                 answer = service.call(entry.pool, request, now_s)
         except RelayError as error:
             if error.outcome is Outcome.NOT_RUN:
@@ -196,18 +205,33 @@
         self,
         request: Request,
         error: RelayError,
-        entry: BackendEntry | None,
-        may_have_run: bool,
+        entry: BackendEntry,
+        progress: _Progress,
     ) -> None:
         """Raise the error when the request must not be sent again."""
-        if may_have_run:
-            error.outcome = Outcome.UNKNOWN
-        # Without a server the queue itself refused the request.
-        retryable = entry is not None and isinstance(
-            error, (BackendError, OverloadError)
-        )
-        if may_have_run and not request.kind.idempotent:
-            retryable = False
-        if not retryable or not self._budget.allow(self._clock()):
+        first = entry.id not in progress.tried
+        progress.tried.add(entry.id)
+        progress.may_have_run |= error.outcome is not Outcome.NOT_RUN
+        if progress.may_have_run and not request.kind.idempotent:
+            raise error
+        # A refused connection costs the server nothing, and each is tried once.
+        refused = isinstance(error, BackendError) and error.outcome is Outcome.NOT_RUN
+        if not (first and refused) and not self._budget.allow(self._clock()):
             raise error
         self.retries += 1
+
+
+def _cost_of(request: Request) -> Cost:
+    """Return the cost in tokens; a plain service has none."""
+    if request.kind.target == "engine":
+        return estimate_cost(request)
+    return Cost(0, 0)
+
+
+def _finish(wait: Generator[Chunk, None, BackendEntry]) -> BackendEntry:
+    """Return the server at the end of a wait."""
+    while True:
+        try:
+            next(wait)
+        except StopIteration as end:
+            return end.value
--- a/papayarelay/local.py
+++ b/papayarelay/local.py
@@ -10,14 +10,14 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 from pathlib import Path
 
 import msgspec
 import urllib3
 
-from .store.client import Check, TableClient, Write
+from .store.client import TableClient, Write
 
 START_LIMIT_S = 30.0
 STOP_LIMIT_S = 20.0
@@ -25,6 +25,7 @@
 
 MODEL = "prompt-1m"
 OPERATOR_TOKEN = "local-operator-token"
+DATA_CENTRES = ("dc1", "dc2", "dc3")
 MEMBERS = {
     "engravers": {"share": 0.5, "organisations": ("front_desk", "workshop")},
     "dentists": {"share": 0.5, "organisations": ("travelling", "office")},
@@ -153,7 +154,7 @@
         self.service_addresses = [
             self._start_standin("service") for _ in range(services)
         ]
-        self.write_config(self.document())
+        write_config(f"http://{self.store_address}", self.document())
         for index in range(nodes):
             self.start_node(index)
         for address in self.node_addresses:
@@ -172,58 +173,7 @@
 
     def document(self) -> dict:
         """Return the configuration document of this system."""
-        members = {
-            name: {
-                "share": member["share"],
-                "organisations": {
-                    organisation: {
-                        "weight": 1,
-                        "key_sha256": [_digest(api_key(organisation))],
-                    }
-                    for organisation in member["organisations"]
-                },
-            }
-            for name, member in MEMBERS.items()
-        }
-        centres = ("dc1", "dc2", "dc3")
-        backends = {}
-        for index, address in enumerate(self.engine_addresses):
-            backends[f"engine-{index + 1}"] = {
-                "target": "engine",
-                "data_centre": centres[index % len(centres)],
-                "url": f"http://{address}",
-                "models": [MODEL],
-            }
-        for index, address in enumerate(self.service_addresses):
-            backends[f"service-{index + 1}"] = {
-                "target": "service",
-                "data_centre": centres[index % len(centres)],
-                "url": f"http://{address}",
-                "kinds": ["engraving_job"],
-            }
-        return {
-            "members": members,
-            "kinds": KINDS
-            if self.service_addresses
-            else {
-                name: kind for name, kind in KINDS.items() if kind["target"] == "engine"
-            },
-            "data_centres": {name: {"region": "r1"} for name in centres},
-            "backends": backends,
-            "models": {MODEL: {"context_tokens": 1_100_000}},
-            "limits": {},
-        }
-
-    def write_config(self, document: Mapping[str, object], version: int = 1) -> None:
-        """Put a configuration document into the table service."""
-        client = TableClient(f"http://{self.store_address}")
-        client.start()
-        rows = {name: json.dumps(text) for name, text in document.items()}
-        rows["version"] = str(version)
-        writes = [Write(f"config/{k}", v.encode()) for k, v in rows.items()]
-        checks: list[Check] = []
-        client.transact(checks, writes)
-        client.close()
+        return local_document(self.engine_addresses, self.service_addresses)
 
     def start_node(self, index: int) -> Process:
         """Start one node and wait until it listens."""
@@ -304,3 +254,57 @@
 
 def _digest(key: str) -> str:
     return hashlib.sha256(key.encode()).hexdigest()
+
+
+def local_document(engines: Sequence[str], services: Sequence[str]) -> dict:
+    """Return a configuration document; arguments are ``host:port`` addresses."""
+    kinds = {
+        name: kind
+        for name, kind in KINDS.items()
+        if services or kind["target"] == "engine"
+    }
+    backends = {
+        f"engine-{index + 1}": _backend(index, address) | {"models": [MODEL]}
+        for index, address in enumerate(engines)
+    } | {
+        f"service-{index + 1}": _backend(index, address)
+        | {"target": "service", "kinds": ["engraving_job"]}
+        for index, address in enumerate(services)
+    }
+    return {
+        "members": {name: _member(member) for name, member in MEMBERS.items()},
+        "kinds": kinds,
+        "data_centres": {name: {"region": "r1"} for name in DATA_CENTRES},
+        "backends": backends,
+        "models": {MODEL: {"context_tokens": 1_100_000}},
+        "limits": {},
+    }
+
+
+def write_config(
+    store_url: str, document: Mapping[str, object], version: int = 1
+) -> None:
+    """Put a configuration document into the table service."""
+    client = TableClient(store_url)
+    client.start()
+    rows = {name: json.dumps(section) for name, section in document.items()}
+    rows["version"] = str(version)
+    writes = [Write(f"config/{name}", text.encode()) for name, text in rows.items()]
+    client.transact([], writes)
+    client.close()
+
+
+def _backend(index: int, address: str) -> dict:
+    return {
+        "target": "engine",
+        "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)],
+        "url": f"http://{address}",
+    }
+
+
+def _member(member: Mapping[str, object]) -> dict:
+    organisations = {
+        name: {"key_sha256": [_digest(api_key(name))]}
+        for name in member["organisations"]
+    }
+    return {"share": member["share"], "organisations": organisations}
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -17,6 +17,7 @@
 from .backends.table import BackendTable
 from .backends.watcher import Watcher
 from .callers.api import CallerApi
+from .callers.body import BodyMemory
 from .callers.gate import Gate
 from .callers.record import RequestRecorder
 from .callers.server import CallerServer
@@ -76,9 +77,7 @@
             settings, self.backends, self.feed, self._divide_work, self._rng, clock
         )
         self._watcher = Watcher(self.backends, self._record_load, self._rng, clock)
-        self.claims = Claims(
-            self.store, scopes=self._claim_scopes, writes_per_s=1.0, clock=clock
-        )
+        self.claims = Claims(self.store, scopes=self._claim_scopes, clock=clock)
         self._api = CallerApi(
             self.dispatcher,
             JobRunner(self.claims, clock),
@@ -101,6 +100,11 @@
         """Return the address for callers as ``host:port``."""
         return self._server.address
 
+    @property
+    def body_memory(self) -> BodyMemory:
+        """Return the memory that request bodies hold."""
+        return self._api.body_memory
+
     @property
     def operator_address(self) -> str:
         """Return the address for operators as ``host:port``."""
--- /dev/null
+++ b/papayarelay/tests/test_node.py
@@ -0,0 +1,309 @@
+"""Tests of a node with stand-ins, through its caller interface."""
+
+import json
+import random
+import socket
+import unittest
+
+import gevent
+import openai
+import urllib3
+
+from ..bench.client import Caller, expected_answer
+from ..demo import make_prompt
+from ..local import api_key
+from ..standins.tables import Faults
+from .system import MODEL, System, wait_for
+
+TOKENS = 8
+SEED = 5
+LIMIT_S = 30.0
+
+
+def make_prompts(count: int) -> list[str]:
+    """Return prompts that all differ."""
+    return [make_prompt(50, random.Random(f"{SEED}-{n}")) for n in range(count)]
+
+
+class StockClientTest(unittest.TestCase):
+    """Guards against wrong, mixed up or cut answers to the stock client."""
+
+    def setUp(self):
+        self.system = self.enterContext(System(engines=3))
+        self.client = openai.OpenAI(
+            base_url=f"{self.system.url()}/v1",
+            api_key=api_key("front_desk"),
+            max_retries=0,
+        )
+        self.addCleanup(self.client.close)
+
+    def _create(self, prompt: str, **options):
+        return self.client.chat.completions.create(
+            model=MODEL,
+            messages=[{"role": "user", "content": prompt}],
+            max_tokens=TOKENS,
+            **options,
+        )
+
+    def _is_right(self, prompt: str, stream: bool) -> bool:
+        if not stream:
+            answer = self._create(prompt)
+            text = answer.choices[0].message.content
+            request_id = answer.id
+        else:
+            chunks = list(self._create(prompt, stream=True))
+            text = "".join(c.choices[0].delta.content or "" for c in chunks)
+            request_id = chunks[0].id
+        return text.split() == expected_answer(request_id, prompt, TOKENS)
+
+    def test_models_are_listed(self):
+        """The model list would hide a configured model."""
+        self.assertEqual([model.id for model in self.client.models.list()], [MODEL])
+
+    def test_completions(self):
+        """The older completion format would be answered wrongly."""
+        answer = self.client.completions.create(
+            model=MODEL, prompt="one two", max_tokens=TOKENS
+        )
+        expected = expected_answer(answer.id, "one two", TOKENS)
+        self.assertEqual(answer.choices[0].text.split(), expected)
+
+    def test_crossed_and_late_answers(self):
+        """Chunks of other requests, doubled and late ones would reach callers."""
+        for engine in self.system.engines:
+            engine.faults.crossed = 60
+            engine.faults.duplicate = 60
+            engine.faults.late = 20
+            engine.faults.late_s = 0.2
+        prompts = make_prompts(300)
+        tasks = [
+            gevent.spawn(self._is_right, prompt, bool(index % 2))
+            for index, prompt in enumerate(prompts)
+        ]
+        gevent.joinall(tasks, timeout=LIMIT_S, raise_error=True)
+        self.assertEqual([task.value for task in tasks], [True] * len(prompts))
+        counters = self.system.nodes[0].dispatcher.counters
+        self.assertGreater(counters.other_request, 0)
+        self.assertGreater(counters.duplicate, 0)
+
+    def test_wrong_key(self):
+        """A caller without a key would be served."""
+        client = openai.OpenAI(
+            base_url=f"{self.system.url()}/v1", api_key="wrong", max_retries=0
+        )
+        self.addCleanup(client.close)
+        with self.assertRaises(openai.AuthenticationError) as caught:
+            client.models.list()
+        self.assertEqual(caught.exception.body["step"], "authenticate")
+
+
+class BrokenStreamTest(unittest.TestCase):
+    """Guards against lost or doubled tokens when a stream breaks."""
+
+    def setUp(self):
+        self.system = self.enterContext(System(engines=2))
+        self.system.wait_for_loads()
+        self.caller = Caller(self.system.url(), api_key("front_desk"))
+        self.addCleanup(self.caller.close)
+
+    def _assert_answered(self, prompt: str) -> None:
+        answer = self.caller.complete(MODEL, prompt, TOKENS)
+        self.assertTrue(answer.is_own(prompt, TOKENS), answer)
+
+    def _set_once(self, fault: str) -> None:
+        for engine in self.system.engines:
+            setattr(engine.faults, fault, 1)
+            engine.faults.fault_after = 3
+
+    def test_gap(self):
+        """A token that was left out would be missing in the answer."""
+        self._set_once("gap")
+        self._assert_answered("some prompt")
+
+    def test_silent(self):
+        """A stream that stays open without data would hang until the deadline."""
+        self._set_once("silent")
+        self._assert_answered("some prompt")
+        self.assertGreater(self.system.nodes[0].dispatcher.retries, 0)
+
+    def test_cut(self):
+        """A cut connection would end the answer early."""
+        self.system.engines[0].faults.break_after = 3
+        for prompt in make_prompts(10):
+            self._assert_answered(prompt)
+
+    def test_engine_gone(self):
+        """A dead engine would fail the requests routed to it."""
+        self.system.engines[0].close()
+        for prompt in make_prompts(10):
+            self._assert_answered(prompt)
+
+    def test_no_engine(self):
+        """Without any engine a request would wait for its whole deadline."""
+        for engine in self.system.engines:
+            engine.close()
+        answer = self.caller.complete(
+            MODEL, "some prompt", TOKENS, {"X-Deadline-Ms": "3000"}
+        )
+        self.assertIn(answer.status, (502, 503, 504))
+        self.assertEqual(answer.outcome, "not_run")
+
+    def test_caller_gone(self):
+        """An engine would go on working for a caller that has left."""
+        for engine in self.system.engines:
+            engine.faults.silent = 1
+        body = json.dumps(
+            {
+                "model": MODEL,
+                "stream": True,
+                "messages": [{"role": "user", "content": "x"}],
+            }
+        )
+        host, port = self.system.nodes[0].caller_address.split(":")
+        head = (
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+            f"Authorization: Bearer {api_key('front_desk')}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        with socket.create_connection((host, int(port))) as connection:
+            connection.sendall((head + body).encode())
+            connection.recv(1)
+        node = self.system.nodes[0]
+        wait_for(lambda: node.gate.inflight == 0, LIMIT_S, "end of the request")
+        wait_for(
+            lambda: all(
+                e.model.load(self.system.now_s()).running == 0
+                for e in self.system.engines
+            ),
+            LIMIT_S,
+            "cancel at the engine",
+        )
+
+
+class ServiceTest(unittest.TestCase):
+    """Guards against jobs that run twice and refusals that are not true."""
+
+    def setUp(self):
+        self.system = self.enterContext(System(nodes=2, engines=1))
+        self.service = self.system.services[0]
+        self.callers = [
+            Caller(self.system.url(index), api_key("workshop")) for index in range(2)
+        ]
+
+    def _call(self, key: str | None, index: int = 0) -> tuple[int, dict]:
+        return self.callers[index].call_service("engraving_job", b"{}", key)
+
+    def test_duplicates_at_two_nodes(self):
+        """A job sent to two nodes at once would run twice."""
+        keys = [f"job-{n}" for n in range(10)]
+        tasks = [
+            gevent.spawn(self._call, key, index) for key in keys for index in (0, 1)
+        ]
+        gevent.joinall(tasks, timeout=LIMIT_S, raise_error=True)
+        self.assertEqual(self.service.counts(), dict.fromkeys(keys, 1))
+        self.assertEqual({task.value[0] for task in tasks}, {200})
+
+    def test_key_is_needed(self):
+        """A job without a key could not be recognised when it is repeated."""
+        status, body = self._call(None)
+        self.assertEqual((status, body["error"]["outcome"]), (400, "not_run"))
+        self.assertEqual(self.service.counts(), {})
+
+    def test_service_dies_after_execution(self):
+        """A job without an answer would be run again or be said not to have run."""
+        self.service.faults.die_after = 1
+        status, body = self._call("job")
+        self.assertEqual((status, body["error"]["outcome"]), (502, "unknown"))
+        self.assertEqual(self.service.counts(), {"job": 1})
+
+    def test_crossed_answer(self):
+        """The answer to another job would reach the caller."""
+        self.service.faults.crossed = 1
+        status, body = self._call("job")
+        self.assertEqual((status, body["error"]["outcome"]), (502, "unknown"))
+
+    def test_refused_connection(self):
+        """A job that surely did not run would be reported as unknown."""
+        self.service.close()
+        status, body = self._call("job")
+        self.assertIn(status, (502, 503))
+        self.assertEqual(body["error"]["outcome"], "not_run")
+        self.service.start()
+        status, body = self._call("job")
+        self.assertEqual(body["error"]["outcome"], "not_run")
+        self.assertEqual(self.service.counts(), {})
+
+    def test_store_down(self):
+        """A job would run without a claim while the table service is down."""
+        self.system.tables.set_faults(Faults(outage="hang"))
+        self.addCleanup(self.system.tables.set_faults, Faults())
+        status, body = self._call("job")
+        self.assertEqual((status, body["error"]["outcome"]), (503, "unknown"))
+        self.assertEqual(self.service.counts(), {})
+        answer = self.callers[0].complete(MODEL, "some prompt", TOKENS)
+        self.assertTrue(answer.is_own("some prompt", TOKENS), answer)
+
+
+class MalformedRequestTest(unittest.TestCase):
+    """Guards against malformed requests that crash or block a node."""
+
+    def setUp(self):
+        self.system = self.enterContext(System(engines=1, services=0))
+        self.http = urllib3.PoolManager(retries=False, timeout=LIMIT_S)
+        self.addCleanup(self.http.clear)
+
+    def _post(self, body: bytes, **headers: str) -> urllib3.BaseHTTPResponse:
+        return self.http.request(
+            "POST",
+            f"{self.system.url()}/v1/chat/completions",
+            body=body,
+            headers={"Authorization": f"Bearer {api_key('front_desk')}", **headers},
+        )
+
+    def test_bodies(self):
+        """A malformed body would be answered with an internal error."""
+        bodies = (
+            b"",
+            b"{",
+            b"[]",
+            b"null",
+            b'{"model": 1}',
+            b'{"model": "prompt-1m", "messages": 3}',
+            b'{"model": "prompt-1m", "messages": [], "max_tokens": -1}',
+            b'{"model": "prompt-1m", "messages": [], "n": 2}',
+            b'{"model": "\xff", "messages": []}',
+        )
+        for body in bodies:
+            with self.subTest(body=body):
+                response = self._post(body)
+                self.assertEqual(response.status, 400)
+                error = response.json()["error"]
+                self.assertEqual(error["outcome"], "not_run")
+
+    def test_body_too_large(self):
+        """An announced body over the limit would be read into memory."""
+        response = self._post(b"", **{"Content-Length": str(1 << 40)})
+        self.assertEqual(response.status, 413)
+
+    def test_half_closed(self):
+        """A caller that closes its side early would hold a task for ever."""
+        host, port = self.system.nodes[0].caller_address.split(":")
+        with socket.create_connection((host, int(port))) as connection:
+            connection.sendall(
+                b"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 100\r\n"
+                b"Authorization: Bearer "
+                + api_key("front_desk").encode()
+                + b"\r\n\r\n{"
+            )
+            connection.shutdown(socket.SHUT_WR)
+            answer = connection.recv(4096)
+        self.assertIn(b" 400 ", answer.split(b"\r\n")[0] + b" ")
+        self.assertEqual(self.system.nodes[0].gate.inflight, 0)
+
+    def test_body_memory(self):
+        """Many large bodies at once would exhaust the memory of a node."""
+        node = self.system.nodes[0]
+        with node.body_memory.reserve(node.settings.body_memory_bytes - 10):
+            response = self._post(b"x" * 100)
+        self.assertEqual(response.status, 503)
+        self.assertEqual(node.body_memory.held_bytes, 0)
