--- a/papayarelay/standins/model.py
+++ b/papayarelay/standins/model.py
@@ -22,6 +22,16 @@
 LENGTH = "length"
 DEADLINE = "deadline"
 DROPPED = "dropped"
+_POSITIVE_SETTINGS = (
+    "kv_capacity_tokens",
+    "block_tokens",
+    "prefill_tokens_per_s",
+    "decode_tokens_per_s",
+    "step_prefill_tokens",
+    "merged_steps",
+    "max_running",
+    "cold_speed",
+)
 
 
 @dataclass(frozen=True)
@@ -36,6 +46,8 @@
     answer tokens running: ``cold_bound_tokens`` plus the tokens worked since it
     turned cold.  More than ``cold_fall_factor`` times the bound, running or
     waiting, makes it fall over.  It is ready after ``warmup_tokens``.
+
+    Raises ValueError for a size or speed that is not above 0.
     """
 
     kv_capacity_tokens: int = 2_000_000
@@ -58,6 +70,11 @@
     checks_fencing: bool = True
     models: tuple[str, ...] = ()
 
+    def __post_init__(self):
+        for name in _POSITIVE_SETTINGS:
+            if getattr(self, name) <= 0:
+                raise ValueError(f"{name} must be above 0")
+
 
 @dataclass(frozen=True)
 class TokenEvent:
