Measure the store use of claims

The design reserves two writes for each non-idempotent request and none for an idempotent one; nothing measured it.

--- a/papayarelay/standins/tables.py
+++ b/papayarelay/standins/tables.py
@@ -46,7 +46,11 @@
 
 
 class Counters(msgspec.Struct):
-    """Requests served since the start; ``writes`` counts transactions."""
+    """Requests served since the start; ``writes`` counts transactions.
+
+    The mappings count reads and transactions by the first part of the row key
+    (``claim``, ``config``); a transaction counts under its first write.
+    """
 
     reads: int = 0
     rows_read: int = 0
@@ -56,6 +60,8 @@
     lost_answers: int = 0
     delayed_effects: int = 0
     rejected: int = 0
+    reads_by_prefix: dict[str, int] = {}
+    writes_by_prefix: dict[str, int] = {}
 
 
 class TableCheck(msgspec.Struct):
@@ -296,26 +302,32 @@
         return faults
 
     def _get_row(self, environ: dict) -> object:
+        key = _query(environ, "key")
         self.counters.reads += 1
-        row = self.tables.get(_query(environ, "key"))
+        _count(self.counters.reads_by_prefix, key)
+        row = self.tables.get(key)
         if row is None:
             raise RefusedError("404 Not Found", {"error": "no such row"})
         self.counters.rows_read += 1
         return row
 
     def _scan(self, environ: dict) -> object:
+        prefix = _query(environ, "prefix")
         self.counters.reads += 1
+        _count(self.counters.reads_by_prefix, prefix)
         limit_text = _query(environ, "limit")
         if not limit_text.isdecimal():
             raise RefusedError("400 Bad Request", {"error": "limit is not a number"})
         limit = min(int(limit_text), SCAN_LIMIT_ROWS)
-        rows = self.tables.scan(_query(environ, "prefix"), limit)
+        rows = self.tables.scan(prefix, limit)
         self.counters.rows_read += len(rows)
         return {"rows": rows}
 
     def _transact(self, environ: dict) -> object:
         transaction = _read_transaction(environ)
         self.counters.writes += 1
+        if transaction.writes:
+            _count(self.counters.writes_by_prefix, transaction.writes[0].key)
         if self._lost_left > 0:
             self._lost_left -= 1
             self.counters.lost_answers += 1
@@ -343,6 +355,11 @@
         return [], self.tables.apply(transaction.writes)
 
 
+def _count(counts: dict[str, int], key: str) -> None:
+    prefix = key.partition("/")[0]
+    counts[prefix] = counts.get(prefix, 0) + 1
+
+
 def _shut_down(connection: socket.socket) -> None:
     with contextlib.suppress(OSError):
         connection.shutdown(socket.SHUT_RDWR)
--- a/papayarelay/store/client.py
+++ b/papayarelay/store/client.py
@@ -27,7 +27,7 @@
 
 TIMEOUT_S = 2.0
 POOL_SIZE = 8
-# Stops a loop by fault from using the whole store; claims have a limit of their own.
+# Keeps a loop in one node from using up the store; claims have their own limit.
 READS_PER_S = 200.0
 WRITES_PER_S = 200.0
 # Seconds of traffic at the limit that may be sent at once.
--- a/papayarelay/tests/test_store.py
+++ b/papayarelay/tests/test_store.py
@@ -154,6 +154,8 @@
         self.assertEqual(counters["writes"], 2)
         self.assertEqual(counters["rows_written"], 2)
         self.assertEqual(counters["failed_checks"], 1)
+        self.assertEqual(counters["reads_by_prefix"], {"a": 1, "": 1})
+        self.assertEqual(counters["writes_by_prefix"], {"a": 2})
 
 
 class DrippingAnswerTest(unittest.TestCase):
