--- a/papayarelay/store/sections.py
+++ b/papayarelay/store/sections.py
@@ -216,7 +216,9 @@
             self._section,
             self._base_version,
             snapshot.version,
-            _difference(snapshot.text(self._section), self._text, CONFLICT_DIFF_LINES),
+            describe_difference(
+                snapshot.text(self._section), self._text, CONFLICT_DIFF_LINES
+            ),
         )
 
     def _is_unchanged(self, snapshot: Snapshot) -> bool:
@@ -255,7 +257,7 @@
             self._editor,
             self._section,
             self._edit_id,
-            _difference(snapshot.text(self._section), self._text),
+            describe_difference(snapshot.text(self._section), self._text),
         )
         return [
             Write(SECTION_PREFIX + self._section, self._text.encode()),
@@ -290,7 +292,8 @@
     raise _unavailable("the configuration changes during each read")
 
 
-def _difference(old: str, new: str, limit: int | None = None) -> str:
+def describe_difference(old: str, new: str, limit: int | None = None) -> str:
+    """Return a unified diff of two texts, cut to a number of lines."""
     lines = difflib.unified_diff(
         old.splitlines(), new.splitlines(), "stored", "new", lineterm=""
     )
