Count prefill in progress and weigh own requests more in cost_aware

Cause: the score of an engine ignored reported prefill under 32,000 tokens, which lengthens each step; own requests in flight had little weight.

Change: a prefill that is expected to be in progress now (reported queue minus the work done since the report) adds LONG_PREFILL_S; INFLIGHT_S 0.02 to 0.05.

--- a/papayarelay/bench/experiments.py
+++ b/papayarelay/bench/experiments.py
@@ -314,7 +314,7 @@
 ) -> float:
     """Return the engine time of the requests finished per second of a window."""
     done_s = sum(
-        setup.settings.work_s(each.request.prompt_tokens, each.request.output_tokens)
+        work_s(setup.settings, each.request)
         for each in records
         if each.finished_s is not None and start_s <= each.finished_s < end_s
     )
--- a/papayarelay/routing.py
+++ b/papayarelay/routing.py
@@ -73,7 +73,7 @@
 """Longest expected wait on an engine per size class; longer ones stay queued."""
 KV_FRACTION = (1.0, 0.85, 0.85)
 """Part of an engine's memory per size class; the rest is for short requests."""
-INFLIGHT_S = 0.02
+INFLIGHT_S = 0.05
 """Weight of one own request in flight, which slows decoding and hides a wait."""
 LONG_PREFILL_S = 0.05
 """Weight of a long prefill in progress, which lengthens each step."""
@@ -161,7 +161,7 @@
     for view in usable:
         wait_s = estimate_wait_s(view, size, policy.nodes, now_s)
         if wait_s <= MAX_WAIT_S[size]:
-            scores.append((wait_s + _own_s(cost, size, view), view))
+            scores.append((wait_s + _own_s(cost, size, view, now_s), view))
     if not scores:
         return None
     limit_s = min(score for score, _ in scores) + TIE_S
@@ -177,11 +177,12 @@
     return min(reported, nodes * own) / _rate(view)
 
 
-def _own_s(cost: Cost, size: int, view: BackendView) -> float:
+def _own_s(cost: Cost, size: int, view: BackendView, now_s: float) -> float:
     """Return the seconds that the request itself and its neighbours add."""
     prefill = max(0, cost.prefill_tokens - view.cached_tokens)
     seconds = prefill / _rate(view) + INFLIGHT_S * view.own_inflight
-    if size < 2 and view.queued_prefill_tokens > LONG_TOKENS:
+    done = _rate(view) * max(0.0, now_s - view.reported_s)
+    if size < 2 and view.queued_prefill_tokens > done:
         seconds += LONG_PREFILL_S
     return seconds
 
