Hold retries for the budget and count computed tokens in the ramp

Cause: a restart of a third of the engines breaks more streams than the retry budget allows at once, and 25 requests failed. The ramp counted cached prompt tokens, which cost the engine no work, so the bound was exceeded by 1,862.

Change: a retry beyond the budget waits on the node. WarmUp counts the tokens computed; a watcher reports an engine warm only after answers worth the whole warm-up. Recovery is the first window from which the rest reaches 95%.

--- a/papayarelay/bench/engine.py
+++ b/papayarelay/bench/engine.py
@@ -23,10 +23,14 @@
 
 @dataclass(frozen=True)
 class StepResult:
-    """Requests with a first token, finished, and dropped after so many tokens."""
+    """Requests with a first token, finished and dropped ones.
+
+    A finished request comes with the prompt tokens found in the cache, a
+    dropped one with the output tokens it has received.
+    """
 
     first: Sequence[str]
-    finished: Sequence[str]
+    finished: Sequence[tuple[str, int]]
     dropped: Sequence[tuple[str, int]]
 
 
@@ -80,7 +84,7 @@
     def step(self, now_s: float) -> StepResult:
         """Complete what has ended by now."""
         first: list[str] = []
-        finished: list[str] = []
+        finished: list[tuple[str, int]] = []
         dropped: list[tuple[str, int]] = []
         following = 0
         for request_id, event in self.model.step(now_s):
@@ -97,7 +101,7 @@
             if event.reason == DROPPED:
                 dropped.append((request_id, received))
             else:
-                finished.append(request_id)
+                finished.append((request_id, event.cached_tokens))
         if following:
             self.gaps_ms[round((now_s - self._last_step_s) * 1000)] += following
         self._last_step_s = now_s
--- a/papayarelay/bench/experiments.py
+++ b/papayarelay/bench/experiments.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -160,7 +161,7 @@
     run = setup.replay(trace, faults=[Fault(FAULT_START_S, "cold", engines=cold)])
     normal = setup.replay(trace)
     warm_up_s = measure_warm_up_s(setup.settings)
-    recovery_s = _recovery_s(setup, run, normal)
+    recovery_s = _recovery_s(run, normal)
     return {
         "over_bound_tokens": max(
             engine.max_over_bound_tokens for engine in run.engines.values()
@@ -333,19 +334,27 @@
     return rate * sum(fitting) / len(fitting)
 
 
-def _recovery_s(setup: Setup, run: ReplayResult, normal: ReplayResult) -> float:
-    """Return the time after which goodput stays at the normal one."""
-    recovered_s = 0.0
-    for start in range(int(FAULT_START_S), int(FAULT_RUN_S - WINDOW_S)):
-        usual = _finished(normal.records, start)
-        if _finished(run.records, start) < RECOVERED_FRACTION * usual:
-            recovered_s = start + WINDOW_S - FAULT_START_S
-    return recovered_s
+def _recovery_s(run: ReplayResult, normal: ReplayResult) -> float:
+    """Return the time until goodput is back, counted in finished requests.
 
-
-def _finished(records: Sequence[Record], start_s: float) -> int:
-    """Return the requests finished in a window, by count."""
+    That is the end of the first window which reaches the fraction of the run
+    without the fault, and from whose start the rest of the run reaches it too.
+    """
+    last = int(FAULT_RUN_S - WINDOW_S)
+    for start in range(int(FAULT_START_S), last):
+        windows = ((start, start + WINDOW_S), (start, FAULT_RUN_S))
+        if all(
+            _finished(run.records, *window)
+            >= RECOVERED_FRACTION * _finished(normal.records, *window)
+            for window in windows
+        ):
+            return start + WINDOW_S - FAULT_START_S
+    return math.inf
+
+
+def _finished(records: Sequence[Record], start_s: float, end_s: float) -> int:
+    """Return the requests finished in a window."""
     return sum(
-        each.finished_s is not None and start_s <= each.finished_s < start_s + WINDOW_S
+        each.finished_s is not None and start_s <= each.finished_s < end_s
         for each in records
     )
--- a/papayarelay/bench/replay.py
+++ b/papayarelay/bench/replay.py
@@ -166,6 +166,7 @@
         # Prefix group -> engines that have computed it, newest last.
         self._prefixes: OrderedDict[str, dict[str, str]] = OrderedDict()
         self._parked: deque[Request] = deque()
+        self._retries: deque[Request] = deque()
         settings = replay.settings
         for engine_id, data_centre in replay.data_centre_of.items():
             view = BackendView(
@@ -175,7 +176,9 @@
                 (MODEL,),
                 kv_capacity_tokens=settings.kv_capacity_tokens,
             )
-            warm_up = WarmUp(settings.cold_bound_tokens, settings.warmup_tokens)
+            warm_up = WarmUp(
+                settings.cold_bound_tokens, WATCHERS * settings.warmup_tokens
+            )
             self._states[engine_id] = _EngineState(view, warm_up, rng)
             if name in replay.watchers(engine_id):
                 self._watched.add(engine_id)
@@ -191,6 +194,15 @@
 
     def pump(self, now_s: float) -> None:
         """Send queued requests while an engine has room."""
+        while self._retries and self._budget.allow(now_s):
+            request = self._retries.popleft()
+            if not self._queues:
+                self._parked.append(request)
+                continue
+            try:
+                self.queue.offer(request, self._cost(request), now_s)
+            except OverloadError:
+                self._replay.give_up(request)
         if not self._queues:
             for _ in range(len(self._parked)):
                 self._dispatch_or_park(self._parked.popleft(), now_s)
@@ -281,7 +293,13 @@
                 self._prefixes.popitem(last=False)
 
     def record_end(
-        self, request: Request, engine_id: str, now_s: float, good: bool
+        self,
+        request: Request,
+        engine_id: str,
+        now_s: float,
+        *,
+        good: bool,
+        cached_tokens: int = 0,
     ) -> None:
         """Record the end of an attempt."""
         state = self._states[engine_id]
@@ -290,7 +308,9 @@
         if not good or own is None or engine_id not in self._watched:
             return
         was_cold = state.warm_up.cold
-        state.warm_up.record_success(own[2], now_s <= request.deadline_s, now_s)
+        # Cached tokens cost the engine no work and prove nothing.
+        tokens = own[2] - cached_tokens
+        state.warm_up.record_success(tokens, now_s <= request.deadline_s, now_s)
         if was_cold and not state.warm_up.cold:
             state.cold_marked = False
             self._replay.broadcast_warm(self, engine_id, now_s)
@@ -298,24 +318,23 @@
     def record_failure(self, request: Request, engine_id: str, now_s: float) -> bool:
         """Record a broken stream; returns whether the request is tried again."""
         state = self._states[engine_id]
-        self.record_end(request, engine_id, now_s, False)
+        self.record_end(request, engine_id, now_s, good=False)
         state.circuit.record_failure(now_s)
         if self._queues:
             state.warm_up.record_failure(now_s)
-        if request.deadline_s <= now_s or not self._budget.allow(now_s):
-            return False
-        if not self._queues:
-            self._parked.append(request)
-            return True
-        try:
-            self.queue.offer(request, self._cost(request), now_s)
-        except OverloadError:
+        if request.deadline_s <= now_s:
             return False
+        # A retry beyond the budget waits instead of failing: the rate of
+        # retries is bounded and the request may still finish in time.
+        self._retries.append(request)
         return True
 
     def forget(self, request: Request) -> None:
-        """Drop a queued request."""
+        """Drop a request that has not been sent."""
         self.queue.remove(request.id)
+        for waiting in (self._parked, self._retries):
+            if request in waiting:
+                waiting.remove(request)
 
     @staticmethod
     def _cost(request: Request) -> Cost:
@@ -453,6 +472,12 @@
         else:
             self._at(now_s, lambda: self._fail(node, request, engine_id))
 
+    def give_up(self, request: Request) -> None:
+        """Give a request its final answer."""
+        if request.id in self._requests:
+            self._records[int(request.id)].failed_s = self._now_s
+            self._close(request)
+
     def broadcast_warm(self, sender: ReplayNode, engine_id: str, at_s: float) -> None:
         """Tell the other nodes that a ramp is complete."""
         for node in self._nodes:
@@ -524,15 +549,13 @@
         else:
             engine = self._engines[running[1]]
             engine.cancel(request.id)
-            node.record_end(request, running[1], self._now_s, False)
+            node.record_end(request, running[1], self._now_s, good=False)
             self._schedule(engine)
         self._close(request)
 
     def _tick(self, node: ReplayNode) -> None:
         for request in node.expire(self._now_s):
-            if request.id in self._requests:
-                self._records[int(request.id)].failed_s = self._now_s
-                self._close(request)
+            self.give_up(request)
         node.pump(self._now_s)
         self._at(self._now_s + TICK_S, lambda: self._tick(node))
 
@@ -561,7 +584,7 @@
         del self._due_s[engine.id]
         result = engine.step(self._now_s)
         nodes = [self._take_first(each, engine.id) for each in result.first]
-        nodes += [self._take_finished(each, engine.id) for each in result.finished]
+        nodes += [self._take_finished(*each, engine.id) for each in result.finished]
         self._take_dropped(result.dropped, engine)
         for node in dict.fromkeys(nodes):
             node.pump(self._now_s)
@@ -575,11 +598,15 @@
         node.record_first(self._requests[request_id], engine_id, self._now_s)
         return node
 
-    def _take_finished(self, request_id: str, engine_id: str) -> ReplayNode:
+    def _take_finished(
+        self, request_id: str, cached_tokens: int, engine_id: str
+    ) -> ReplayNode:
         node = self._running.pop(request_id)[0]
         request = self._requests[request_id]
         self._records[int(request_id)].finished_s = self._now_s
-        node.record_end(request, engine_id, self._now_s, True)
+        node.record_end(
+            request, engine_id, self._now_s, good=True, cached_tokens=cached_tokens
+        )
         self._close(request)
         return node
 
@@ -597,7 +624,7 @@
             if node.mark_cold(engine.id, self._now_s):
                 self._broadcast_cold(node, engine.id)
         for request_id, _ in dropped:
-            node = self._running[request_id][0]
+            node = self._running.pop(request_id)[0]
             self._fail(node, self._requests[request_id], engine.id)
 
     def _apply(self, fault: Fault) -> None:
@@ -629,14 +656,12 @@
                 )
 
     def _fail(self, node: ReplayNode, request: Request, engine_id: str) -> None:
-        self._running.pop(request.id, None)
         if request.id not in self._requests:
             return
         if node.record_failure(request, engine_id, self._now_s):
             node.pump(self._now_s)
             return
-        self._records[int(request.id)].failed_s = self._now_s
-        self._close(request)
+        self.give_up(request)
 
 
 def engine_names(deployment: Deployment) -> dict[str, str]:
--- a/papayarelay/warmup.py
+++ b/papayarelay/warmup.py
@@ -14,8 +14,8 @@
     uses an equal part of it.  The part grows by the tokens of each answer that
     is completed in time, so the parts of all watchers together never exceed
     the server's bound plus the tokens it has answered since it became cold.
-    Time does not raise it.  At ``full_tokens`` (all watchers together) the
-    server is warm.  Source: slow start of RFC 5681, counted in tokens.
+    Time does not raise it.  Once a part exceeds the share of ``full_tokens``,
+    the server counts as warm.  Source: slow start of RFC 5681, in tokens.
     """
 
     def __init__(
@@ -49,7 +49,10 @@
         self._shrunk_s = now_s
 
     def record_success(self, tokens: int, in_time: bool, now_s: float) -> None:
-        """Record an answer of ``tokens`` (prompt and output)."""
+        """Record an answer for which the server computed ``tokens``.
+
+        These are the prompt tokens that were not in the cache and the output.
+        """
         self._failures = 0
         if self._bound_tokens is None or not in_time:
             return
