Change the stored configuration from the command line

Cause: teams edit one section each and must not undo each other's work. Change: config show, diff, apply and history use store/sections.py; show keeps comments, apply reports a conflict with the present version. Conclusion: a new system can be set up one section at a time.

--- a/papayarelay/operators/config_commands.py
+++ b/papayarelay/operators/config_commands.py
@@ -4,7 +4,6 @@
 
 import argparse
 import getpass
-import importlib
 import json
 import sys
 import time
@@ -12,18 +11,16 @@
 from contextlib import contextmanager
 from dataclasses import asdict
 from pathlib import Path
-from types import ModuleType
 
 from ..config import SECTIONS, Config, parse_document, parse_sections
 from ..document import is_url
 from ..errors import (
-    CheckFailedError,
-    ConflictError,
     RelayError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
 from ..settings import load_settings
+from ..store import sections as store_sections
 from ..store.client import TableClient
 from .client import OperatorClient, read_token
 from .command import (
@@ -92,7 +89,8 @@
         lines = list(stored.values())
     else:
         entries = [f"{json.dumps(name)}: {text}" for name, text in stored.items()]
-        lines = ["{", ",\n".join(entries), "}"]
+        # A section may end in a comment, which would hide a comma on its line.
+        lines = ["{", "\n,\n".join(entries), "}"]
     print_result(namespace, {"version": version, "sections": stored}, lines)
     print(f"version {version}", file=sys.stderr)
     return ExitCode.SUCCESS
@@ -138,16 +136,16 @@
     editor = namespace.editor or getpass.getuser()
     with _open_store(namespace) as client:
         try:
-            version = _sections().apply_section(
+            version = store_sections.apply_section(
                 client, namespace.section, text, namespace.base, editor, time.time()
             )
         except ExceptionGroup as group:
             raise describe_mistakes(group, namespace.file) from group
-        except (ConflictError, CheckFailedError) as error:
+        except store_sections.SectionConflictError as error:
             raise CommandError(
-                f"section {namespace.section} was not changed: {error}",
-                "Run 'papayarelay config diff' to see the other change, then apply"
-                " again with the new base version.",
+                error.message,
+                "Take the other change into the file, then apply it with"
+                f" --base {error.version}.",
                 ExitCode.CONFLICT,
             ) from error
         except StoreOutcomeUnknownError as error:
@@ -168,7 +166,7 @@
 def history(namespace: argparse.Namespace) -> int:
     """List the last changes, the newest first."""
     with _open_store(namespace) as client:
-        edits = _sections().read_history(client, namespace.limit)
+        edits = store_sections.read_history(client, namespace.limit)
     result = [asdict(edit) for edit in edits]
     lines = [
         f"{edit.version}  {_format_time(edit.time_s)}  {edit.editor}  {edit.section}"
@@ -215,10 +213,6 @@
 }
 
 
-def _sections() -> ModuleType:
-    return importlib.import_module("papayarelay.store.sections")
-
-
 def _version_state(address: str, token: str, version: int) -> str:
     """Return why a node does not have the version in force, or nothing."""
     client = OperatorClient(address, token, timeout_s=1.0)
@@ -262,7 +256,7 @@
 
 
 def _read_stored(client: TableClient) -> tuple[int, Mapping[str, str]]:
-    sections, version = _sections().read_sections(client)
+    sections, version = store_sections.read_sections(client)
     return version, dict(sections)
 
 
--- a/papayarelay/tests/test_program.py
+++ b/papayarelay/tests/test_program.py
@@ -12,10 +12,12 @@
 from gevent import pywsgi
 from gevent.event import Event
 
+from ..config import parse_document
 from ..errors import StoreUnavailableError
 from ..operators.api import OperatorApi
 from ..operators.command import ExitCode
 from ..program import main, parse_arguments
+from ..standins.tables import TablesStandIn
 from .test_config import example
 from .test_settings import REQUIRED
 
@@ -259,5 +261,88 @@
         self.assertEqual(self.ask(*wait), ExitCode.FAILED)
 
 
+class ConfigTest(ProgramTest):
+    """Runs against the stand-in of the table service."""
+
+    def setUp(self):
+        super().setUp()
+        self.tables = TablesStandIn()
+        self.tables.start()
+        self.addCleanup(self.tables.close)
+        self.store = ("--store", f"http://{self.tables.address}")
+
+    def apply(self, section: str, value: object, base: int, *more: str) -> int:
+        path = self.write(section, f"// {section}\n{json.dumps(value)} // end")
+        arguments = ("--section", section, "--base", str(base), "--editor", "ana")
+        return self.run_program("config", "apply", path, *arguments, *more, *self.store)
+
+    def apply_example(self) -> dict:
+        document = example()
+        names = ("data_centres", "models", "backends", "kinds", "members", "limits")
+        for base, name in enumerate(names):
+            self.assertEqual(self.apply(name, document[name], base), 0, self.errors)
+        return document
+
+    def test_a_new_system_can_be_set_up(self):
+        """Guards against a first configuration that no order of edits allows."""
+        document = self.apply_example()
+        self.assertEqual(self.run_program("config", "show", "--json", *self.store), 0)
+        self.assertEqual(json.loads(self.output)["version"], 6)
+        self.assertEqual(self.run_program("config", "show", *self.store), 0)
+        self.assertEqual(self.errors, "version 6\n")
+        self.assertEqual(
+            parse_document(self.output), parse_document(json.dumps(document))
+        )
+
+    def test_edit(self):
+        """Guards against an edit that drops comments or reports another version."""
+        document = self.apply_example()
+        show = ("config", "show", "--section", "data_centres", *self.store)
+        self.assertEqual(self.run_program(*show), 0)
+        self.assertTrue(self.output.startswith("// data_centres\n"))
+        path = self.write("dc.json", self.output.replace("active", "drained"))
+        diff = ("config", "diff", path, "--section", "data_centres", *self.store)
+        self.assertEqual(self.run_program(*diff), ExitCode.FAILED)
+        change = 'data_centres.dc1.state: "active" -> "drained"\n'
+        self.assertEqual(self.output, change)
+        document["data_centres"]["dc1"]["state"] = "drained"
+        self.assertEqual(self.apply("data_centres", document["data_centres"], 6), 0)
+        self.assertIn("version 7", self.output)
+        self.assertEqual(self.run_program(*diff), ExitCode.SUCCESS)
+        history = ("config", "history", "--limit", "1", "--json", *self.store)
+        self.assertEqual(self.run_program(*history), 0)
+        (edit,) = json.loads(self.output)
+        self.assertEqual((edit["editor"], edit["version"]), ("ana", 7))
+
+    def test_refused_edits(self):
+        """Guards against a refused edit that looks like a success."""
+        document = self.apply_example()
+        self.assertEqual(self.apply("models", {}, 6), ExitCode.FAILED)
+        self.assertIn("backends.engine-1.models.0", self.errors)
+        changed = {"m": {"context_tokens": 5}}
+        self.assertEqual(self.apply("models", changed, 6), 0)
+        late = self.apply("models", document["models"], 1, "--json")
+        self.assertEqual(late, ExitCode.CONFLICT)
+        self.assertIn("--base 7", json.loads(self.errors)["advice"])
+
+    def test_section_is_checked_with_the_stored_ones(self):
+        """Guards against a check that passes what apply would refuse."""
+        self.apply_example()
+        path = self.write("models", "{}")
+        check = ("config", "check", path, "--section", "models")
+        self.assertEqual(self.run_program(*check, *self.store), ExitCode.FAILED)
+        self.assertIn("backends.engine-1.models.0", self.errors)
+        self.assertEqual(self.run_program(*check), ExitCode.FAILED)
+        self.assertIn("--store", self.errors)
+
+    def test_store_down(self):
+        """Guards against a store that is away and looks like an empty one."""
+        self.tables.close()
+        self.assertEqual(
+            self.run_program("config", "show", *self.store), ExitCode.UNREACHABLE
+        )
+        self.assertEqual(self.output, "")
+
+
 def _never_answer(environ, start_response):
     Event().wait()
