--- a/papayarelay/tests/test_events.py
+++ b/papayarelay/tests/test_events.py
@@ -7,6 +7,7 @@
 from ..events import Event
 
 CATALOGUE = Path(__file__).parent.parent.parent / "docs" / "events.md"
+OPERATORS = CATALOGUE.parent / "operators.md"
 ROW = re.compile(r"\| (PR\d+) \| (\w+) \| (.+?) \| (.+?) \|")
 
 
@@ -26,3 +27,10 @@
             (event.id, event.level, event.text, event.meaning) for event in Event
         ]
         self.assertEqual(rows, expected)
+
+    def test_operators_are_told_what_to_do(self):
+        """Guards against an alarm without advice on the operators' page."""
+        page = OPERATORS.read_text(encoding="utf-8")
+        for event in Event:
+            if event.level in ("warning", "error"):
+                self.assertIn(f"| {event.id} {event.text} |", page)
--- a/papayarelay/tests/test_settings.py
+++ b/papayarelay/tests/test_settings.py
@@ -1,7 +1,9 @@
 """Tests of a node's settings."""
 
+import dataclasses
 import json
 import pathlib
+import re
 import tempfile
 import unittest
 
@@ -9,9 +11,17 @@
 
 from ..errors import SettingsError
 from ..routing import POLICIES
-from ..settings import ROUTING_POLICIES, load_settings, parse_settings
+from ..settings import (
+    DEFAULTS,
+    ROUTING_POLICIES,
+    Settings,
+    load_settings,
+    parse_settings,
+)
 from .documents import FIXED, bad_documents
 
+PAGE = pathlib.Path(__file__).parent.parent.parent / "docs" / "settings.md"
+ROW = re.compile(r"^\| `(\w+)` \| `?([\w.:]+?)`? \|", re.MULTILINE)
 REQUIRED = {
     "name": "n1",
     "data_centre": "dc1",
@@ -99,6 +109,15 @@
             with self.assertRaises(ExceptionGroup):
                 load_settings(path)
 
+    def test_page_lists_every_setting(self):
+        """Guards against a page with other settings or defaults than the program."""
+        rows = ROW.findall(PAGE.read_text(encoding="utf-8"))
+        expected = []
+        for field in dataclasses.fields(Settings):
+            default = DEFAULTS.get(field.name, "required")
+            expected.append((field.name, str(default) or "none"))
+        self.assertEqual(sorted(rows), sorted(expected))
+
     @FIXED
     @given(bad_documents(COMPLETE, tuple(REQUIRED)))
     def test_bad_documents(self, text):
