Let other tasks run while the scrape text is made

Cause: with every instrument at its limit of series one scrape held the event loop for 26 to 41 ms. Change: render yields between instruments; a histogram has at most 50 series. Measured: a trial with all limits reached, ten scrapes, longest step 14.1 to 15.3 ms and once 36.7 ms (load average 14 on 10 cores). Conclusion: under 20 ms but for one outlier of the busy machine.

--- a/papayarelay/metrics.py
+++ b/papayarelay/metrics.py
@@ -7,7 +7,9 @@
 
 from bisect import bisect_left
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
 
+import gevent
 import prometheus_client
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
@@ -49,9 +51,10 @@
     30.0,
 )
 PROMPT_BOUNDS_TOKENS = (1_000, 8_000, 32_000, 100_000, 1_000_000)
-# Further series of an instrument are counted as "other".  The text is made
-# without a pause of the event loop, so its size is limited.
+# Further series of an instrument are counted as "other".  The text of one
+# instrument is made without a pause of the event loop, which limits its size.
 SERIES_LIMIT = 100
+HISTOGRAM_SERIES_LIMIT = 50
 OTHER = "other"
 
 
@@ -83,6 +86,17 @@
     return str(PROMPT_BOUNDS_TOKENS[index])
 
 
+@dataclass(frozen=True)
+class _Family:
+    """One metric in place of a registry."""
+
+    metric: prometheus_client.Metric
+
+    def collect(self) -> list[prometheus_client.Metric]:
+        """Return the metric."""
+        return [self.metric]
+
+
 class Metrics:
     """The instruments of one node.
 
@@ -124,7 +138,8 @@
     def record_first_token(self, kind: str, prompt_tokens: int, seconds: float) -> None:
         """Record the time from the arrival of a request to its first token."""
         labels = {"kind": kind, "prompt": prompt_class(prompt_tokens)}
-        self._first_token.record(seconds, self._limit("first_token", labels))
+        labels = self._limit("first_token", labels, HISTOGRAM_SERIES_LIMIT)
+        self._first_token.record(seconds, labels)
 
     def record_chunk_dropped(self, backend: str, reason: str) -> None:
         """Count a chunk that was not passed on to a caller."""
@@ -158,8 +173,16 @@
         self._meter.create_observable_counter(name, [observe], description=description)
 
     def render(self) -> bytes:
-        """Return all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self._registry)
+        """Return all metrics in the Prometheus text format.
+
+        Other tasks run between the instruments.
+        """
+        parts = []
+        # Collected at once: scrapes that overlap would take each other's data.
+        for family in list(self._registry.collect()):
+            parts.append(prometheus_client.generate_latest(_Family(family)))
+            gevent.sleep(0)
+        return b"".join(parts)
 
     def close(self) -> None:
         """Stop collecting."""
@@ -212,13 +235,15 @@
     def _add(self, counter, **labels: str) -> None:
         counter.add(1, self._limit(counter.name, labels))
 
-    def _limit(self, name: str, labels: dict[str, str]) -> dict[str, str]:
+    def _limit(
+        self, name: str, labels: dict[str, str], limit: int = SERIES_LIMIT
+    ) -> dict[str, str]:
         """Return the labels, or ``other`` for all once there are too many."""
         known = self._series.setdefault(name, set())
         key = tuple(labels.values())
         if key in known:
             return labels
-        if len(known) >= SERIES_LIMIT:
+        if len(known) >= limit:
             return dict.fromkeys(labels, OTHER)
         known.add(key)
         return labels
--- a/papayarelay/tests/test_metrics.py
+++ b/papayarelay/tests/test_metrics.py
@@ -3,11 +3,13 @@
 import random
 import unittest
 
+import gevent
 from prometheus_client.parser import text_string_to_metric_families
 
 from ..errors import Outcome
 from ..metrics import (
     FIRST_TOKEN_BOUNDS_S,
+    HISTOGRAM_SERIES_LIMIT,
     OTHER,
     SERIES_LIMIT,
     TOKEN_INTERVAL_BOUNDS_S,
@@ -96,6 +98,23 @@
         other = ("requests_admitted_total", ("kind", OTHER), ("member", OTHER))
         self.assertEqual(samples[other], SERIES_LIMIT * 2)
 
+    def test_overlapping_scrapes(self):
+        """Guards against a scrape that gets the data of another one, or none."""
+        self.metrics.record_admitted("m", "chat")
+        self.metrics.record_first_token("chat", 500, 0.1)
+        expected = self.metrics.render()
+        tasks = [gevent.spawn(self.metrics.render) for _ in range(3)]
+        gevent.joinall(tasks, raise_error=True)
+        self.assertEqual([task.value for task in tasks], [expected] * 3)
+
+    def test_histogram_series_are_limited(self):
+        """Guards against a scrape text that keeps the event loop for long."""
+        for index in range(HISTOGRAM_SERIES_LIMIT * 3):
+            self.metrics.record_first_token(f"kind{index}", 500, 0.1)
+        name = "time_to_first_token_seconds_count"
+        keys = [key for key in samples_of(self.metrics) if key[0] == name]
+        self.assertEqual(len(keys), HISTOGRAM_SERIES_LIMIT + 1)
+
     def test_observed_numbers_are_read_at_each_scrape(self):
         """Guards against a gauge that keeps the value of the first scrape."""
         waiting, refused = [3], {"forged": 2}
