Limit repeated errors by code instead of message

Cause: errors of the same kind with other messages were each a subject of their own and could flood the log. Two instruments duplicated counters that the node observes. Change: the subject of a repeat is made of the fields that are written; the node's counters get the names chunks_dropped and retries and the two unused instruments are removed with their lines of the test, whose observed counters have a test of their own.

--- a/papayarelay/logs.py
+++ b/papayarelay/logs.py
@@ -77,6 +77,8 @@
     "section",
     "task",
     "error",
+    "code",
+    "path",
 )
 
 _logger = logbook.Logger("papayarelay")
@@ -157,9 +159,10 @@
     ) -> int | None:
         """Return how many lines were left out before this one.
 
-        Returns None when this line is to be left out too.
+        ``fields`` are those that may be written.  Returns None when this line
+        is to be left out too.
         """
-        subject = tuple(repr(fields.get(name)) for name in REPEAT_FIELDS)
+        subject = tuple(fields.get(name) for name in REPEAT_FIELDS)
         key = (event, *subject)
         repeats = self._repeats.get(key)
         if repeats is None or now_s - repeats.started_s >= REPEAT_WINDOW_S:
@@ -205,10 +208,10 @@
             fields: Mapping[str, object] = {"channel": record.channel}
         else:
             fields = record.extra.get("fields", {})
-        left_out = self._limiter.admit(event, fields, self._clock())
+        kept = filter_fields(fields)
+        left_out = self._limiter.admit(event, kept, self._clock())
         if left_out is None:
             return
-        kept = filter_fields(fields)
         if left_out:
             kept["suppressed"] = left_out
         if self.lost and self._write(Event.LINES_LOST, {"lines_count": self.lost}):
--- a/papayarelay/metrics.py
+++ b/papayarelay/metrics.py
@@ -141,14 +141,6 @@
         labels = self._limit("first_token", labels, HISTOGRAM_SERIES_LIMIT)
         self._first_token.record(seconds, labels)
 
-    def record_chunk_dropped(self, backend: str, reason: str) -> None:
-        """Count a chunk that was not passed on to a caller."""
-        self._add(self._dropped, backend=backend, reason=reason)
-
-    def record_retry(self, member: str, reason: str) -> None:
-        """Count an attempt after the first; ``reason`` is an error code."""
-        self._add(self._retries, member=member, reason=reason)
-
     def record_store_error(self, step: str, code: str) -> None:
         """Count a failed operation of the table service."""
         self._add(self._store_errors, step=step, code=code)
@@ -193,8 +185,6 @@
         self._admitted = counter("requests_admitted", "", "Requests admitted")
         self._refused = counter("requests_refused", "", "Requests refused")
         self._finished = counter("requests", "", "Requests that ended")
-        self._dropped = counter("chunks_dropped", "", "Chunks that were not passed on")
-        self._retries = counter("retries", "", "Attempts after the first")
         self._store_errors = counter("store_errors", "", "Failed store operations")
         self._first_token = self._meter.create_histogram(
             "time_to_first_token",
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -238,7 +238,7 @@
             lambda: self.feed.config.version,
         )
         self.metrics.observe_counter(
-            "chunks_refused",
+            "chunks_dropped",
             "Chunks that were not passed on to a caller",
             lambda: {
                 "other_request": counters.other_request,
@@ -247,7 +247,7 @@
             },
         )
         self.metrics.observe_counter(
-            "attempts_repeated",
+            "retries",
             "Attempts after the first",
             lambda: {"failure": self.dispatcher.retries},
         )
--- a/papayarelay/tests/test_logs.py
+++ b/papayarelay/tests/test_logs.py
@@ -67,6 +67,14 @@
         last = self.lines()[-1]
         self.assertEqual(last["suppressed"], 1000 - REPEATS_PER_WINDOW)
 
+    def test_repeats_with_other_messages_are_limited(self):
+        """Guards against errors whose messages differ and flood the log."""
+        with self.handler.applicationbound():
+            for number in range(1000):
+                error = BackendError(f"r{number}", step="stream", peer="e1")
+                log(Event.REQUEST_FAILED, request=f"r{number}", error=error)
+        self.assertEqual(len(self.lines()), REPEATS_PER_WINDOW)
+
     def test_error_message_is_withheld(self):
         """Guards against text of an answer in the message of an error."""
         error = BackendError(
--- a/papayarelay/tests/test_metrics.py
+++ b/papayarelay/tests/test_metrics.py
@@ -38,9 +38,7 @@
         self.metrics.record_admitted("m", "chat")
         self.metrics.record_refused("m", "chat", "overloaded")
         self.metrics.record_finished("m", "chat", Outcome.COMPLETED)
-        self.metrics.record_retry("m", "backend_error")
         self.metrics.record_store_error("get", "store_unavailable")
-        self.metrics.record_chunk_dropped("e1", "other_request")
         samples = samples_of(self.metrics)
         member = (("kind", "chat"), ("member", "m"))
         self.assertEqual(samples[("requests_admitted_total", *member)], 1)
@@ -52,7 +50,7 @@
             value for (name, *_), value in samples.items() if "created" not in name
         )
         zeros = sum(1 for (name, *_) in samples if name.startswith("time_between"))
-        self.assertEqual((total, zeros), (6, len(TOKEN_INTERVAL_BOUNDS_S) + 2))
+        self.assertEqual((total, zeros), (4, len(TOKEN_INTERVAL_BOUNDS_S) + 2))
 
     def test_histograms_of_nodes_add_up(self):
         """Guards against buckets that differ between nodes or miss a value."""
