Test that an operator interface without a token is closed

Cause: an empty token in the settings must not match an empty header. Change: a test of the interface with four headers; better advice for a job that is not found.

--- a/papayarelay/operators/client.py
+++ b/papayarelay/operators/client.py
@@ -72,7 +72,10 @@
         if status == 401:
             return "Pass the file that the node's settings name as operator_token_file."
         if status == 404:
-            return "Check the spelling; 'papayarelay status' lists known names."
+            return (
+                "Check the spelling. 'papayarelay status' lists backend servers, and"
+                " jobs are kept for 24 h."
+            )
         if status == 503:
             return "Try again in a few seconds, or ask another node."
         return "Check that --node is the operator_address of a node of this version."
--- a/papayarelay/tests/test_program.py
+++ b/papayarelay/tests/test_program.py
@@ -8,6 +8,7 @@
 import subprocess
 import tempfile
 import unittest
+from unittest.mock import Mock
 
 from gevent import pywsgi
 from gevent.event import Event
@@ -239,6 +240,17 @@
         self.assertEqual(self.ask("status"), ExitCode.FAILED)
         self.assertIn("holds no token", self.errors)
 
+    def test_node_without_a_token(self):
+        """Guards against an interface that is open when no token is set."""
+        app = OperatorApi(self.node, "", lambda: b"").create_app()
+        for header in (None, "Bearer", "Bearer ", "bearer x"):
+            environ = {"PATH_INFO": "/operator/status", "REQUEST_METHOD": "GET"}
+            if header is not None:
+                environ["HTTP_AUTHORIZATION"] = header
+            start_response = Mock()
+            list(app(environ, start_response))
+            self.assertEqual(start_response.call_args.args[0][:3], "401", header)
+
     def test_no_node(self):
         """Guards against a node that is away and looks like a refusal."""
         self.server.stop()
