Stop empty frames from keeping the byte bucket in debt

In a trial with 192 nodes some sent 20 empty frames a second and missed urgent records: each link woke for an urgent record, found the bucket in debt and sent an empty frame, which deepened the debt. A link now waits until the bucket allows an urgent frame, and statements of live nodes wait for a batch.

--- a/papayarelay/bench/spread.py
+++ b/papayarelay/bench/spread.py
@@ -441,6 +441,8 @@
         lambda n: _rate(n, _sent_bytes) + _rate(n, _received_bytes),
     ),
     ("control_frames", "frames/s", lambda n: _rate(n, _counter("sent_frames"))),
+    ("new_records", "records/s", lambda n: _rate(n, _counter("new_records"))),
+    ("known_records", "records/s", lambda n: _rate(n, _counter("known_records"))),
     ("control_cpu", "core", lambda n: _rate(n, lambda report: report["cpu_s"])),
     ("resident_memory", "bytes", lambda n: n.after["rss_bytes"]),
     ("links", "links", lambda n: n.after["links"]),
--- a/papayarelay/nodes/exchange.py
+++ b/papayarelay/nodes/exchange.py
@@ -33,6 +33,7 @@
 from .spread import (
     BURST_BYTES,
     BYTES_PER_S,
+    CLEARED,
     DEBT_BYTES,
     MAX_CHANGE_BYTES,
     URGENT,
@@ -59,6 +60,8 @@
 # A link that only the peer wants is kept this long after it last said so.
 ACCEPTED_FOR_S = 8.0
 MAX_ACCEPTED = 32
+# A frame that the socket did not take is tried again after this time.
+UNSENT_RETRY_S = 0.25
 PROBE_INTERVAL_S = 10.0
 PROBE_FOR_S = 8.0
 DIGEST_DIFFERS_S = 3.0
@@ -504,7 +507,9 @@
         flag = bytes((statement.state != PeerState.LIVE,))
         value = flag + msgspec.msgpack.encode(statement)
         _, waiting = self._spread.publish(Kind.PEER, statement.name, value, now_s)
-        self._wake(waiting, Kind.PEER, now_s)
+        # Statements of live nodes wait for a batch: many nodes may start at once.
+        live = statement.state == PeerState.LIVE
+        self._wake(waiting, Kind.LOAD if live else Kind.PEER, now_s)
 
     def _wake(self, peers: Iterable[str], kind: Kind, now_s: float) -> None:
         for name in peers:
@@ -518,18 +523,21 @@
             # A summary waits for the next heartbeat or batch.
 
     def _wake_urgent(self, link: Link, now_s: float) -> None:
-        allowed = self._bucket.allows(True, now_s)
-        link.wake(0.0 if allowed else MAINTAIN_INTERVAL_S)
+        link.wake(self._bucket.wait_s(True, now_s))
 
     def _next_frame(self, link: Link, now_s: float) -> bytes | None:
         name = link.name
+        allowed = self._bucket.allows(True, now_s)
+        if not allowed and now_s - link.sent_s < link.timing.heartbeat_s:
+            # An empty frame would only deepen the debt.
+            link.wake(self._bucket.wait_s(True, now_s))
+            return None
         if self._greeted.get(name) != link.dials or name in self._hello_due:
             message: Any = self._hello()
             self._greeted[name] = link.dials
             self._hello_due.discard(name)
             taken: list[Entry] = []
             self._control_first(name, message)
-        allowed = self._bucket.allows(True, now_s)
         control = self._control.get(name)
         if control and (allowed or isinstance(control[0], Hello)):
             message, taken = control.popleft(), []
@@ -595,7 +603,8 @@
         else:
             outbox.sent(sequence, taken)
         if outbox.urgent or self._control.get(link.name):
-            link.wake(0.0 if sent and self._bucket.allows(True, now_s) else 0.25)
+            wait_s = self._bucket.wait_s(True, now_s)
+            link.wake(wait_s if sent else max(wait_s, UNSENT_RETRY_S))
         elif outbox.load:
             link.wake(link.timing.batch_s)
 
@@ -705,7 +714,8 @@
 
     def _on_entry(self, sender: str, entry: Entry, now_s: float) -> None:
         new, waiting = self._spread.merge(entry, sender)
-        self._wake(waiting, entry.kind, now_s)
+        live = entry.kind is Kind.PEER and entry.value[0] == CLEARED
+        self._wake(waiting, Kind.LOAD if live else entry.kind, now_s)
         self.counters["new_records" if new else "known_records"] += 1
         if not new:
             return
--- a/papayarelay/nodes/links.py
+++ b/papayarelay/nodes/links.py
@@ -36,7 +36,7 @@
     # At least one frame in this time, as a heartbeat.
     heartbeat_s: float = 2.0
     # Load records wait this long to share a frame.
-    batch_s: float = 1.0
+    batch_s: float = 1.25
     # An open link whose frames are not acknowledged for this long is redialled.
     idle_limit_s: float = 5.0
     # Upper limit of the time between two dials of a link that stays silent.
@@ -145,6 +145,7 @@
         self._silence_limit_s = timing.idle_limit_s
         self.started_s = clock()
         self.dialled_s = 0.0
+        self.sent_s = 0.0
         self.acknowledged_s: float | None = None
         self.dials = 0
 
@@ -205,6 +206,8 @@
                 pass
             else:
                 sent = self._try_send(frame)
+        if sent:
+            self.sent_s = now_s
         self._settle(self, sent)
 
     def _try_send(self, frame: bytes) -> bool:
--- a/papayarelay/nodes/overlay.py
+++ b/papayarelay/nodes/overlay.py
@@ -30,7 +30,7 @@
     """``fanout`` random peers of the data centre and one of all others."""
 
     fanout: int = 2
-    epoch_s: float = 2.0
+    epoch_s: float = 10.0
 
 
 POLICIES: dict[str, Callable[[], object]] = {
--- a/papayarelay/nodes/spread.py
+++ b/papayarelay/nodes/spread.py
@@ -59,6 +59,8 @@
 
 
 URGENT = (Kind.CONFIG, Kind.DRAIN, Kind.COLD, Kind.PEER)
+# Kinds for which a frame is sent at once.
+IMMEDIATE = (Kind.CONFIG, Kind.DRAIN, Kind.COLD)
 # Kinds that stay within one data centre.
 LOCAL = (Kind.PEER, Kind.LOAD)
 MARKS = (Kind.DRAIN, Kind.COLD)
@@ -187,9 +189,12 @@
         """Return whether a frame may be sent."""
         return self.level(now_s) > (-self._debt if urgent else 0.0)
 
-    def wait_s(self, now_s: float) -> float:
-        """Return the time until the bucket is out of debt."""
-        return max(0.0, -self.level(now_s)) / self._bytes_per_s
+    def wait_s(self, urgent: bool, now_s: float) -> float:
+        """Return the time until a frame may be sent."""
+        floor = -self._debt if urgent else 0.0
+        lacking = floor - self.level(now_s)
+        # One byte more, because the level must be above the floor.
+        return (lacking + 1) / self._bytes_per_s if lacking >= 0 else 0.0
 
     def take(self, size: int, now_s: float) -> None:
         """Count a frame that was sent."""
@@ -210,12 +215,12 @@
     @property
     def urgent(self) -> bool:
         """Whether an urgent record is waiting."""
-        return any(self._pending[kind] for kind in URGENT)
+        return any(self._pending[kind] for kind in IMMEDIATE)
 
     @property
     def load(self) -> bool:
-        """Whether a load record is waiting."""
-        return bool(self._pending[Kind.LOAD])
+        """Whether a peer or load record is waiting, for which a batch is sent."""
+        return bool(self._pending[Kind.LOAD] or self._pending[Kind.PEER])
 
     @property
     def waiting(self) -> int:
