Measure the latency that a node adds and its processor time

Cause: nothing measured the data path. Change: bench.latency sends probes of 1,000 tokens through a node and directly to the same engines in one run while other streams flow.

--- /dev/null
+++ b/papayarelay/bench/latency.py
@@ -0,0 +1,225 @@
+"""Latency that a node adds, and its processor time per request and token.
+
+Probes of 1,000 tokens go to a node and directly to the same engines in turn,
+while other streams flow through the node.  The result is the difference of the
+two distributions of the time to the first token in the same run.
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+import json
+import os
+import random
+import statistics
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import gevent
+
+from ..demo import make_prompt
+from ..local import MODEL, LocalSystem, api_key, write_config
+from .client import Caller
+
+PROBE_MODEL = "probe"
+PROBE_ENGINES = 2
+BULK_ENGINES = 6
+PROBES_PER_S = 30.0
+PROBE_TOKENS = 1_000
+PROBE_ANSWER_TOKENS = 4
+BULK_ANSWER_TOKENS = 128
+LOAD_PROCESSES = 3
+# One token per stream and step; with this overhead a stream gets about 18/s.
+BULK_ARGUMENTS = ("--step-overhead-s", "0.04", "--max-running", "256")
+PROBE_ARGUMENTS = ("--step-overhead-s", "0.002", "--prefill-tokens-per-s", "400000")
+TOKENS_PER_STREAM_S = 18.0
+SETTLE_S = 4.0
+TOKEN_RATES = (0, 3_500, 7_000, 14_000)
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(frozen=True)
+class Step:
+    """One step of the measurement."""
+
+    tokens_per_s: float
+    requests_per_s: float
+    node_cpu: float
+    direct_s: tuple[float, ...]
+    through_s: tuple[float, ...]
+
+
+def parse_arguments(argv: list[str] | None = None) -> argparse.Namespace:
+    """Parse the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=15.0, help="per step")
+    parser.add_argument("--seed", type=int, default=1)
+    return parser.parse_args(argv)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the measurement; print one JSON line per figure."""
+    namespace = parse_arguments(argv)
+    with _running_system() as system:
+        steps = [
+            _measure(system, rate, namespace.seconds, namespace.seed)
+            for rate in TOKEN_RATES
+        ]
+    command = "python -m papayarelay.bench.latency"
+    for step in steps:
+        for quantity, unit, value in _figures(step):
+            line = {
+                "quantity": quantity,
+                "unit": unit,
+                "variables": {
+                    "tokens_per_s": round(step.tokens_per_s),
+                    "requests_per_s": round(step.requests_per_s, 1),
+                },
+                "value": value,
+                "command": command,
+            }
+            print(json.dumps(line), flush=True)
+    return 0
+
+
+@contextmanager
+def _running_system() -> Iterator[LocalSystem]:
+    system = LocalSystem(
+        nodes=1, engines=BULK_ENGINES, services=0, engine_arguments=BULK_ARGUMENTS
+    )
+    try:
+        system.start()
+        _add_probe_engines(system)
+        yield system
+    finally:
+        system.close()
+
+
+def _add_probe_engines(system: LocalSystem) -> None:
+    """Give the probes engines of their own, so that only the node is loaded."""
+    document = system.document()
+    probes = [system.start_engine(*PROBE_ARGUMENTS) for _ in range(PROBE_ENGINES)]
+    for index, address in enumerate(probes):
+        document["backends"][f"probe-{index + 1}"] = {
+            "target": "engine",
+            "data_centre": "dc1",
+            "url": f"http://{address}",
+            "models": [PROBE_MODEL],
+        }
+    document["models"][PROBE_MODEL] = {"context_tokens": 100_000}
+    write_config(f"http://{system.store_address}", document, version=2)
+    operator = system.operator_addresses[0]
+    system.wait_for_version(operator, 2)
+    system.engine_addresses.extend(probes)
+
+
+def _measure(system: LocalSystem, rate: float, seconds: float, seed: int) -> Step:
+    """Measure with other streams of about ``rate`` tokens/s."""
+    loads = _start_loads(system, rate, SETTLE_S + seconds)
+    gevent.sleep(SETTLE_S)
+    cpu_before_s = _read_cpu_s(system.nodes[0].pid)
+    started_s = time.monotonic()
+    direct, through = _probe(system, seconds, seed)
+    elapsed_s = time.monotonic() - started_s
+    cpu_s = _read_cpu_s(system.nodes[0].pid) - cpu_before_s
+    results = [json.loads(load.communicate()[0]) for load in loads]
+    if any(result["wrong"] for result in results):
+        raise RuntimeError(f"wrong answers under load: {results}")
+    tokens = sum(result["tokens"] for result in results) / (SETTLE_S + seconds)
+    requests = sum(result["requests"] for result in results) / (SETTLE_S + seconds)
+    return Step(
+        tokens + PROBES_PER_S / 2 * PROBE_ANSWER_TOKENS,
+        requests + PROBES_PER_S / 2,
+        cpu_s / elapsed_s,
+        tuple(direct),
+        tuple(through),
+    )
+
+
+def _start_loads(
+    system: LocalSystem, rate: float, seconds: float
+) -> list[subprocess.Popen]:
+    streams = round(rate / TOKENS_PER_STREAM_S / LOAD_PROCESSES)
+    if not streams:
+        return []
+    command = [
+        sys.executable,
+        "-m",
+        "papayarelay.bench.load",
+        *("--url", f"http://{system.node_addresses[0]}"),
+        *("--key", api_key("front_desk")),
+        *("--model", MODEL),
+        *("--streams", str(streams)),
+        *("--tokens", str(BULK_ANSWER_TOKENS)),
+        *("--seconds", str(seconds)),
+    ]
+    return [
+        subprocess.Popen([*command, "--seed", str(seed)], stdout=subprocess.PIPE)
+        for seed in range(LOAD_PROCESSES)
+    ]
+
+
+def _probe(
+    system: LocalSystem, seconds: float, seed: int
+) -> tuple[list[float], list[float]]:
+    """Return the times to the first token, directly and through the node."""
+    rng = random.Random(seed)
+    engines = [
+        Caller(f"http://{address}", "")
+        for address in system.engine_addresses[-PROBE_ENGINES:]
+    ]
+    node = Caller(f"http://{system.node_addresses[0]}", api_key("office"))
+    times: tuple[list[float], list[float]] = ([], [])
+    tasks = []
+    for index in range(round(seconds * PROBES_PER_S)):
+        through = index % 2
+        caller = node if through else engines[index // 2 % PROBE_ENGINES]
+        prompt = make_prompt(PROBE_TOKENS, rng)
+        tasks.append(gevent.spawn(_send, caller, prompt, times[through]))
+        gevent.sleep(rng.expovariate(PROBES_PER_S))
+    gevent.joinall(tasks, raise_error=True)
+    return times
+
+
+def _send(caller: Caller, prompt: str, times: list[float]) -> None:
+    answer = caller.complete(PROBE_MODEL, prompt, PROBE_ANSWER_TOKENS)
+    if not answer.is_own(prompt, PROBE_ANSWER_TOKENS):
+        raise RuntimeError(f"wrong answer: {answer.status} {answer.error}")
+    times.append(answer.first_token_s)
+
+
+def _figures(step: Step) -> Iterator[tuple[str, str, float]]:
+    for name, share in (("median", 0.5), ("p99", 0.99)):
+        direct = _quantile(step.direct_s, share)
+        through = _quantile(step.through_s, share)
+        yield f"node_added_first_token_{name}", "ms", round((through - direct) * 1e3, 3)
+    yield (
+        "direct_first_token_median",
+        "ms",
+        round(statistics.median(step.direct_s) * 1e3, 3),
+    )
+    yield "node_data_path_cpu", "core", round(step.node_cpu, 4)
+
+
+def _quantile(values: tuple[float, ...], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _read_cpu_s(pid: int) -> float:
+    """Return the processor time of a process in seconds."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/papayarelay/local.py
+++ b/papayarelay/local.py
@@ -148,8 +148,7 @@
         self.store_address = self._start_standin("tables")
         self.vms_address = self._start_standin("vms")
         self.engine_addresses = [
-            self._start_standin("engine", *self._engine_arguments)
-            for _ in range(engines)
+            self.start_engine(*self._engine_arguments) for _ in range(engines)
         ]
         self.service_addresses = [
             self._start_standin("service") for _ in range(services)
@@ -215,6 +214,21 @@
         url = f"http://{self.vms_address}/vms/{settings['name']}"
         self._http.request("PUT", url, json=fields)
 
+    def start_engine(self, *arguments: str) -> str:
+        """Start an engine and return its address."""
+        return self._start_standin("engine", *arguments)
+
+    def wait_for_version(self, operator_address: str, version: int) -> None:
+        """Wait until a node works with a configuration version."""
+        wait_for(
+            lambda: (
+                self.get(operator_address, "/operator/status")["config_version"]
+                >= version
+            ),
+            START_LIMIT_S,
+            f"configuration version {version}",
+        )
+
     def is_ready(self, address: str) -> bool:
         """Return whether a node says that it is ready."""
         try:
