--- a/papayarelay/claim.py
+++ b/papayarelay/claim.py
@@ -295,11 +295,12 @@
             raise self._over_rate(now_s)
         fresh = self._new_row(request, ClaimState.CLAIMED)
         key = _request_row_key(request)
+        end_s = _claim_end_s(request, now_s)
         try:
-            version, found = self._put(key, 0, fresh, _claim_end_s(request, now_s))
+            version, found = self._put(key, 0, fresh, end_s)
         except StoreError as error:
             error.outcome = self._refuse(key, fresh, self._refuse_end_s(request))
-            self._count_failure()
+            self._count_failure(in_full=end_s - now_s >= CLAIM_LIMIT_S)
             raise
         self._failures = 0
         if found != fresh:
@@ -370,7 +371,10 @@
         return self._refuse(_request_row_key(request), row, end_s)
 
     def look_up(self, member: str, kind: str, key: str) -> ClaimRow | None:
-        """Return the claim row of a key or None; raises StoreUnavailableError."""
+        """Return the claim row of a key or None.
+
+        Raises StoreUnavailableError, also for a row that cannot be read.
+        """
         row = self._table.get(row_key(member, kind, key))
         return None if row is None else _decode(row)
 
@@ -404,7 +408,7 @@
             self._writes.put_back(1)
             return 0
         wall_s = self._wall_clock()
-        old = [row for row in rows if is_expired(_decode(row), wall_s)]
+        old = [row for row in rows if _may_delete(row, wall_s)]
         part = old[:SWEEP_DELETE_ROWS]
         if part:
             checks = [Check(row.key, row.version) for row in part]
@@ -547,7 +551,11 @@
             body=body if len(body) <= BODY_LIMIT_BYTES else None,
             body_bytes=len(body),
         )
-        end_s = now_s + FINISH_LIMIT_S
+        # The answer waits for its record: after the deadline no longer than a
+        # refusal may take.
+        end_s = min(
+            now_s + FINISH_LIMIT_S, max(claim.deadline_s, now_s + REFUSE_LIMIT_S)
+        )
         try:
             _, found = self._put(claim.row_key, claim.version, completed, end_s)
         except StoreError:
@@ -555,13 +563,16 @@
         if found != completed:
             self.counts.unrecorded += 1
 
-    def _count_failure(self) -> None:
+    def _count_failure(self, in_full: bool) -> None:
         """Fail further claims at once after several in a row that got no answer.
 
         Each of them would otherwise be held for the limits of a claim only to be
-        refused.
+        refused.  Claims that had less than the full limit do not count, so that
+        requests with short deadlines cannot suspend the others.
         """
         self.counts.store_failed += 1
+        if not in_full:
+            return
         self._failures += 1
         if self._failures >= FAILURES_TO_SUSPEND:
             self._suspended_until_s = self._clock() + SUSPEND_S
@@ -632,6 +643,14 @@
     return Outcome.UNKNOWN
 
 
+def _may_delete(row: Row, wall_s: float) -> bool:
+    """Return whether a row is expired; one that cannot be read is kept."""
+    try:
+        return is_expired(_decode(row), wall_s)
+    except StoreError:
+        return False
+
+
 def _recorded(row: ClaimRow) -> Recorded:
     completed = row.state is ClaimState.COMPLETED
     outcome = Outcome.COMPLETED if completed else Outcome.NOT_RUN
@@ -639,4 +658,7 @@
 
 
 def _decode(row: Row) -> ClaimRow:
-    return msgspec.json.decode(row.value, type=ClaimRow)
+    try:
+        return msgspec.json.decode(row.value, type=ClaimRow)
+    except msgspec.MsgspecError as error:
+        raise _store_failure(f"malformed claim row: {error}") from error
--- a/papayarelay/tests/test_claim.py
+++ b/papayarelay/tests/test_claim.py
@@ -21,7 +21,8 @@
 import msgspec
 
 from .. import claim as claim_module
-from ..claim import Claim, ClaimRow, Claims, ClaimState, Recorded, row_key
+from ..backends.service import ServiceAnswer
+from ..claim import Claim, ClaimRow, Claims, ClaimState, row_key
 from ..errors import (
     BackendError,
     CheckFailedError,
@@ -35,6 +36,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from ..job import JobRunner
 from ..request import Request, RequestKind
 from ..standins.tables import Faults, TableCheck, Tables, TablesStandIn, TableWrite
 from ..store.client import Row, TableClient
@@ -94,9 +96,16 @@
         if task is self._hub:
             self.now_s += delay_s
             return
+        self.check_alive()
         self.later(delay_s, lambda: self._resume(task))
         self._hub.switch()
 
+    def check_alive(self):
+        """End the task of a crashed node also when it handles its own end."""
+        node = getattr(greenlet.getcurrent(), "node", None)
+        if node is not None and node.crashed:
+            raise greenlet.GreenletExit
+
     def run(self):
         while self._events:
             at_s, _, action = heapq.heappop(self._events)
@@ -146,6 +155,7 @@
         return [Row(r.key, r.value, r.version) for r in self.tables.scan(prefix, limit)]
 
     def transact(self, checks, writes, timeout_s=2.0):
+        self.world.check_alive()
         self.writes += 1
         fate = self.next_fate()
         if isinstance(fate, float):
@@ -211,7 +221,7 @@
 
 
 class Node:
-    """A node that claims, dispatches and finishes requests as the relay does."""
+    """Runs requests with ``JobRunner`` against the fakes."""
 
     claims_class = Claims
     sends = 1
@@ -239,31 +249,25 @@
             wall_clock=lambda: START_WALL_S + world.now_s + self.wall_offset_s,
             wait=world.wait,
         )
+        self.jobs = JobRunner(self.claims, lambda: world.now_s)
 
     def answer(self, request):
         """Return the outcome and body that the caller gets."""
         try:
-            claim = self.claims.claim(request, self.world.now_s)
+            reply = self.jobs.run(request, self.execute)
         except RelayError as error:
             return error.outcome, None
-        if isinstance(claim, Recorded):
-            return claim.outcome, claim.body
-        outcome, body = self.dispatch(claim, request)
-        return self.claims.finish(claim, outcome, 200, body, self.world.now_s), body
+        return Outcome.COMPLETED, reply.body
 
-    def dispatch(self, claim, request):
+    def execute(self, request, guard):
         for _ in range(3):
             self.world.wait(0.0)
+            guard.begin()
             try:
-                self.claims.begin_dispatch(claim, self.world.now_s)
-                return Outcome.COMPLETED, self.send(request)
+                return ServiceAnswer(200, "text/plain", self.send(request))
             except ConnectionRefusedError:
-                self.claims.undo_dispatch(claim)
-            except BackendError:
-                return Outcome.UNKNOWN, b""
-            except DeadlineError:
-                break
-        return Outcome.NOT_RUN, b""
+                guard.undo()
+        raise BackendError("refused", step="call", peer="s")
 
     def send(self, request):
         for attempt in range(self.sends):
@@ -574,6 +578,39 @@
                 outcome, _ = self.nodes[0].answer(make_request("k9", self.world.now_s))
                 self.assertEqual(outcome, Outcome.COMPLETED)
 
+    def test_short_deadlines_do_not_suspend_claims(self):
+        """Guards against callers whose short deadlines stop all others."""
+        self.table().latency_s = 0.6
+        claims = self.nodes[0].claims
+        for index in range(5):
+            now_s = self.world.now_s
+            request = make_request(f"k{index}", now_s, deadline_s=now_s + 1)
+            self.assertIsNot(self.nodes[0].answer(request)[0], Outcome.COMPLETED)
+            self.assertFalse(claims.is_suspended(self.world.now_s))
+        self.assertEqual(claims.counts.store_failed, 5)
+
+    def test_record_is_not_awaited_long_after_the_deadline(self):
+        """Guards against an answer that is held back while the store is down."""
+        claims = self.nodes[0].claims
+        claim = claims.claim(make_request(), 0.0)
+        claims.begin_dispatch(claim, 29.0)
+        self.world.now_s = 30.0
+        self.table().fates = ["none"] * 20
+        claims.finish(claim, Outcome.COMPLETED, 200, b"", 30.0)
+        self.assertLess(self.world.now_s, 30.0 + claim_module.REFUSE_LIMIT_S + 0.1)
+        self.assertEqual(claims.counts.unrecorded, 1)
+
+    def test_malformed_row(self):
+        """Guards against a dispatch or a sweep that fails at a row of another form."""
+        key = row_key("dentists", "booking", "k1")
+        self.rows.apply([TableWrite(key, b"{}")])
+        outcome, _ = self.nodes[0].answer(make_request())
+        self.assertIs(outcome, Outcome.UNKNOWN)
+        self.assertEqual(self.service.count["k1"], 0)
+        while not self.nodes[0].claims.sweep(self.world.now_s, 0, 1).done:
+            pass
+        self.assertIsNotNone(self.rows.get(key))
+
     def test_slow_store(self):
         """Guards against treating a slow answer as a failure."""
         self.table().latency_s = 0.9
@@ -852,9 +889,7 @@
     """Seeded fault: an unknown outcome is recorded as ``refused``."""
 
     def finish(self, claim, outcome, status, body, now_s, **options):
-        if outcome is Outcome.UNKNOWN:
-            claim.progress.dispatching = False
-            outcome = Outcome.NOT_RUN
+        claim.progress.dispatching = False
         return super().finish(claim, outcome, status, body, now_s, **options)
 
 
