--- a/papayarelay/admission.py
+++ b/papayarelay/admission.py
@@ -34,7 +34,14 @@
 
 @dataclass(order=True)
 class _Entry:
-    deadline_s: float
+    """A queued request.
+
+    ``rank`` orders the entries of an organisation and level: the deadline, and
+    the arrival on the top level.  There, deadlines would put every new short
+    request before a long one that has waited for most of its time.
+    """
+
+    rank: float
     order: int
     request: Request = field(compare=False)
     cost: Cost = field(compare=False)
@@ -58,7 +65,11 @@
 
 
 class _Band:
-    """The entries of a member with one level and size class, by organisation."""
+    """The entries of a member with one level and size class, by organisation.
+
+    Short requests have bands of their own, so that they can pass a longer one
+    of their organisation that does not fit.
+    """
 
     def __init__(self):
         self._queues: dict[str, list[_Entry]] = {}
@@ -117,6 +128,11 @@
         self.organisations: dict[str, _Organisation] = {}
         self.bands: dict[tuple[int, bool], _Band] = {}
 
+    def turn(self, entry: _Entry) -> tuple[float, float]:
+        """Return the place of an entry among those of the same level."""
+        organisation = self.organisations[entry.request.organisation]
+        return organisation.virtual, entry.rank
+
     def tokens_before(self, priority: int) -> int:
         """Return the queued tokens with this priority or a more urgent one."""
         return sum(count for key, count in self.tokens.items() if key <= priority)
@@ -277,7 +293,7 @@
         latest_start_s = request.deadline_s - self._service_s(cost)
         step_s = max(0.0, latest_start_s - now_s) / (2 * (priority - TOP_LEVEL))
         entry = _Entry(
-            deadline_s=request.deadline_s,
+            rank=request.deadline_s,
             order=next(self._order),
             request=request,
             cost=cost,
@@ -316,6 +332,8 @@
                 continue
             self._displace(entry)
             entry.level -= 1
+            if entry.level == TOP_LEVEL:
+                entry.rank = entry.request.received_s
             self._place(entry)
             if entry.level > TOP_LEVEL:
                 heapq.heappush(
@@ -329,15 +347,15 @@
             return
         floor = min(member.virtual for member in active)
         turns = []
-        for member in active:
+        for index, member in enumerate(active):
             ahead = member.virtual - floor > PRIORITY_SLACK_TOKENS
-            turns += [
-                (ahead, level, long, member.virtual, index, member)
-                for index, (level, long) in enumerate(member.bands)
-            ]
-        turns.sort(key=lambda turn: turn[:5])
-        for _, level, long, _, _, member in turns:
-            yield from member.bands[level, long].heads(member.organisations)
+            levels = {level for level, _ in member.bands}
+            turns += [(ahead, level, member.virtual, index) for level in levels]
+        for _, level, _, index in sorted(turns):
+            member = active[index]
+            bands = [member.bands.get((level, long)) for long in (False, True)]
+            heads = [band.heads(member.organisations) for band in bands if band]
+            yield from heapq.merge(*heads, key=member.turn)
 
     def _check_room(self, request: Request) -> None:
         """Raise OverloadError when the queue or the member's part of it is full."""
@@ -363,17 +381,17 @@
         cause the refusal of a member within its share.
         """
         rate = self.rate_tokens_per_s
-        if rate is None or not self._entries:
+        priority = request.kind.priority
+        ahead = sum(each.tokens_before(priority) for each in self._members.values())
+        if rate is None or not ahead:
             return 0.0
         if rate <= 0:
             return math.inf
-        priority = request.kind.priority
         active = {name for name, member in self._members.items() if member.count}
         active.add(request.member)
         fraction = self._share(request.member) / sum(map(self._share, active))
         own = self._members.get(request.member)
         own_tokens = own.tokens_before(priority) if own else 0
-        ahead = sum(each.tokens_before(priority) for each in self._members.values())
         return min(ahead, own_tokens / fraction) / rate
 
     def _overload(self, message: str) -> OverloadError:
