Prefer home engines and detect a silent cold start by its rate

Cause: reports are about a second old, and a node saw only its own seventh of the recent traffic to each engine, so it misjudged queues of short requests. A cold engine that neither restarts nor says so was not noticed.

Change: two nodes prefer each engine, by rendezvous hashing with bounded load over the engines in service; other engines cost AWAY_S more. WarmUp turns cold when the reported prefill rate falls by more than 30%.

--- a/papayarelay/routing.py
+++ b/papayarelay/routing.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import math
 import random
 import zlib
-from collections.abc import Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 from functools import singledispatch
 
@@ -18,7 +19,8 @@
     The report fields are as old as ``reported_s``; ``own_*`` is the work this
     node has sent and that has not finished; ``sent_*`` is the part of it that
     was sent after ``reported_s`` and is not in the report.  ``cached_tokens``
-    is the part of this request's prompt that the prefix cache holds.
+    is the part of this request's prompt that the prefix cache holds.  ``home``
+    says that this node is one of the few that prefer the engine.
     ``bound`` limits the node's own tokens in flight (``own_tokens``) while the
     backend server is cold; None means no limit.
     """
@@ -42,6 +44,7 @@
     sent_kv_tokens: int = 0
     own_prefill_by_size: tuple[int, int, int] = (0, 0, 0)
     cached_tokens: int = 0
+    home: bool = False
 
 
 @dataclass
@@ -73,6 +76,13 @@
 """Longest expected wait on an engine per size class; longer ones stay queued."""
 KV_FRACTION = (1.0, 0.85, 0.85)
 """Part of an engine's memory per size class; the rest is for short requests."""
+AWAY_S = 0.6
+"""Weight of an engine that is not a home engine of the node.
+
+A node knows the load of its home engines better, since few other nodes send
+short requests there; reports of the others are about a second old.
+"""
+HOMES_PER_ENGINE = 2
 INFLIGHT_S = 0.05
 """Weight of one own request in flight, which slows decoding and hides a wait."""
 LONG_PREFILL_S = 0.05
@@ -168,12 +178,40 @@
     return rng.choice([view for score, view in scores if score <= limit_s])
 
 
+def assign_homes(
+    engine_ids: Iterable[str], node_names: Collection[str]
+) -> dict[str, tuple[str, ...]]:
+    """Return the nodes that prefer each engine, with like numbers of engines.
+
+    Source: rendezvous hashing with a bound on the load of each node (V.
+    Mirrokni, M. Thorup, M. Zadimoghaddam, Consistent Hashing with Bounded
+    Loads, 2018).
+    """
+    engine_ids = sorted(engine_ids)
+    copies = min(HOMES_PER_ENGINE, len(node_names))
+    limit = math.ceil(copies * len(engine_ids) / max(1, len(node_names)))
+    counts = dict.fromkeys(node_names, 0)
+    homes = {}
+    for engine_id in engine_ids:
+        ranked = sorted(
+            node_names, key=lambda name: zlib.crc32(f"{engine_id}/{name}".encode())
+        )
+        # The last engines may find fewer nodes below the limit than copies.
+        ranked.sort(key=lambda name: counts[name] >= limit)
+        homes[engine_id] = tuple(ranked[:copies])
+        for name in ranked[:copies]:
+            counts[name] += 1
+    return homes
+
+
 def estimate_wait_s(view: BackendView, size: int, nodes: int, now_s: float) -> float:
     """Return the seconds of prefill ahead of a new request of a size class."""
     reported = view.queued_prefill_tokens + nodes * view.sent_prefill_tokens
     if size == 2:
         return reported / _rate(view)
     own = sum(view.own_prefill_by_size[: size + 1])
+    if view.home:
+        nodes = min(nodes, HOMES_PER_ENGINE)
     return min(reported, nodes * own) / _rate(view)
 
 
@@ -181,6 +219,8 @@
     """Return the seconds that the request itself and its neighbours add."""
     prefill = max(0, cost.prefill_tokens - view.cached_tokens)
     seconds = prefill / _rate(view) + INFLIGHT_S * view.own_inflight
+    if size < 2 and not view.home:
+        seconds += AWAY_S
     done = _rate(view) * max(0.0, now_s - view.reported_s)
     if size < 2 and view.queued_prefill_tokens > done:
         seconds += LONG_PREFILL_S
--- a/papayarelay/tests/test_routing.py
+++ b/papayarelay/tests/test_routing.py
@@ -12,6 +12,7 @@
     POLICIES,
     BackendView,
     CostAware,
+    assign_homes,
     choose,
     engine_priority,
 )
@@ -132,6 +133,32 @@
         views[2] = replace(views[2], cached_tokens=1_900)
         self.assertEqual(set(self.choose_all(SHORT, views)), {"e2"})
 
+    def test_home_engines_are_spread_and_agreed(self):
+        """Guards against nodes that prefer the same engines or none."""
+        engines = [f"e{index}" for index in range(25)]
+        nodes = [f"n{index}" for index in range(7)]
+        homes = assign_homes(engines, nodes)
+        counts = Counter(name for names in homes.values() for name in names)
+        self.assertEqual(len(counts), 7)
+        self.assertLessEqual(max(counts.values()), 8)
+        self.assertTrue(all(len(set(names)) == 2 for names in homes.values()))
+        self.assertEqual(homes, assign_homes(engines[::-1], nodes[::-1]))
+
+    def test_a_busy_home_engine_is_left(self):
+        """Guards against requests that queue at home while others are idle."""
+        views = fleet(4)
+        busy = (30_000, 0, 0)
+        views[0] = replace(
+            IDLE,
+            id="e0",
+            home=True,
+            own_prefill_by_size=busy,
+            sent_prefill_tokens=30_000,
+        )
+        self.assertNotIn("e0", self.choose_all(SHORT, views))
+        views[0] = replace(IDLE, id="e0", home=True)
+        self.assertEqual(set(self.choose_all(SHORT, views)), {"e0"})
+
     def test_a_long_prompt_of_an_urgent_kind_is_not_urgent_on_the_engine(self):
         """Guards against an urgent kind whose long prompts delay short requests."""
         self.assertEqual(engine_priority(0, LONG_TOKENS + 1), 2)
--- a/papayarelay/tests/test_warmup.py
+++ b/papayarelay/tests/test_warmup.py
@@ -67,3 +67,13 @@
         self.assertFalse(ramp.cold)
         ramp.record_failure(1.0)
         self.assertTrue(ramp.cold)
+
+    def test_a_fall_of_the_rate_turns_cold_once(self):
+        """Guards against a cold server that neither restarts nor says so."""
+        ramp = WarmUp(COLD_TOKENS, FULL_TOKENS)
+        self.assertFalse(ramp.record_rate(20_000.0, 1.0))
+        self.assertTrue(ramp.record_rate(10_000.0, 2.0))
+        for step in range(200):
+            ramp.record_success(2_000, True, float(step))
+            self.assertFalse(ramp.record_rate(10_000.0, float(step)))
+        self.assertFalse(ramp.cold)
--- a/papayarelay/warmup.py
+++ b/papayarelay/warmup.py
@@ -5,6 +5,7 @@
 WATCHERS = 2
 FAILURES_TO_COLD = 3
 SHRINK_FACTOR = 0.5
+RATE_FALL = 0.7
 
 
 class WarmUp:
@@ -30,7 +31,7 @@
         self._full_tokens = max(self._start_tokens + 1, full_tokens // watchers)
         self._bound_tokens: int | None = self._start_tokens if cold else None
         self._failures = 0
-        self._shrunk_s: float | None = None
+        self._rate = 0.0
 
     @property
     def cold(self) -> bool:
@@ -46,7 +47,20 @@
         """Start the ramp again: the report or the boot id says cold."""
         self._bound_tokens = self._start_tokens
         self._failures = 0
-        self._shrunk_s = now_s
+
+    def record_rate(self, prefill_tokens_per_s: float, now_s: float) -> bool:
+        """Record the reported rate; return whether its fall turned the server cold.
+
+        A server may lose its warm state without a restart and without saying so.
+        Only a fall between two reports counts, so that a server which stays
+        slow still completes its ramp.
+        """
+        fell = prefill_tokens_per_s < RATE_FALL * self._rate
+        self._rate = prefill_tokens_per_s
+        if fell and not self.cold:
+            self.turn_cold(now_s)
+            return True
+        return False
 
     def record_success(self, tokens: int, in_time: bool, now_s: float) -> None:
         """Record an answer for which the server computed ``tokens``.
@@ -65,7 +79,6 @@
         if self._bound_tokens is not None:
             shrunk = int(self._bound_tokens * SHRINK_FACTOR)
             self._bound_tokens = max(self._start_tokens, shrunk)
-            self._shrunk_s = now_s
             return
         self._failures += 1
         if self._failures >= FAILURES_TO_COLD:
