Test the exchange and fix what the tests found

Random schedules over a fake network and tests over sockets found six faults: a greater value of the same version was not forwarded; marks were sent again while they were still on their way; a leaving node that restarted stayed leaving; the address of an earlier process was kept against a changed VM list; dropped records could return from other nodes; clocks below zero stopped probes. Each is fixed and has a test.

--- a/papayarelay/nodes/exchange.py
+++ b/papayarelay/nodes/exchange.py
@@ -45,6 +45,7 @@
     Kind,
     LoadRecord,
     Spread,
+    is_expired,
     key_of,
     pack_value,
     received_entries,
@@ -111,6 +112,7 @@
     policy: str = "fixed_overlay"
     bytes_per_s: float = BYTES_PER_S
     suspect_after_s: float = SUSPECT_AFTER_S
+    probe_interval_s: float = PROBE_INTERVAL_S
     timing: LinkTiming = field(default_factory=LinkTiming)
 
 
@@ -124,7 +126,8 @@
 
     ``on_config`` gets the version and the changed sections in full, or None
     when the node has to read them itself, after a random delay of up to 1 s so
-    that not all nodes read the table service at once.
+    that not all nodes read the table service at once.  A version is reported
+    once; a node whose reading fails repeats it.
     """
 
     on_load: Callable[[LoadRecord], None] = _ignore
@@ -196,8 +199,11 @@
         settings: ExchangeSettings,
         rng: random.Random,
         handlers: Handlers | None = None,
+        *,
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
+        make_link: Callable[..., Link] = Link,
+        make_listener: Callable[..., Listener] = Listener,
     ):
         self._settings = settings
         self._rng = rng
@@ -211,18 +217,19 @@
         self._spread = Spread()
         self._config = ConfigState()
         self._bucket = Bucket(settings.bytes_per_s, BURST_BYTES, DEBT_BYTES, clock())
-        self._listener = Listener(settings.listen, self._on_frame)
+        self._make_link = make_link
+        self._listener = make_listener(settings.listen, self.receive)
         self._links: dict[str, Link] = {}
         self._selected: set[str] = set()
         self._selected_for: tuple[int, int] | None = None
         self._accepted: dict[str, float] = {}
         self._probe: tuple[str, float] | None = None
-        self._next_probe_s = 0.0
+        self._next_probe_s = clock()
         self._hello_due: set[str] = set()
         self._greeted: dict[str, int] = {}
         self._control: dict[str, collections.deque] = {}
         self._in_flight: dict[str, tuple[int, int, list[Entry]]] = {}
-        self._differing: dict[str, float] = {}
+        self._differing: dict[str, tuple[tuple[int, int], float]] = {}
         self._peer_versions: dict[str, int] = {}
         self._reported_version = 0
         self._ids: dict[int, str] = {}
@@ -233,6 +240,7 @@
         self._download: _Download | None = None
         self._state = PeerState.LIVE
         self._claim = 0
+        self._announced = False
         self._task: gevent.Greenlet | None = None
         self.counters: collections.Counter[str] = collections.Counter()
 
@@ -249,7 +257,6 @@
     def start(self) -> None:
         """Listen and link to the peers from now on."""
         self._listener.start()
-        self._announce(self._clock())
         self._task = gevent.spawn(self._run)
 
     def close(self) -> None:
@@ -491,6 +498,7 @@
 
     def _announce(self, now_s: float) -> None:
         """Disseminate this node's own state in its data centre."""
+        self._announced = True
         own = self._settings
         statement = _Statement(
             own.name,
@@ -610,7 +618,8 @@
 
     # Receiving.
 
-    def _on_frame(self, data: bytes) -> None:
+    def receive(self, data: bytes) -> None:
+        """Handle a frame from any peer."""
         now_s = self._clock()
         self.counters["received_frames"] += 1
         self.counters["received_bytes"] += len(data)
@@ -705,14 +714,25 @@
         self._config.hear(batch.config_version, now_s)
         if batch.config_version < self._config.version:
             self._spread.offer_changes(sender, batch.config_version)
-        if batch.digest == self._spread.digest():
+        own = self._spread.digest()
+        if batch.digest == own:
             self._differing.pop(sender, None)
-        elif now_s - self._differing.setdefault(sender, now_s) > DIGEST_DIFFERS_S:
-            self._differing[sender] = now_s
+            return
+        # While either side still changes, records are on their way.
+        digests = (own, batch.digest)
+        noted, since_s = self._differing.get(sender, (None, now_s))
+        outbox = self._spread.outbox(sender)
+        if noted != digests or outbox is None or not outbox.settled:
+            self._differing[sender] = (digests, now_s)
+        elif now_s - since_s > DIGEST_DIFFERS_S:
+            self._differing[sender] = (digests, now_s)
             self.counters["resent_marks"] += 1
             self._spread.resend_marks(sender)
 
     def _on_entry(self, sender: str, entry: Entry, now_s: float) -> None:
+        if self._is_over(entry, now_s):
+            self.counters["expired_records"] += 1
+            return
         new, waiting = self._spread.merge(entry, sender)
         live = entry.kind is Kind.PEER and entry.value[0] == CLEARED
         self._wake(waiting, Kind.LOAD if live else entry.kind, now_s)
@@ -732,6 +752,16 @@
             is_load = entry.kind is Kind.LOAD
             (self._handlers.on_load if is_load else self._handlers.on_summary)(record)
 
+    def _is_over(self, entry: Entry, now_s: float) -> bool:
+        """Return whether a record must not be stored and forwarded again.
+
+        Nodes drop a record at slightly different times; without this check it
+        would return from those that still have it to those that do not.
+        """
+        if entry.kind is Kind.CONFIG and self._spread.get(*entry.id) is None:
+            return entry.version <= self._config.version
+        return is_expired(entry, now_s)
+
     def _on_change(self, entry: Entry, now_s: float) -> None:
         self._keep_change(entry.key)
         self._config.hear(entry.version, now_s)
@@ -790,7 +820,7 @@
     def _ask_for_parts(self, download: _Download, now_s: float) -> None:
         newest = max(self._peer_versions.values(), default=0)
         for name, version in self._peer_versions.items():
-            due_s = download.asked.get(name, (0, 0.0))[1]
+            due_s = download.asked.get(name, (0, now_s))[1]
             if version == 0 or version < newest or due_s > now_s:
                 continue
             link = self._links.get(name)
@@ -850,12 +880,15 @@
     def _run(self) -> None:
         while True:
             try:
-                self._maintain(self._clock())
+                self.maintain(self._clock())
             except Exception:
                 log.exception("maintenance of links failed")
             gevent.sleep(MAINTAIN_INTERVAL_S)
 
-    def _maintain(self, now_s: float) -> None:
+    def maintain(self, now_s: float) -> None:
+        """Review the peers and open and close links; runs in a task twice a second."""
+        if not self._announced:
+            self._announce(now_s)
         self._suspect_silent(now_s)
         self._start_probe(now_s)
         self._select(now_s)
@@ -866,7 +899,7 @@
         for name in list(self._links):
             if name not in wanted and not self._probing(name):
                 self._close_link(name)
-        for name in self._selected:
+        for name in sorted(self._selected):
             self._open_link(name, now_s)
         self._spread.expire(now_s)
         self._view.forget(now_s)
@@ -889,7 +922,7 @@
         )
 
     def _suspect_silent(self, now_s: float) -> None:
-        for name in self._selected:
+        for name in sorted(self._selected):
             link = self._links.get(name)
             peer = self._view.get(name)
             if link is None or peer is None:
@@ -907,7 +940,7 @@
             self._probe = None
         if now_s < self._next_probe_s:
             return
-        self._next_probe_s = now_s + PROBE_INTERVAL_S
+        self._next_probe_s = now_s + self._settings.probe_interval_s
         suspects = [
             peer.name
             for peer in self._view.peers()
@@ -932,7 +965,7 @@
             self._close_link(name)
         same = peer.data_centre == self._settings.data_centre
         self._spread.open(name, same, now_s)
-        link = Link(
+        link = self._make_link(
             name,
             peer.address,
             self._settings.timing,
--- a/papayarelay/nodes/links.py
+++ b/papayarelay/nodes/links.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -144,9 +145,9 @@
         self._next_s = clock() + rng.uniform(0, timing.heartbeat_s / 2)
         self._silence_limit_s = timing.idle_limit_s
         self.started_s = clock()
-        self.dialled_s = 0.0
-        self.sent_s = 0.0
-        self.acknowledged_s: float | None = None
+        self.dialled_s = -math.inf
+        self.sent_s = -math.inf
+        self.acknowledged_s = -math.inf
         self.dials = 0
 
     def start(self) -> None:
@@ -174,7 +175,7 @@
 
     def silent_s(self, now_s: float) -> float:
         """Return for how long nothing has been acknowledged."""
-        return now_s - max(self.dialled_s, self.acknowledged_s or 0.0)
+        return now_s - max(self.dialled_s, self.acknowledged_s)
 
     def _run(self) -> None:
         while True:
--- a/papayarelay/nodes/spread.py
+++ b/papayarelay/nodes/spread.py
@@ -160,6 +160,11 @@
         """Key of the record among all kinds."""
         return (self.kind, self.key)
 
+    @property
+    def order(self) -> tuple[int, bytes]:
+        """What decides between two records of one key: version, then value."""
+        return (self.version, self.value)
+
     @property
     def size_bytes(self) -> int:
         """Size in a frame."""
@@ -209,14 +214,19 @@
         self.peer = peer
         self.same_data_centre = same_data_centre
         self._pending: dict[Kind, dict[tuple, None]] = {kind: {} for kind in Kind}
-        self._known: dict[tuple, int] = {}
-        self._unacknowledged: dict[int, list[tuple[tuple, int]]] = {}
+        self._known: dict[tuple, tuple[int, bytes]] = {}
+        self._unacknowledged: dict[int, list[Entry]] = {}
 
     @property
     def urgent(self) -> bool:
         """Whether an urgent record is waiting."""
         return any(self._pending[kind] for kind in IMMEDIATE)
 
+    @property
+    def settled(self) -> bool:
+        """Whether the peer has acknowledged all marks."""
+        return not self._unacknowledged and not self.urgent
+
     @property
     def load(self) -> bool:
         """Whether a peer or load record is waiting, for which a batch is sent."""
@@ -231,15 +241,15 @@
         """Queue a record unless the peer knows it; return whether it is queued."""
         if entry.kind in LOCAL and not self.same_data_centre:
             return False
-        if self._known.get(entry.id, -1) >= entry.version:
+        if self._knows(entry):
             return False
         self._pending[entry.kind][entry.id] = None
         return True
 
-    def known(self, entry_id: tuple, version: int) -> None:
-        """Note that the peer has a version of a record."""
-        if self._known.get(entry_id, -1) < version:
-            self._known[entry_id] = version
+    def known(self, entry: Entry) -> None:
+        """Note that the peer has a record."""
+        if not self._knows(entry):
+            self._known[entry.id] = entry.order
 
     def reset(self, entries: Iterable[Entry]) -> None:
         """Start again with a peer that knows nothing."""
@@ -265,7 +275,7 @@
             pending = self._pending[kind]
             for entry_id in list(pending):
                 entry = entries.get(entry_id)
-                if entry is None or self._known.get(entry_id, -1) >= entry.version:
+                if entry is None or self._knows(entry):
                     del pending[entry_id]
                     continue
                 if entry.size_bytes > room:
@@ -277,9 +287,9 @@
 
     def sent(self, sequence: int, taken: Iterable[Entry]) -> None:
         """Note the records of a frame that waits for its acknowledgement."""
-        noted = [(entry.id, entry.version) for entry in taken]
-        for entry_id, version in noted:
-            self.known(entry_id, version)
+        noted = list(taken)
+        for entry in noted:
+            self.known(entry)
         if noted:
             self._unacknowledged[sequence] = noted
 
@@ -297,11 +307,15 @@
             self._return(noted)
         self._unacknowledged.clear()
 
-    def _return(self, noted: Iterable[tuple[tuple, int]]) -> None:
-        for entry_id, version in noted:
-            if self._known.get(entry_id) == version:
-                del self._known[entry_id]
-                self._pending[entry_id[0]][entry_id] = None
+    def _knows(self, entry: Entry) -> bool:
+        known = self._known.get(entry.id)
+        return known is not None and known >= entry.order
+
+    def _return(self, noted: Iterable[Entry]) -> None:
+        for entry in noted:
+            if self._known.get(entry.id) == entry.order:
+                del self._known[entry.id]
+                self._pending[entry.kind][entry.id] = None
 
 
 class Spread:
@@ -348,6 +362,10 @@
             fresh = [e for e in changes if now_s - e.made_s < FRESH_CHANGE_S]
             outbox.reset([*marks, *fresh])
 
+    def close(self, peer: str) -> None:
+        """Remove a link."""
+        self._outboxes.pop(peer, None)
+
     def offer_changes(self, peer: str, version: int) -> None:
         """Queue the kept changes above the version that a peer has."""
         outbox = self._outboxes.get(peer)
@@ -360,14 +378,9 @@
     def expire(self, now_s: float) -> None:
         """Drop records whose time has passed."""
         for entry in list(self._entries.values()):
-            keep_s = _keep_s(entry)
-            if keep_s is not None and now_s - entry.made_s > keep_s:
+            if is_expired(entry, now_s):
                 self.remove(entry.id)
 
-    def close(self, peer: str) -> None:
-        """Remove a link."""
-        self._outboxes.pop(peer, None)
-
     def publish(
         self, kind: Kind, key: str | int, value: bytes, now_s: float
     ) -> tuple[Entry, list[str]]:
@@ -410,14 +423,12 @@
         """
         old = self._entries.get(entry.id)
         outbox = self._outboxes.get(source)
-        if outbox is not None and (old is None or old.value == entry.value):
-            outbox.known(entry.id, entry.version)
-        if old is not None and (old.version, old.value) >= (entry.version, entry.value):
-            if outbox is not None and old != entry and outbox.offer(old):
+        if outbox is not None:
+            outbox.known(entry)
+        if old is not None and old.order >= entry.order:
+            if outbox is not None and outbox.offer(old):
                 return False, [source]
             return False, []
-        if outbox is not None:
-            outbox.known(entry.id, entry.version)
         own = self._own.pop(entry.id, None)
         if own is not None and self._overrides(own, entry):
             self._entries[entry.id] = entry
@@ -480,6 +491,12 @@
         ]
 
 
+def is_expired(entry: Entry, now_s: float) -> bool:
+    """Return whether the time of a record has passed."""
+    keep_s = _keep_s(entry)
+    return keep_s is not None and now_s - entry.made_s > keep_s
+
+
 def _keep_s(entry: Entry) -> float | None:
     if entry.kind in (Kind.LOAD, Kind.SUMMARY):
         return KEEP_S["load"]
@@ -539,7 +556,7 @@
     sections: dict[str, dict[str, Any]] = field(default_factory=dict)
     # Highest version heard of, with the time at which it was first heard.
     newest: int = 0
-    newest_heard_s: float = 0.0
+    newest_heard_s: float = -math.inf
     _held: dict[int, ConfigChange] = field(default_factory=dict)
     _order: deque = field(default_factory=deque)
 
--- a/papayarelay/nodes/view.py
+++ b/papayarelay/nodes/view.py
@@ -38,6 +38,7 @@
     incarnation: int = 0
     claim: int = 0
     listed: bool = False
+    listed_address: str = ""
     heard_s: float = 0.0
     changed_s: float = 0.0
 
@@ -85,10 +86,11 @@
         place = (entry["address"], entry["data_centre"], entry["region"])
         old = self._peers.get(name)
         if old is None:
-            self._put(Peer(name, *place, state, listed=True, heard_s=now_s), now_s)
+            peer = Peer(name, *place, state, listed=True, heard_s=now_s)
+            self._put(replace(peer, listed_address=place[0]), now_s)
             return
-        if old.incarnation:
-            # The node's own statement about its place is newer than the list.
+        if old.incarnation and place[0] == old.listed_address:
+            # What the node has said about itself is newer than this entry.
             place = (old.address, old.data_centre, old.region)
         keep = old.state is not PeerState.LIVE and state is PeerState.LIVE
         self._put(
@@ -99,6 +101,7 @@
                 region=place[2],
                 state=old.state if keep else state,
                 listed=True,
+                listed_address=entry["address"],
             ),
             now_s,
         )
@@ -130,10 +133,11 @@
         if old is None:
             self._put(replace(peer, heard_s=now_s), now_s)
             return
-        claim = max(peer.claim, old.claim)
-        if peer.incarnation > old.incarnation:
-            claim = peer.claim
-        leaving = old.state is PeerState.LEAVING and peer.claim < old.claim
+        restarted = peer.incarnation > old.incarnation
+        claim = peer.claim if restarted else max(peer.claim, old.claim)
+        # A greeting that was sent before the node was leaving may arrive late.
+        late = not restarted and peer.claim < old.claim
+        leaving = old.state is PeerState.LEAVING and late
         self._put(
             replace(
                 old,
--- /dev/null
+++ b/papayarelay/tests/test_exchange.py
@@ -0,0 +1,511 @@
+"""Tests of the exchange between nodes: over sockets, and over a fake network."""
+
+import math
+import random
+import time
+import unittest
+
+import gevent
+import gevent.server
+import gevent.socket
+
+from ..nodes.codec import Codec
+from ..nodes.exchange import (
+    ConfigFetchError,
+    DrainState,
+    Exchange,
+    ExchangeSettings,
+    Handlers,
+)
+from ..nodes.links import LinkTiming
+from ..nodes.spread import LoadRecord
+
+KEY = b"k" * 32
+FAST = LinkTiming(heartbeat_s=0.1, batch_s=0.05, idle_limit_s=0.5, redial_limit_s=1.0)
+BOUND_S = 20.0
+
+
+def wait_until(condition, bound_s=BOUND_S):
+    """Wait for a condition; fail when it does not hold within the bound."""
+    with gevent.Timeout(bound_s, AssertionError("the condition does not hold")):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+class Path:
+    """Forwards TCP connections to an address; can stop carrying data."""
+
+    def __init__(self, target):
+        self.target = target
+        self.silenced = set()
+        self.open = set()
+        self.blocked = False
+        self.accepted = 0
+        self._server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def silence(self):
+        """Stop carrying data on the present connections; new ones work."""
+        self.silenced |= self.open
+
+    def close(self):
+        """End all connections."""
+        self._server.stop(timeout=0.1)
+
+    def _serve(self, near, _):
+        self.accepted += 1
+        self.open.add(near)
+        host, port = self.target.rsplit(":", 1)
+        with gevent.socket.create_connection((host, int(port))) as far:
+            back = gevent.spawn(self._copy, far, near, near)
+            self._copy(near, far, near)
+            back.kill()
+        self.open.discard(near)
+
+    def _copy(self, source, sink, connection):
+        try:
+            while data := source.recv(65_536):
+                if not self.blocked and connection not in self.silenced:
+                    sink.sendall(data)
+        except OSError:
+            return
+
+
+class SocketTest(unittest.TestCase):
+    def setUp(self):
+        self.exchanges = []
+        self.paths = []
+        self.seen = {}
+
+    def tearDown(self):
+        for exchange in self.exchanges:
+            exchange.close()
+        for path in self.paths:
+            path.close()
+
+    def start(self, name, data_centre="dc1", offset_s=0.0, wall_s=None, **settings):
+        """Start a node; ``offset_s`` shifts its clocks."""
+        seen = self.seen.setdefault(name, [])
+        handlers = Handlers(
+            on_load=lambda record: seen.append(("load", record)),
+            on_config=lambda version, sections: seen.append((version, sections)),
+        )
+        exchange = Exchange(
+            ExchangeSettings(
+                name,
+                data_centre,
+                "r1",
+                KEY,
+                timing=FAST,
+                suspect_after_s=2.0,
+                probe_interval_s=0.5,
+                **settings,
+            ),
+            random.Random(name),
+            handlers,
+            clock=lambda: time.monotonic() + offset_s,
+            wall_clock=lambda: wall_s or time.time() + offset_s,
+        )
+        exchange.start()
+        self.exchanges.append(exchange)
+        return exchange
+
+    def introduce(self, exchanges, addresses=None):
+        """Give every node the VM list."""
+        entries = [
+            {
+                "name": (status := exchange.status(0.0))["name"],
+                "address": (addresses or {}).get(status["name"], exchange.address),
+                "data_centre": exchange._settings.data_centre,
+                "region": "r1",
+                "state": "live",
+            }
+            for exchange in exchanges
+        ]
+        for exchange in exchanges:
+            exchange.set_peers(entries)
+
+    def pair(self, **settings):
+        """Start nodes a and b, each reached over its own path."""
+        a, b = self.start("a", **settings), self.start("b", **settings)
+        to_a, to_b = Path(a.address), Path(b.address)
+        self.paths += [to_a, to_b]
+        for exchange, path in ((a, to_a), (b, to_b)):
+            settings = exchange._settings
+            exchange._settings = type(settings)(
+                **{**vars(settings), "address": path.address}
+            )
+        self.introduce([a, b])
+        wait_until(lambda: a.status(0.0)["links"] and b.status(0.0)["links"])
+        wait_until(lambda: self.heard(a, "b") and self.heard(b, "a"))
+        return a, b, to_a, to_b
+
+    def heard(self, exchange, name):
+        """Return whether a node has had a frame from a live peer."""
+        return any(
+            peer.name == name and peer.incarnation and peer.state == "live"
+            for peer in exchange.peers()
+        )
+
+    def loaded(self, source, target, engine, offset_s):
+        """Publish a load as a watcher does; return whether it has arrived."""
+        record = LoadRecord(engine, "warm", 1_000, 500)
+        source.publish_load(record, time.monotonic() + offset_s)
+        return target.load(engine) is not None
+
+    def test_everything_arrives(self):
+        """Guards against a kind of record that is not delivered."""
+        nodes = [self.start(name) for name in "abcd"]
+        self.introduce(nodes)
+        a, *others = nodes
+        for exchange in nodes:
+            exchange.register_ids(["e1"])
+            exchange.publish_config(1, {"limits": {"x": 1}, "backends": {"e1": 1}})
+        now_s = time.monotonic()
+        a.publish_config(2, {"limits": {"x": 2}})
+        a.publish_cold("e1", True, now_s)
+        a.publish_drain("data_centre/dc1", DrainState.DRAINED, now_s)
+        for other in others:
+            wait_until(lambda o=other: o.config[0] == 2 and o.cold("e1"))
+            wait_until(lambda o=other: o.drains() and self.loaded(a, o, "e1", 0.0))
+            self.assertEqual(
+                other.config[1], {"limits": {"x": 2}, "backends": {"e1": 1}}
+            )
+
+    def test_link_silent_in_one_direction(self):
+        """Guards against an open connection that no longer carries data."""
+        a, b, _, to_b = self.pair()
+        connections = to_b.accepted
+        to_b.silence()
+        a.publish_drain("backend/e", DrainState.DRAINED, time.monotonic())
+        wait_until(b.drains)
+        self.assertGreater(to_b.accepted, connections)
+
+    def test_link_silent_in_both_directions(self):
+        """Guards against two nodes that each wait for the other to redial."""
+        a, b, to_a, to_b = self.pair()
+        to_a.silence()
+        to_b.silence()
+        a.publish_drain("backend/a", DrainState.DRAINED, time.monotonic())
+        b.publish_drain("backend/b", DrainState.DRAINED, time.monotonic())
+        wait_until(lambda: len(a.drains()) == 2 and len(b.drains()) == 2)
+
+    def test_partition_that_heals(self):
+        """Guards against peers that stay suspect after a partition."""
+        a, b, to_a, to_b = self.pair()
+        for exchange in (a, b):
+            exchange.publish_config(1, {"limits": {"x": 1}})
+        to_a.blocked = to_b.blocked = True
+        wait_until(lambda: not self.heard(a, "b") and not self.heard(b, "a"))
+        a.publish_config(2, {"limits": {"x": 2}})
+        b.publish_drain("backend/e", DrainState.DRAINED, time.monotonic())
+        to_a.blocked = to_b.blocked = False
+        wait_until(lambda: b.config == (2, {"limits": {"x": 2}}) and a.drains())
+        wait_until(lambda: self.heard(a, "b") and self.heard(b, "a"))
+
+    def test_restart_with_an_earlier_clock(self):
+        """Guards against a restarted node whose frames are refused as replays."""
+        a = self.start("a")
+        old = self.start("b", wall_s=2_000.0)
+        self.introduce([a, old])
+        wait_until(lambda: self.heard(a, "b"))
+        old.close()
+        new = self.start("b", wall_s=1_000.0)
+        self.introduce([a, new])
+        new.publish_drain("backend/e", DrainState.DRAINED, time.monotonic())
+        wait_until(a.drains)
+        self.assertGreater(new.status(0.0)["incarnation"], 2_000_000)
+        self.assertGreater(a.status(0.0)["refused"]["old_incarnation"], 0)
+
+    def test_clock_offset(self):
+        """Guards against ages and orders that depend on a common clock."""
+        a = self.start("a", offset_s=50_000.0)
+        b = self.start("b", offset_s=-900.0)
+        self.introduce([a, b])
+        a.register_ids(["e"])
+        b.register_ids(["e"])
+        b.publish_drain("backend/e", DrainState.DRAINED, time.monotonic() - 900.0)
+        wait_until(lambda: self.loaded(b, a, "e", -900.0) and a.drains())
+        age_s = time.monotonic() + 50_000.0 - a.load("e").reported_s
+        self.assertTrue(-0.5 <= age_s <= BOUND_S, age_s)
+
+    def test_configuration_from_peers(self):
+        """Guards against a node that cannot start while the store is down."""
+        a = self.start("a")
+        section = {f"e{n}": {"url": f"http://{n * 7919}"} for n in range(600)}
+        a.publish_config(7, {"backends": section})
+        b = self.start("b")
+        with self.assertRaises(ConfigFetchError):
+            b.fetch_config(timeout_s=0.05)
+        self.introduce([a, b])
+        version, sections = b.fetch_config(timeout_s=BOUND_S)
+        self.assertEqual((version, sections), (7, {"backends": section}))
+        self.assertFalse(b.publish_config(6, {"backends": {}}))
+        self.assertEqual(b.config[0], 7)
+
+    def test_large_change_travels_as_its_version(self):
+        """Guards against unbounded messages and nodes that miss a large change."""
+        a, b = self.start("a"), self.start("b")
+        self.introduce([a, b])
+        for exchange in (a, b):
+            exchange.publish_config(1, {"backends": {"e": 1}})
+        a.publish_config(2, {"backends": {f"e{n}": n for n in range(900)}})
+        wait_until(lambda: (2, None) in self.seen["b"])
+        self.assertEqual(b.config[0], 1)
+
+    def test_strangers(self):
+        """Guards against frames of a sender without the key."""
+        a = self.start("a")
+        _, data = Codec(b"x" * 32, "b", 1).encode("a", a._hello())
+        a.receive(data)
+        a.receive(b"")
+        a.receive(bytes(5_000))
+        status = a.status(0.0)
+        self.assertEqual(
+            status["refused"], {"forged": 1, "malformed": 1, "oversized": 1}
+        )
+        self.assertEqual(status["peers"], [])
+
+
+class FakeListener:
+    """Takes part in a ``Network`` in place of a listening socket."""
+
+    def __init__(self, address, on_frame):
+        self.address = address
+        self.on_frame = on_frame
+
+    def start(self):
+        """Do nothing."""
+
+    def close(self):
+        """Do nothing."""
+
+
+class FakeLink:
+    """A link of a ``Network``, driven by its virtual time."""
+
+    def __init__(
+        self, network, source, name, address, timing, *, next_frame, settle, clock,
+        rng, on_redial,
+    ):  # fmt: skip
+        self.network, self.source, self.name = network, source, name
+        self.address, self.timing, self.clock = address, timing, clock
+        self.next_frame, self.settle, self.on_redial = next_frame, settle, on_redial
+        self.started_s = self.dialled_s = self.next_s = clock()
+        self.acknowledged_s = self.sent_s = -math.inf
+        self.dials = 0
+        self.silenced = False
+
+    def start(self):
+        """Join the network."""
+        self.network.links.append(self)
+
+    def close(self):
+        """Leave the network."""
+        self.network.links.remove(self)
+
+    def wake(self, within_s=0.0):
+        """Ask for a frame."""
+        self.next_s = min(self.next_s, self.clock() + within_s)
+
+    def acknowledged(self, now_s):
+        """Note an acknowledgement."""
+        self.acknowledged_s = now_s
+
+    def silent_s(self, now_s):
+        """Return the time since the last acknowledgement."""
+        return now_s - max(self.dialled_s, self.acknowledged_s)
+
+    def step(self, now_s):
+        """Redial or send when it is time."""
+        if not self.dials or self.silent_s(now_s) > self.timing.idle_limit_s:
+            self.dials += 1
+            self.dialled_s = self.next_s = now_s
+            self.silenced = False
+            self.on_redial(self)
+        if now_s < self.next_s:
+            return
+        self.next_s = now_s + self.timing.heartbeat_s
+        frame = self.next_frame(self, now_s)
+        if frame is not None:
+            self.sent_s = now_s
+            self.network.send(self, frame)
+            self.settle(self, True)
+
+
+class Network:
+    """Exchanges in one process over virtual time, with faults by seed."""
+
+    def __init__(self, seed, count):
+        self.rng = random.Random(seed)
+        self.now_s = 100.0
+        self.links = []
+        self.in_transit = []
+        self.cut = set()
+        self.nodes = {}
+        self.versions = {}
+        self.history = {1: {"limits": {"a": 1}, "kinds": {}}}
+        self.frames = 0
+        for number in range(count):
+            self.add(f"n{number}", number % 4)
+        self.introduce()
+
+    def add(self, name, place):
+        """Add or restart a node; its wall clock may be behind."""
+        offset_s = self.rng.uniform(-500, 500)
+        clock = lambda: self.now_s + offset_s  # noqa: E731
+        wall_s = self.now_s + self.rng.uniform(-5_000, 5_000) + 10_000
+        handlers = Handlers(on_config=lambda version, _: self.read(name, version))
+        exchange = Exchange(
+            ExchangeSettings(
+                name, f"dc{place}", f"r{place // 2}", KEY, listen=name, address=name
+            ),
+            random.Random(self.rng.random()),
+            handlers,
+            clock=clock,
+            wall_clock=lambda: wall_s,
+            make_link=lambda *a, **k: FakeLink(self, name, *a, **k),
+            make_listener=FakeListener,
+        )
+        self.nodes[name] = (exchange, clock, place)
+        self.versions[name] = 0
+        exchange.publish_config(1, self.history[1])
+
+    def introduce(self):
+        """Give every node the VM list."""
+        entries = [
+            {
+                "name": name,
+                "address": name,
+                "data_centre": f"dc{place}",
+                "region": f"r{place // 2}",
+                "state": "live",
+            }
+            for name, (_, _, place) in self.nodes.items()
+        ]
+        for exchange, _, _ in self.nodes.values():
+            exchange.set_peers(entries)
+
+    def read(self, name, version):
+        """Read the table service when a change did not arrive as such."""
+        exchange = self.nodes[name][0]
+        if exchange.config[0] < version:
+            exchange.publish_config(version, self.history[version])
+
+    def edit(self):
+        """Commit a configuration change; one node learns it from the store."""
+        version = max(self.history) + 1
+        section = dict(self.history[version - 1]["kinds"])
+        section[f"k{self.rng.randrange(4)}"] = version
+        self.history[version] = {**self.history[version - 1], "kinds": section}
+        self.read(self.rng.choice(list(self.nodes)), version)
+
+    def restart(self):
+        """Replace a node by a new process under the same name."""
+        name = self.rng.choice(list(self.nodes))
+        exchange, _, place = self.nodes[name]
+        exchange.close()
+        self.add(name, place)
+        self.introduce()
+
+    def send(self, link, frame):
+        """Put a frame in transit unless the connection carries no data."""
+        self.frames += 1
+        if not link.silenced and {link.source, link.name} not in self.cut:
+            delay_s = self.rng.uniform(0.001, 0.3)
+            self.in_transit.append((self.now_s + delay_s, link, frame))
+
+    def run(self, seconds, check):
+        """Advance the virtual time."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += 0.05
+            arrived = [t for t in self.in_transit if t[0] <= self.now_s]
+            self.in_transit = [t for t in self.in_transit if t[0] > self.now_s]
+            for _, link, frame in arrived:
+                self.nodes[link.name][0].receive(frame)
+            for link in list(self.links):
+                if link in self.links:
+                    link.step(link.clock())
+            if round(self.now_s / 0.05) % 10 == 0:
+                for exchange, clock, _ in self.nodes.values():
+                    exchange.maintain(clock())
+            check()
+
+
+class ScheduleTest(unittest.TestCase):
+    def check_versions(self):
+        for name, (exchange, _, _) in self.network.nodes.items():
+            version, sections = exchange.config
+            self.assertGreaterEqual(version, self.network.versions[name])
+            self.assertEqual(sections, self.network.history[version])
+            self.network.versions[name] = version
+
+    def act(self):
+        """Let one random thing happen."""
+        network, rng = self.network, self.network.rng
+        exchange, clock, _ = network.nodes[rng.choice(list(network.nodes))]
+        action = rng.randrange(6)
+        if action == 0:
+            network.edit()
+        elif action == 1:
+            state = rng.choice(list(DrainState))
+            exchange.publish_drain(f"backend/e{rng.randrange(2)}", state, clock())
+        elif action == 2:
+            exchange.publish_cold(f"e{rng.randrange(2)}", rng.random() < 0.5, clock())
+        elif action == 3:
+            for link in rng.sample(network.links, len(network.links) // 4):
+                link.silenced = True
+        elif action == 4:
+            network.cut = [set(rng.sample(list(network.nodes), 2)) for _ in range(8)]
+        else:
+            network.restart()
+
+    def state(self, exchange):
+        status = exchange.status(0.0)
+        return (exchange.config, status["drains"], sorted(status["cold"]))
+
+    def test_random_schedules(self):
+        """Guards against divergence and versions that go back, under any faults."""
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                self.network = network = Network(seed, 10)
+                network.run(5, self.check_versions)
+                for _ in range(25):
+                    self.act()
+                    network.run(network.rng.uniform(0.1, 3), self.check_versions)
+                network.cut = []
+                network.run(60, self.check_versions)
+                states = [self.state(e) for e, _, _ in network.nodes.values()]
+                for state in states[1:]:
+                    self.assertEqual(state, states[0])
+                self.assertEqual(states[0][0][0], max(network.history))
+                live = [len(e._view.live()) for e, _, _ in network.nodes.values()]
+                self.assertEqual(live, [9] * 10)
+
+    def test_urgent_within_limit(self):
+        """Guards against urgent records that take more than 3 s without faults."""
+        self.network = network = Network(1, 40)
+        network.run(10, self.check_versions)
+        exchange, clock, _ = network.nodes["n0"]
+        exchange.publish_drain("data_centre/dc1", DrainState.DRAINED, clock())
+        network.edit()
+        network.run(3, self.check_versions)
+        for other, _, _ in network.nodes.values():
+            self.assertTrue(other.drains())
+            self.assertEqual(other.config[0], max(network.history))
+
+    def test_debt_of_the_bucket_is_paid_back(self):
+        """Guards against empty frames that keep the byte bucket in debt."""
+        self.network = network = Network(2, 8)
+        network.run(5, self.check_versions)
+        exchange, clock, _ = network.nodes["n0"]
+        for number in range(1_500):
+            exchange.publish_cold(f"engine-{number:04}", True, clock())
+        network.run(5, self.check_versions)
+        self.assertLess(exchange.status(clock())["bucket_bytes"], -5_000)
+        network.run(170, self.check_versions)
+        for other, other_clock, _ in network.nodes.values():
+            self.assertEqual(len(other.status(0.0)["cold"]), 1_500)
+            self.assertGreater(other.status(other_clock())["bucket_bytes"], 0)
