--- /dev/null
+++ b/papayarelay/bench/engine.py
@@ -0,0 +1,126 @@
+"""The engine model of the stand-ins, as the replay drives it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ..standins.load_report import LoadReport
+from ..standins.model import (
+    DROPPED,
+    EngineModel,
+    EngineRefusedError,
+    EngineSettings,
+    FinishEvent,
+)
+from .traces import TraceRequest
+
+BENCH_KV_CAPACITY_TOKENS = 450_000
+"""The longest prompts need more than twice the memory of one engine."""
+BENCH_SETTINGS = EngineSettings(kv_capacity_tokens=BENCH_KV_CAPACITY_TOKENS)
+
+
+@dataclass(frozen=True)
+class StepResult:
+    """Requests with a first token, finished and dropped ones.
+
+    A finished request comes with the prompt tokens found in the cache, a
+    dropped one with the output tokens it has received.
+    """
+
+    first: Sequence[str]
+    finished: Sequence[tuple[str, int]]
+    dropped: Sequence[tuple[str, int]]
+
+
+class BenchEngine:
+    """An engine with the figures that the experiments need."""
+
+    def __init__(self, engine_id: str, settings: EngineSettings):
+        self.id = engine_id
+        self.model = EngineModel(settings, boot_name=engine_id)
+        self.gaps_ms: Counter[int] = Counter()
+        self.max_over_bound_tokens = 0
+        self._block_tokens = settings.block_tokens
+        self._starting: set[str] = set()
+        self._received: dict[str, int] = {}
+        self._last_step_s = 0.0
+
+    def submit(
+        self,
+        request_id: str,
+        trace: TraceRequest,
+        priority: int,
+        resume_from: int,
+        now_s: float,
+    ) -> bool:
+        """Take a request; returns False when the engine refuses it."""
+        try:
+            self.model.submit(
+                request_id,
+                trace.prompt_tokens,
+                trace.output_tokens,
+                priority,
+                prefix_blocks(trace, self._block_tokens),
+                now_s,
+                resume_from=resume_from,
+            )
+        except EngineRefusedError:
+            return False
+        self._starting.add(request_id)
+        self._received[request_id] = resume_from
+        if self.model.is_cold:
+            over = self.model.in_flight_tokens - self.model.cold_bound_tokens
+            self.max_over_bound_tokens = max(self.max_over_bound_tokens, over)
+        return True
+
+    def cancel(self, request_id: str) -> None:
+        """Remove a request whose caller has given up."""
+        self._starting.discard(request_id)
+        self._received.pop(request_id, None)
+        self.model.cancel(request_id)
+
+    def step(self, now_s: float) -> StepResult:
+        """Complete what has ended by now."""
+        first: list[str] = []
+        finished: list[tuple[str, int]] = []
+        dropped: list[tuple[str, int]] = []
+        following = 0
+        for request_id, event in self.model.step(now_s):
+            if not isinstance(event, FinishEvent):
+                self._received[request_id] = event.offset + event.count
+                if request_id in self._starting:
+                    self._starting.remove(request_id)
+                    first.append(request_id)
+                else:
+                    following += 1
+                continue
+            received = self._received.pop(request_id)
+            self._starting.discard(request_id)
+            if event.reason == DROPPED:
+                dropped.append((request_id, received))
+            else:
+                finished.append((request_id, event.cached_tokens))
+        if following:
+            self.gaps_ms[round((now_s - self._last_step_s) * 1000)] += following
+        self._last_step_s = now_s
+        return StepResult(first, finished, dropped)
+
+    def report(self, now_s: float) -> LoadReport:
+        """Return the load report."""
+        return self.model.load(now_s)
+
+
+def prefix_blocks(trace: TraceRequest, block_tokens: int) -> list[str]:
+    """Return the names of the blocks that a request shares with its group."""
+    count = trace.prefix_tokens // block_tokens
+    return [f"{trace.prefix_group}/{index}" for index in range(count)]
+
+
+def work_s(settings: EngineSettings, trace: TraceRequest) -> float:
+    """Return the engine time that a request takes in full batches."""
+    prefill_s = 1 / settings.prefill_tokens_per_s
+    prefill_s += settings.step_overhead_s / settings.step_prefill_tokens
+    decode_s = 1 / settings.decode_tokens_per_s
+    return trace.prompt_tokens * prefill_s + trace.output_tokens * decode_s
--- /dev/null
+++ b/papayarelay/bench/engine_capacity.py
@@ -0,0 +1,78 @@
+"""Capacity and warm-up time of one engine, measured on the model itself."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import replace
+from functools import lru_cache
+
+from ..standins.model import EngineSettings
+from .engine import BenchEngine
+from .traces import DEPLOYMENTS, KINDS, TraceRequest, generate
+
+CALIBRATION_REQUESTS_PER_S = 10.0
+CALIBRATION_S = 300.0
+CALIBRATION_SEED = 0
+WARM_UP_LIMIT_S = 3600.0
+
+
+@lru_cache
+def measure_requests_per_s(settings: EngineSettings) -> float:
+    """Return the requests/s of the trace mix that one saturated engine completes."""
+    finished = 0
+    now_s = 0.0
+    feed = _Feed(settings, _calibration_trace(settings))
+    # Requests that still run when the waiting ones are used up do not count,
+    # since the engine is not saturated from then on.
+    while feed.waiting:
+        feed.fill(settings.kv_capacity_tokens, now_s)
+        now_s, count = feed.step()
+        finished += count
+    return finished / now_s
+
+
+@lru_cache
+def measure_warm_up_s(settings: EngineSettings) -> float:
+    """Return the time a cold engine takes when it always has all it can hold."""
+    trace = [each for each in _calibration_trace(settings) if each.short]
+    feed = _Feed(replace(settings, starts_cold=True), trace)
+    model = feed.engine.model
+    now_s = 0.0
+    while model.is_cold and now_s < WARM_UP_LIMIT_S:
+        feed.fill(model.cold_bound_tokens, now_s)
+        now_s, _ = feed.step()
+    return now_s
+
+
+class _Feed:
+    """Keeps one engine supplied with requests up to a number of tokens."""
+
+    def __init__(self, settings: EngineSettings, trace: list[TraceRequest]):
+        self.engine = BenchEngine("calibration", settings)
+        self.waiting = deque(enumerate(trace))
+
+    def fill(self, limit_tokens: int, now_s: float) -> None:
+        """Submit requests while they fit."""
+        model = self.engine.model
+        while self.waiting:
+            index, request = self.waiting[0]
+            if model.in_flight_tokens + request.tokens > limit_tokens:
+                return
+            self.waiting.popleft()
+            priority = KINDS[request.kind].priority
+            self.engine.submit(str(index), request, priority, 0, now_s)
+
+    def step(self) -> tuple[float, int]:
+        """Run the next step; return its end and the number of finished requests."""
+        now_s = self.engine.model.next_step_s()
+        return now_s, len(self.engine.step(now_s).finished)
+
+
+def _calibration_trace(settings: EngineSettings) -> list[TraceRequest]:
+    trace = generate(
+        DEPLOYMENTS["dentists"],
+        CALIBRATION_REQUESTS_PER_S,
+        CALIBRATION_S,
+        CALIBRATION_SEED,
+    )
+    return [each for each in trace if each.tokens <= settings.kv_capacity_tokens]
--- /dev/null
+++ b/papayarelay/bench/replay.py
@@ -0,0 +1,673 @@
+"""Discrete-event replay of a trace in virtual time.
+
+One process runs the deciding code of several nodes against modelled engines.
+Each node has its own queue, budgets, circuits, cold-start ramps and its own
+lagging copy of the load reports.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+import itertools
+import math
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+
+from ..admission import AdmissionQueue
+from ..circuit import Circuit
+from ..cost import Cost
+from ..errors import OverloadError
+from ..request import Request
+from ..retry import RetryBudget
+from ..routing import (
+    POLICIES,
+    BackendView,
+    CostAware,
+    choose,
+    engine_priority,
+    size_class,
+)
+from ..standins.load_report import READY, STARTING, LoadReport
+from ..standins.model import EngineSettings
+from ..warmup import WATCHERS, WarmUp
+from .engine import BENCH_SETTINGS, BenchEngine
+from .traces import KINDS, Deployment, TraceRequest
+
+MODEL = "m"
+REPORT_INTERVAL_S = 1.0
+REPORT_LAG_S = (0.1, 0.8)
+MARK_DELAY_S = (0.02, 0.3)
+DRAIN_DELAY_S = (0.1, 1.5)
+TICK_S = 0.1
+SAME_FAULT_S = 3.0
+"""Signs of a restart within this time are taken as signs of the same restart."""
+MAX_PREFIXES = 4096
+
+
+@dataclass
+class Record:
+    """What happened to one request of the trace."""
+
+    request: TraceRequest
+    admitted: bool = False
+    refused_s: float | None = None
+    failed_s: float | None = None
+    first_s: float | None = None
+    finished_s: float | None = None
+    deadline_s: float = 0.0
+    received_tokens: int = 0
+    sent: list[tuple[float, str]] = field(default_factory=list)
+
+    @property
+    def ttft_s(self) -> float | None:
+        """Return the time to first token."""
+        if self.first_s is None:
+            return None
+        return self.first_s - self.request.arrival_s
+
+    @property
+    def latency_s(self) -> float | None:
+        """Return the time to the last token."""
+        if self.finished_s is None:
+            return None
+        return self.finished_s - self.request.arrival_s
+
+
+@dataclass(frozen=True)
+class Fault:
+    """A change during the run: ``drain``, ``return`` or ``cold`` of some engines."""
+
+    at_s: float
+    action: str
+    engines: tuple[str, ...] = ()
+    data_centre: str = ""
+
+
+@dataclass
+class ReplayResult:
+    """The records of a run and the state of its engines."""
+
+    records: list[Record]
+    engines: Mapping[str, BenchEngine]
+    data_centre_of: Mapping[str, str]
+    end_s: float
+    max_queue: int = 0
+
+
+class _EngineState:
+    """What one node knows about one engine."""
+
+    def __init__(self, view: BackendView, warm_up: WarmUp, rng: random.Random):
+        self.view = view
+        self.warm_up = warm_up
+        self.circuit = Circuit(rng)
+        self.boot_id = ""
+        self.cold_s = -math.inf
+        self.cold_marked = False
+        self.available = True
+        self.drained = False
+        # Request id -> (time sent, prefill tokens left, tokens in flight).
+        self.own: dict[str, tuple[float, int, int]] = {}
+        self.stale = False
+
+    def current(self, watcher: bool) -> BackendView:
+        """Return the view with the node's own work and bound."""
+        if not self.stale:
+            return self.view
+        reported_s = self.view.reported_s
+        own = self.own.values()
+        bound = self.warm_up.bound_tokens if watcher else None
+        if self.cold_marked and not watcher:
+            bound = 0
+        self.view = replace(
+            self.view,
+            state="ready" if self.available else "down",
+            own_inflight=len(self.own),
+            own_prefill_tokens=sum(prefill for _, prefill, _ in own),
+            own_prefill_by_size=self._prefill_by_size(),
+            own_tokens=sum(tokens for _, _, tokens in own),
+            sent_prefill_tokens=sum(p for sent, p, _ in own if sent > reported_s),
+            sent_kv_tokens=sum(t for sent, _, t in own if sent > reported_s),
+            bound=bound,
+        )
+        self.stale = False
+        return self.view
+
+    def _prefill_by_size(self) -> tuple[int, int, int]:
+        sizes = [0, 0, 0]
+        for _, prefill, _ in self.own.values():
+            sizes[size_class(prefill)] += prefill
+        return tuple(sizes)
+
+
+class ReplayNode:
+    """The deciding code of one node."""
+
+    def __init__(
+        self,
+        name: str,
+        replay: Replay,
+        policy: object,
+        shares: Mapping[str, float],
+        rng: random.Random,
+    ):
+        self.name = name
+        self.queue = AdmissionQueue(shares)
+        self._replay = replay
+        self._policy = policy
+        self._queues = isinstance(policy, CostAware)
+        self._rng = rng
+        self._budget = RetryBudget()
+        self._states: dict[str, _EngineState] = {}
+        self._watched: set[str] = set()
+        # Prefix group -> engines that have computed it, newest last.
+        self._prefixes: OrderedDict[str, dict[str, str]] = OrderedDict()
+        self._parked: deque[Request] = deque()
+        self._retries: deque[Request] = deque()
+        settings = replay.settings
+        for engine_id, data_centre in replay.data_centre_of.items():
+            view = BackendView(
+                engine_id,
+                data_centre,
+                "engine",
+                (MODEL,),
+                kv_capacity_tokens=settings.kv_capacity_tokens,
+            )
+            warm_up = WarmUp(
+                settings.cold_bound_tokens, WATCHERS * settings.warmup_tokens
+            )
+            self._states[engine_id] = _EngineState(view, warm_up, rng)
+            if name in replay.watchers(engine_id):
+                self._watched.add(engine_id)
+
+    def offer(self, request: Request, now_s: float) -> None:
+        """Take a request from a caller; raises OverloadError."""
+        self._budget.record_request(now_s)
+        if not self._queues:
+            self._dispatch_or_park(request, now_s)
+            return
+        self.queue.offer(request, self._cost(request), now_s)
+        self.pump(now_s)
+
+    def pump(self, now_s: float) -> None:
+        """Send queued requests while an engine has room."""
+        while self._retries and self._budget.allow(now_s):
+            request = self._retries.popleft()
+            if not self._queues:
+                self._parked.append(request)
+                continue
+            try:
+                self.queue.offer(request, self._cost(request), now_s)
+            except OverloadError:
+                self._replay.give_up(request)
+        if not self._queues:
+            for _ in range(len(self._parked)):
+                self._dispatch_or_park(self._parked.popleft(), now_s)
+            return
+        while len(self.queue):
+            chosen: BackendView | None = None
+
+            def fits(request: Request, cost: Cost) -> bool:
+                nonlocal chosen
+                views = self._views(request, now_s)
+                chosen = choose(self._policy, cost, views, now_s, self._rng)
+                return chosen is not None
+
+            request = self.queue.next(now_s, fits)
+            if request is None or chosen is None:
+                return
+            self._send(request, chosen.id, now_s)
+
+    def expire(self, now_s: float) -> list[Request]:
+        """Return the queued requests that can no longer finish."""
+        parked = [each for each in self._parked if each.deadline_s <= now_s]
+        for request in parked:
+            self._parked.remove(request)
+        return parked + self.queue.expire(now_s)
+
+    def receive_report(
+        self, engine_id: str, report: LoadReport, reported_s: float
+    ) -> None:
+        """Take over a load report unless a newer one is known."""
+        state = self._states[engine_id]
+        if reported_s <= state.view.reported_s:
+            return
+        if state.boot_id and report.boot_id != state.boot_id:
+            self.mark_cold(engine_id, reported_s)
+        state.boot_id = report.boot_id
+        state.available = report.state != STARTING
+        # The ramp of a watcher ends by answers only, whatever the report says.
+        if report.state == READY and reported_s > state.cold_s + SAME_FAULT_S:
+            state.cold_marked = state.cold_marked and state.warm_up.cold
+        state.view = replace(
+            state.view,
+            kv_used_tokens=report.kv_used_tokens,
+            queued_prefill_tokens=report.queued_prefill_tokens,
+            running=report.running + report.waiting,
+            prefill_tokens_per_s=report.prefill_tokens_per_s,
+            reported_s=reported_s,
+        )
+        state.stale = True
+
+    def mark_cold(self, engine_id: str, at_s: float) -> bool:
+        """Start the ramp of an engine; returns whether this restart was not known."""
+        state = self._states[engine_id]
+        if at_s <= state.cold_s + SAME_FAULT_S:
+            return False
+        state.cold_s = at_s
+        state.cold_marked = True
+        state.warm_up.turn_cold(at_s)
+        state.stale = True
+        return True
+
+    def mark_warm(self, engine_id: str, at_s: float) -> None:
+        """Lift the ban of an engine whose ramp a watcher has completed."""
+        state = self._states[engine_id]
+        if at_s > state.cold_s and engine_id not in self._watched:
+            state.cold_marked = False
+            state.stale = True
+
+    def set_drained(self, engine_ids: Sequence[str], drained: bool) -> None:
+        """Take engines out of service or back."""
+        for engine_id in engine_ids:
+            self._states[engine_id].drained = drained
+            self._states[engine_id].stale = True
+
+    def record_first(self, request: Request, engine_id: str, now_s: float) -> None:
+        """Record a first token."""
+        state = self._states[engine_id]
+        own = state.own.get(request.id)
+        if own is not None:
+            state.own[request.id] = (own[0], 0, own[2])
+        state.circuit.record_success(now_s)
+        state.stale = True
+        trace = self._replay.trace_of(request)
+        if trace.prefix_group:
+            engines = self._prefixes.setdefault(trace.prefix_group, {})
+            engines[engine_id] = state.boot_id
+            self._prefixes.move_to_end(trace.prefix_group)
+            if len(self._prefixes) > MAX_PREFIXES:
+                self._prefixes.popitem(last=False)
+
+    def record_end(
+        self,
+        request: Request,
+        engine_id: str,
+        now_s: float,
+        *,
+        good: bool,
+        cached_tokens: int = 0,
+    ) -> None:
+        """Record the end of an attempt."""
+        state = self._states[engine_id]
+        own = state.own.pop(request.id, None)
+        state.stale = True
+        if not good or own is None or engine_id not in self._watched:
+            return
+        was_cold = state.warm_up.cold
+        # Cached tokens cost the engine no work and prove nothing.
+        tokens = own[2] - cached_tokens
+        state.warm_up.record_success(tokens, now_s <= request.deadline_s, now_s)
+        if was_cold and not state.warm_up.cold:
+            state.cold_marked = False
+            self._replay.broadcast_warm(self, engine_id, now_s)
+
+    def record_failure(self, request: Request, engine_id: str, now_s: float) -> bool:
+        """Record a broken stream; returns whether the request is tried again."""
+        state = self._states[engine_id]
+        self.record_end(request, engine_id, now_s, good=False)
+        state.circuit.record_failure(now_s)
+        if self._queues:
+            state.warm_up.record_failure(now_s)
+        if request.deadline_s <= now_s:
+            return False
+        # A retry beyond the budget waits instead of failing: the rate of
+        # retries is bounded and the request may still finish in time.
+        self._retries.append(request)
+        return True
+
+    def forget(self, request: Request) -> None:
+        """Drop a request that has not been sent."""
+        self.queue.remove(request.id)
+        for waiting in (self._parked, self._retries):
+            if request in waiting:
+                waiting.remove(request)
+
+    @staticmethod
+    def _cost(request: Request) -> Cost:
+        return Cost(request.prompt_tokens, request.max_tokens)
+
+    def _views(self, request: Request, now_s: float) -> list[BackendView]:
+        views = []
+        trace = self._replay.trace_of(request)
+        cached = self._prefixes.get(trace.prefix_group) if trace.prefix_group else None
+        for engine_id, state in self._states.items():
+            if state.drained:
+                continue
+            if self._queues and not state.circuit.is_ready(now_s):
+                continue
+            view = state.current(engine_id in self._watched)
+            if cached and cached.get(engine_id) == state.boot_id:
+                view = replace(view, cached_tokens=trace.prefix_tokens)
+            views.append(view)
+        return views
+
+    def _dispatch_or_park(self, request: Request, now_s: float) -> None:
+        views = self._views(request, now_s)
+        chosen = choose(self._policy, self._cost(request), views, now_s, self._rng)
+        if chosen is None:
+            self._parked.append(request)
+        else:
+            self._send(request, chosen.id, now_s)
+
+    def _send(self, request: Request, engine_id: str, now_s: float) -> None:
+        state = self._states[engine_id]
+        state.circuit.allow(now_s)
+        tokens = request.prompt_tokens + request.max_tokens
+        state.own[request.id] = (now_s, request.prompt_tokens, tokens)
+        state.stale = True
+        self._replay.send(self, request, engine_id, now_s)
+
+
+class Replay:
+    """One run: a trace, a deployment, a policy and faults."""
+
+    def __init__(
+        self,
+        trace: Sequence[TraceRequest],
+        deployment: Deployment,
+        policy: str | object,
+        seed: int,
+        *,
+        settings: EngineSettings = BENCH_SETTINGS,
+        faults: Sequence[Fault] = (),
+        removed_engines: Sequence[str] = (),
+        progress: Callable[[float], None] | None = None,
+    ):
+        self.settings = settings
+        self._trace = trace
+        self._rng = random.Random(f"replay/{seed}")
+        self._progress = progress
+        self._now_s = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        names = engine_names(deployment)
+        self.data_centre_of = {
+            name: centre
+            for name, centre in names.items()
+            if name not in removed_engines
+        }
+        self._engines = {
+            name: BenchEngine(name, settings) for name in self.data_centre_of
+        }
+        self._due_s: dict[str, float] = {}
+        self._node_names = [f"node-{index}" for index in range(deployment.nodes)]
+        shares = {member: 1 / len(deployment.members) for member in deployment.members}
+        self._nodes = []
+        for index, name in enumerate(self._node_names):
+            node_policy = POLICIES[policy]() if isinstance(policy, str) else policy
+            rng = random.Random(f"{seed}/{index}")
+            self._nodes.append(ReplayNode(name, self, node_policy, shares, rng))
+        self._records: list[Record] = []
+        # Request id -> (node, engine id).
+        self._running: dict[str, tuple[ReplayNode, str]] = {}
+        self._requests: dict[str, Request] = {}
+        self._open = 0
+        self._max_queue = 0
+        for fault in faults:
+            self._at(fault.at_s, lambda fault=fault: self._apply(fault))
+
+    def watchers(self, engine_id: str) -> list[str]:
+        """Return the nodes that watch an engine, by rendezvous hashing."""
+        return sorted(
+            self._node_names,
+            key=lambda name: hashlib.sha256(f"{engine_id}/{name}".encode()).digest(),
+        )[:WATCHERS]
+
+    def trace_of(self, request: Request) -> TraceRequest:
+        """Return the trace line of a request."""
+        return self._records[int(request.id)].request
+
+    def run(self) -> ReplayResult:
+        """Run until every request has an answer."""
+        for engine in self._engines.values():
+            phase_s = self._rng.uniform(0, REPORT_INTERVAL_S)
+            self._at(phase_s, lambda engine=engine: self._report(engine))
+        for node in self._nodes:
+            phase_s = self._rng.uniform(0, TICK_S)
+            self._at(phase_s, lambda node=node: self._tick(node))
+        self._position = 0
+        self._arrive_next()
+        while self._events:
+            at_s, _, action = heapq.heappop(self._events)
+            self._now_s = at_s
+            action()
+            if self._position >= len(self._trace) and not self._open:
+                break
+        return ReplayResult(
+            self._records,
+            self._engines,
+            self.data_centre_of,
+            self._now_s,
+            self._max_queue,
+        )
+
+    def send(
+        self, node: ReplayNode, request: Request, engine_id: str, now_s: float
+    ) -> None:
+        """Submit a request to an engine."""
+        record = self._records[int(request.id)]
+        record.sent.append((now_s, engine_id))
+        priority = engine_priority(request.kind.priority, request.prompt_tokens)
+        engine = self._engines[engine_id]
+        taken = engine.submit(
+            request.id, record.request, priority, record.received_tokens, now_s
+        )
+        if taken:
+            self._running[request.id] = (node, engine_id)
+            self._schedule(engine)
+        else:
+            self._at(now_s, lambda: self._fail(node, request, engine_id))
+
+    def give_up(self, request: Request) -> None:
+        """Give a request its final answer."""
+        if request.id in self._requests:
+            self._records[int(request.id)].failed_s = self._now_s
+            self._close(request)
+
+    def broadcast_warm(self, sender: ReplayNode, engine_id: str, at_s: float) -> None:
+        """Tell the other nodes that a ramp is complete."""
+        for node in self._nodes:
+            if node is not sender:
+                delay_s = self._rng.uniform(*MARK_DELAY_S)
+                self._at(
+                    self._now_s + delay_s,
+                    lambda node=node: node.mark_warm(engine_id, at_s),
+                )
+
+    def _at(self, at_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at_s, next(self._sequence), action))
+
+    def _arrive_next(self) -> None:
+        if self._position < len(self._trace):
+            self._at(self._trace[self._position].arrival_s, self._arrive)
+
+    def _arrive(self) -> None:
+        trace = self._trace[self._position]
+        self._position += 1
+        if self._progress is not None:
+            self._progress(self._now_s)
+        kind = KINDS[trace.kind]
+        record = Record(trace, deadline_s=self._now_s + kind.deadline_s)
+        request = Request(
+            id=str(len(self._records)),
+            member=trace.member,
+            organisation=trace.organisation,
+            kind=kind,
+            model=MODEL,
+            path="/v1/completions",
+            body=b"",
+            prompt_tokens=trace.prompt_tokens,
+            max_tokens=trace.output_tokens,
+            stream=True,
+            received_s=self._now_s,
+            deadline_s=record.deadline_s,
+        )
+        self._records.append(record)
+        self._arrive_next()
+        if trace.tokens > self.settings.kv_capacity_tokens:
+            # Prompts larger than an engine are refused by the node at once.
+            record.refused_s = self._now_s
+            return
+        node = self._rng.choice(self._nodes)
+        self._open += 1
+        self._requests[request.id] = request
+        try:
+            node.offer(request, self._now_s)
+        except OverloadError:
+            self._close(request)
+            record.refused_s = self._now_s
+            return
+        record.admitted = True
+        self._at(record.deadline_s, lambda: self._reach_deadline(node, request))
+        self._max_queue = max(self._max_queue, len(node.queue))
+
+    def _close(self, request: Request) -> None:
+        if self._requests.pop(request.id, None) is not None:
+            self._open -= 1
+
+    def _reach_deadline(self, node: ReplayNode, request: Request) -> None:
+        if request.id not in self._requests:
+            return
+        self._records[int(request.id)].failed_s = self._now_s
+        running = self._running.pop(request.id, None)
+        if running is None:
+            node.forget(request)
+        else:
+            engine = self._engines[running[1]]
+            engine.cancel(request.id)
+            node.record_end(request, running[1], self._now_s, good=False)
+            self._schedule(engine)
+        self._close(request)
+
+    def _tick(self, node: ReplayNode) -> None:
+        for request in node.expire(self._now_s):
+            self.give_up(request)
+        node.pump(self._now_s)
+        self._at(self._now_s + TICK_S, lambda: self._tick(node))
+
+    def _report(self, engine: BenchEngine) -> None:
+        at_s = self._now_s
+        report = engine.report(at_s)
+        for node in self._nodes:
+            lag_s = self._rng.uniform(*REPORT_LAG_S)
+            self._at(
+                self._now_s + lag_s,
+                lambda node=node: node.receive_report(engine.id, report, at_s),
+            )
+        self._at(self._now_s + REPORT_INTERVAL_S, lambda: self._report(engine))
+
+    def _schedule(self, engine: BenchEngine) -> None:
+        """Plan the next step of an engine."""
+        due_s = engine.model.next_step_s()
+        if due_s is None or self._due_s.get(engine.id) == due_s:
+            return
+        self._due_s[engine.id] = due_s
+        self._at(due_s, lambda: self._step(engine, due_s))
+
+    def _step(self, engine: BenchEngine, due_s: float) -> None:
+        if self._due_s.get(engine.id) != due_s:
+            return
+        del self._due_s[engine.id]
+        result = engine.step(self._now_s)
+        nodes = [self._take_first(each, engine.id) for each in result.first]
+        nodes += [self._take_finished(*each, engine.id) for each in result.finished]
+        self._take_dropped(result.dropped, engine)
+        for node in dict.fromkeys(nodes):
+            node.pump(self._now_s)
+        self._schedule(engine)
+
+    def _take_first(self, request_id: str, engine_id: str) -> ReplayNode:
+        node = self._running[request_id][0]
+        record = self._records[int(request_id)]
+        if record.first_s is None:
+            record.first_s = self._now_s
+        node.record_first(self._requests[request_id], engine_id, self._now_s)
+        return node
+
+    def _take_finished(
+        self, request_id: str, cached_tokens: int, engine_id: str
+    ) -> ReplayNode:
+        node = self._running.pop(request_id)[0]
+        request = self._requests[request_id]
+        self._records[int(request_id)].finished_s = self._now_s
+        node.record_end(
+            request, engine_id, self._now_s, good=True, cached_tokens=cached_tokens
+        )
+        self._close(request)
+        return node
+
+    def _take_dropped(
+        self, dropped: Sequence[tuple[str, int]], engine: BenchEngine
+    ) -> None:
+        """Fail the streams of a restarted engine.
+
+        A node that sees a stream break reads the load report of that engine at
+        once, learns of the restart and tells the other nodes.
+        """
+        for request_id, received in dropped:
+            node = self._running[request_id][0]
+            self._records[int(request_id)].received_tokens = received
+            if node.mark_cold(engine.id, self._now_s):
+                self._broadcast_cold(node, engine.id)
+        for request_id, _ in dropped:
+            node = self._running.pop(request_id)[0]
+            self._fail(node, self._requests[request_id], engine.id)
+
+    def _apply(self, fault: Fault) -> None:
+        if fault.action == "cold":
+            for engine_id in fault.engines:
+                engine = self._engines[engine_id]
+                engine.model.turn_cold(self._now_s, reported=False)
+                self._schedule(engine)
+            return
+        engine_ids = [
+            name
+            for name, centre in self.data_centre_of.items()
+            if centre == fault.data_centre
+        ]
+        for node in self._nodes:
+            delay_s = self._rng.uniform(*DRAIN_DELAY_S)
+            self._at(
+                self._now_s + delay_s,
+                lambda node=node: node.set_drained(engine_ids, fault.action == "drain"),
+            )
+
+    def _broadcast_cold(self, sender: ReplayNode, engine_id: str) -> None:
+        at_s = self._now_s
+        for node in self._nodes:
+            if node is not sender:
+                delay_s = self._rng.uniform(*MARK_DELAY_S)
+                self._at(
+                    at_s + delay_s, lambda node=node: node.mark_cold(engine_id, at_s)
+                )
+
+    def _fail(self, node: ReplayNode, request: Request, engine_id: str) -> None:
+        if request.id not in self._requests:
+            return
+        if node.record_failure(request, engine_id, self._now_s):
+            node.pump(self._now_s)
+            return
+        self.give_up(request)
+
+
+def engine_names(deployment: Deployment) -> dict[str, str]:
+    """Return the engine ids of a deployment with their data centres."""
+    centres = deployment.data_centres
+    return {
+        f"engine-{index}": centres[index % len(centres)]
+        for index in range(deployment.engines)
+    }
--- /dev/null
+++ b/papayarelay/dispatch.py
@@ -0,0 +1,237 @@
+"""Sends requests to backend servers, and retries where that is safe."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator, Iterator
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from .backends import engine, service
+from .backends.stream import KEEP_ALIVE, Chunk, StreamCounters
+from .backends.table import BackendEntry, BackendTable
+from .cost import Cost, estimate_cost
+from .errors import BackendError, DeadlineError, Outcome, OverloadError, RelayError
+from .request import Request
+from .retry import RetryBudget
+from .scheduler import Scheduler
+
+# While a request is queued, its caller's connection is checked this often.
+QUEUE_TICK_S = 1.0
+
+
+class DispatchGuard(Protocol):
+    """Permits each dispatch of a request right before it is sent."""
+
+    def begin(self) -> None:
+        """Permit a dispatch; raises ``RelayError`` to forbid it."""
+
+    def undo(self) -> None:
+        """State that the last dispatch has sent no byte."""
+
+
+class _NoGuard:
+    """Permits every dispatch, for idempotent requests."""
+
+    def begin(self) -> None:
+        pass
+
+    def undo(self) -> None:
+        pass
+
+
+NO_GUARD = _NoGuard()
+
+
+@dataclass
+class _Progress:
+    """What the attempts of one request have led to."""
+
+    received: int = 0
+    tried: set[str] = field(default_factory=set)
+    may_have_run: bool = False
+
+    def correct(self, error: RelayError) -> None:
+        """Give the final error the outcome of all attempts together."""
+        if self.may_have_run:
+            error.outcome = Outcome.UNKNOWN
+
+
+class Dispatcher:
+    """Runs requests on the backend servers of a table."""
+
+    def __init__(
+        self,
+        table: BackendTable,
+        scheduler: Scheduler,
+        budget: RetryBudget,
+        clock: Callable[[], float],
+    ):
+        self.counters = StreamCounters()
+        self.retries = 0
+        self._table = table
+        self._scheduler = scheduler
+        self._budget = budget
+        self._clock = clock
+
+    def stream(
+        self, request: Request, guard: DispatchGuard = NO_GUARD
+    ) -> Iterator[Chunk]:
+        """Yield the chunks of an engine's answer, in order and each once.
+
+        A stream that breaks is resumed on another engine from the tokens
+        received so far.  While nothing arrives, keep-alive chunks are yielded.
+        Raises ``RelayError`` when the request fails; its outcome is ``not_run``
+        only when no attempt may have run.
+        """
+        self._budget.record_request(self._clock())
+        progress = _Progress()
+        try:
+            while True:
+                entry = yield from self._wait(request, progress)
+                try:
+                    yield from self._attempt(entry, request, progress, guard)
+                    return
+                except (BackendError, OverloadError) as error:
+                    self._check_retry(request, error, entry, progress)
+        except RelayError as error:
+            progress.correct(error)
+            raise
+
+    def call(
+        self, request: Request, guard: DispatchGuard = NO_GUARD
+    ) -> service.ServiceAnswer:
+        """Run a request on a plain service.
+
+        A request is sent again only when no byte of it was sent before, or
+        when its kind is idempotent.
+        """
+        self._budget.record_request(self._clock())
+        progress = _Progress()
+        try:
+            while True:
+                entry = _finish(self._wait(request, progress))
+                try:
+                    return self._call_once(entry, request, guard)
+                except BackendError as error:
+                    self._check_retry(request, error, entry, progress)
+        except RelayError as error:
+            progress.correct(error)
+            raise
+
+    def _wait(
+        self, request: Request, progress: _Progress
+    ) -> Generator[Chunk, None, BackendEntry]:
+        """Wait in the queue, with a keep-alive for each tick; return the server."""
+        if request.time_left_s(self._clock()) <= 0:
+            raise DeadlineError("deadline passed", step="route", peer="backends")
+        cost = _cost_of(request)
+        ticket = self._scheduler.offer(request, cost, frozenset(progress.tried))
+        try:
+            while (entry := ticket.wait(QUEUE_TICK_S)) is None:
+                yield KEEP_ALIVE
+            return entry
+        finally:
+            self._scheduler.withdraw(ticket)
+
+    def _attempt(
+        self,
+        entry: BackendEntry,
+        request: Request,
+        progress: _Progress,
+        guard: DispatchGuard,
+    ) -> Iterator[Chunk]:
+        """Yield the rest of the answer from one engine."""
+        cost = _cost_of(request)
+        now_s = self._clock()
+        guard.begin()
+        try:
+            with (
+                self._table.hold(entry, cost, now_s),
+                engine.open_stream(
+                    entry.pool, request, progress.received, self.counters, now_s
+                ) as stream,
+            ):
+                for chunk in stream:
+                    progress.received = stream.offset
+                    yield chunk
+                    self._check_deadline(request, entry.id)
+                    stream.limit_read(request.time_left_s(self._clock()))
+        except RelayError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                guard.undo()
+            if isinstance(error, BackendError):
+                self._record_failure(entry)
+                self._check_deadline(request, entry.id)
+            raise
+        finally:
+            self._scheduler.wake()
+        now_s = self._clock()
+        entry.circuit.record_success(now_s)
+        entry.warm_up.record_success(cost.kv_tokens, True, now_s)
+
+    def _call_once(
+        self, entry: BackendEntry, request: Request, guard: DispatchGuard
+    ) -> service.ServiceAnswer:
+        now_s = self._clock()
+        guard.begin()
+        try:
+            with self._table.hold(entry, _cost_of(request), now_s):
+                answer = service.call(entry.pool, request, now_s)
+        except RelayError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                guard.undo()
+            self._record_failure(entry)
+            raise
+        finally:
+            self._scheduler.wake()
+        entry.circuit.record_success(self._clock())
+        return answer
+
+    def _record_failure(self, entry: BackendEntry) -> None:
+        now_s = self._clock()
+        entry.circuit.record_failure(now_s)
+        entry.warm_up.record_failure(now_s)
+
+    def _check_deadline(self, request: Request, peer: str) -> None:
+        if request.time_left_s(self._clock()) <= 0:
+            raise DeadlineError(
+                "deadline passed while the answer was produced",
+                step="stream",
+                peer=peer,
+                outcome=Outcome.UNKNOWN,
+            )
+
+    def _check_retry(
+        self,
+        request: Request,
+        error: RelayError,
+        entry: BackendEntry,
+        progress: _Progress,
+    ) -> None:
+        """Raise the error when the request must not be sent again."""
+        first = entry.id not in progress.tried
+        progress.tried.add(entry.id)
+        progress.may_have_run |= error.outcome is not Outcome.NOT_RUN
+        if progress.may_have_run and not request.kind.idempotent:
+            raise error
+        # A refused connection costs the server nothing, and each is tried once.
+        refused = isinstance(error, BackendError) and error.outcome is Outcome.NOT_RUN
+        if not (first and refused) and not self._budget.allow(self._clock()):
+            raise error
+        self.retries += 1
+
+
+def _cost_of(request: Request) -> Cost:
+    """Return the cost in tokens; a plain service has none."""
+    if request.kind.target == "engine":
+        return estimate_cost(request)
+    return Cost(0, 0)
+
+
+def _finish(wait: Generator[Chunk, None, BackendEntry]) -> BackendEntry:
+    """Return the server at the end of a wait."""
+    while True:
+        try:
+            next(wait)
+        except StopIteration as end:
+            return end.value
--- /dev/null
+++ b/papayarelay/node.py
@@ -0,0 +1,350 @@
+"""A node: owns all parts of a running process and connects them."""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+import time
+from collections.abc import Callable, Mapping
+
+import gevent
+from gevent import pywsgi
+from gevent.event import Event
+
+from .admission import AdmissionQueue
+from .backends.load import LoadReport
+from .backends.table import BackendTable
+from .backends.watcher import Watcher
+from .callers.api import CallerApi
+from .callers.body import BodyMemory
+from .callers.gate import Gate
+from .callers.record import RequestRecorder
+from .callers.server import CallerServer
+from .claim import Claims
+from .config import Config
+from .config_feed import ConfigFeed
+from .dispatch import Dispatcher
+from .errors import UnknownResourceError
+from .events import Event as LogEvent
+from .job import JobRunner
+from .logs import log, set_up_logs
+from .metrics import Metrics
+from .nodes.peering import Peering
+from .operators.api import OperatorApi
+from .retry import RetryBudget
+from .routing import POLICIES
+from .scheduler import Scheduler
+from .settings import Settings
+from .store.client import TableClient
+
+START_RETRY_S = 0.5
+WITHOUT_PLACE = "unknown"
+
+
+class Node:
+    """One node; ``start`` serves callers, ``close`` ends everything."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        operator_token: str = "",
+        clock: Callable[[], float] = time.monotonic,
+        seed: int | None = None,
+    ):
+        self.settings = settings
+        self._clock = clock
+        self._rng = random.Random(seed)
+        self.gate = Gate()
+        self.metrics = Metrics()
+        self.store = TableClient(settings.store_url, settings.store_timeout_s)
+        self.backends = BackendTable(self._rng)
+        policy = POLICIES[settings.routing_policy]()
+        self.scheduler = Scheduler(
+            self.backends, policy, AdmissionQueue(), self._rng, clock
+        )
+        self.dispatcher = Dispatcher(
+            self.backends, self.scheduler, RetryBudget(), clock
+        )
+        self.feed = ConfigFeed(
+            self.store,
+            self._apply_config,
+            self._publish_config,
+            settings.config_poll_interval_s,
+            self._rng,
+        )
+        self.peering = Peering(
+            settings, self.backends, self.feed, self._divide_work, self._rng, clock
+        )
+        self._watcher = Watcher(self.backends, self._record_load, self._rng, clock)
+        self.claims = Claims(self.store, scopes=self._claim_scopes, clock=clock)
+        self._api = CallerApi(
+            self.dispatcher,
+            JobRunner(self.claims, clock),
+            self.gate,
+            RequestRecorder(self.metrics, clock),
+            settings.body_limit_bytes,
+            settings.body_memory_bytes,
+            clock,
+        )
+        self._server = CallerServer(
+            settings.caller_address,
+            self._api.create_app(),
+            settings.caller_connections_limit,
+        )
+        self._operator_server = self._create_operator_server(operator_token)
+        self._observe()
+
+    @property
+    def caller_address(self) -> str:
+        """Return the address for callers as ``host:port``."""
+        return self._server.address
+
+    @property
+    def body_memory(self) -> BodyMemory:
+        """Return the memory that request bodies hold."""
+        return self._api.body_memory
+
+    @property
+    def operator_address(self) -> str:
+        """Return the address for operators as ``host:port``."""
+        server = self._operator_server
+        return f"{server.server_host}:{server.server_port}"
+
+    def start(self) -> None:
+        """Start all parts; the node is ready once it has a configuration."""
+        self.store.start()
+        self._operator_server.start()
+        self._server.start()
+        self.peering.start()
+        self._print_addresses()
+        log(LogEvent.NODE_STARTED, address=self.caller_address)
+        while not self._get_config():
+            gevent.sleep(START_RETRY_S)
+        self.feed.start()
+        self.scheduler.start()
+        self.gate.ready = True
+        log(LogEvent.NODE_READY, version=self.feed.config.version)
+
+    def _get_config(self) -> bool:
+        """Get the first configuration; return whether there is one.
+
+        Peers are asked when the table service does not answer.
+        """
+        answered = self.feed.poll()
+        if self.feed.config.version:
+            return True
+        return not answered and self.peering.fetch_config()
+
+    def _print_addresses(self) -> None:
+        addresses = {
+            "callers": self.caller_address,
+            "operators": self.operator_address,
+            "nodes": self.peering.address,
+        }
+        print(json.dumps(addresses), flush=True)
+
+    def stop(self) -> None:
+        """Stop as planned: refuse new work, then finish what is in flight."""
+        self.gate.ready = False
+        self.peering.leave()
+        gevent.sleep(self.settings.drain_grace_s)
+        self._server.stop_listening()
+        self.gate.close()
+        self.gate.wait_until_empty()
+
+    def close(self) -> None:
+        """End all parts at once."""
+        self.feed.close()
+        self.scheduler.close()
+        self._watcher.close()
+        self.peering.close()
+        self._server.close()
+        self._operator_server.stop(timeout=0)
+        self.backends.close()
+        self.store.close()
+
+    def status(self) -> dict:
+        """Return the state of the node for operators."""
+        now_s = self._clock()
+        return {
+            "name": self.settings.name,
+            "data_centre": self.settings.data_centre,
+            "ready": self.gate.ready,
+            "requests_in_flight": self.gate.inflight,
+            "requests_queued": len(self.scheduler.queue),
+            "config_version": self.feed.config.version,
+            "config_error": self.feed.error,
+            "peers": self.peering.status(),
+            "backends": {
+                entry.id: {
+                    "state": entry.load.state,
+                    "report_age_s": round(now_s - entry.reported_s, 1),
+                    "own_requests": len(entry.work),
+                    "circuit": entry.circuit.state.value,
+                }
+                for entry in self.backends.entries
+            },
+        }
+
+    def set_drained(self, name: str, drained: bool) -> dict:
+        """Drain or return a data centre or backend server on all nodes."""
+        config = self.feed.config
+        if name in config.data_centres:
+            target = f"data_centre/{name}"
+        elif name in config.backends:
+            target = f"backend/{name}"
+        else:
+            raise _unknown_target(name)
+        self.peering.publish_drain(target, drained)
+        return {"target": target, "drained": drained}
+
+    def look_up_job(self, member: str, kind: str, key: str) -> dict | None:
+        """Return the record of an idempotency key, or None."""
+        row = self.claims.look_up(member, kind, key)
+        if row is None:
+            return None
+        return {
+            "member": member,
+            "kind": kind,
+            "state": row.state.value,
+            "claimed_at": row.claimed_wall_s,
+            "status": row.status,
+            "answer_bytes": row.body_bytes,
+        }
+
+    def _claim_scopes(self) -> list[tuple[str, str]]:
+        """Return the members and non-idempotent kinds whose claims are swept."""
+        config = self.feed.config
+        return [
+            (member, kind.name)
+            for member in config.members
+            for kind in config.kinds.values()
+            if not kind.idempotent
+        ]
+
+    def _create_operator_server(self, token: str) -> pywsgi.WSGIServer:
+        api = OperatorApi(self, token, self.metrics.render)
+        host, _, port = self.settings.operator_address.rpartition(":")
+        return pywsgi.WSGIServer(
+            (host, int(port)), api.create_app(), log=None, error_log=None
+        )
+
+    def _observe(self) -> None:
+        """Publish the plain counters of the parts."""
+        counters = self.dispatcher.counters
+        observe = self.metrics.observe_gauge
+        observe("requests_in_flight", "Requests in flight", lambda: self.gate.inflight)
+        observe("requests_queued", "Requests queued", lambda: len(self.scheduler.queue))
+        observe(
+            "config_version",
+            "Configuration version in force",
+            lambda: self.feed.config.version,
+        )
+        self.metrics.observe_counter(
+            "chunks_dropped",
+            "Chunks that were not passed on to a caller",
+            lambda: {
+                "other_request": counters.other_request,
+                "duplicate": counters.duplicate,
+                "malformed": counters.malformed,
+            },
+        )
+        self.metrics.observe_counter(
+            "retries",
+            "Attempts after the first",
+            lambda: {"failure": self.dispatcher.retries},
+        )
+
+    def _apply_config(self, config: Config) -> None:
+        log(LogEvent.CONFIG_APPLIED, version=config.version)
+        self.backends.apply(config)
+        self._api.apply(config)
+        self._divide_work()
+
+    def _divide_work(self) -> None:
+        """Take this node's part of what is divided among the live nodes."""
+        watched = self.peering.watched(self.feed.config)
+        self._watcher.watch(watched)
+        self.backends.set_watched(watched)
+        self._share_limits(self.feed.config)
+
+    def _share_limits(self, config: Config) -> None:
+        """Give this node its part of the shares and of the claim writes."""
+        shares = {name: member.share for name, member in config.members.items()}
+        weights = {
+            (name, organisation.name): organisation.weight
+            for name, member in config.members.items()
+            for organisation in member.organisations.values()
+        }
+        self.scheduler.queue.set_shares(shares, weights)
+        writes_per_s = config.limits.claim_writes_per_s / self.peering.node_count
+        self.claims.set_writes_per_s(self._clock(), writes_per_s)
+
+    def _publish_config(self, version: int, sections: Mapping[str, str]) -> None:
+        self.peering.publish_config(version, sections)
+
+    def _record_load(self, backend_id: str, load: LoadReport, now_s: float) -> None:
+        turned_cold = self.backends.record_load(backend_id, load, now_s)
+        if turned_cold:
+            self.peering.publish_cold(backend_id, True, now_s)
+        self.peering.publish_load(backend_id, load, now_s)
+        self.scheduler.wake()
+
+
+def run(settings: Settings) -> int:
+    """Run a node until SIGTERM or SIGINT; return the process exit code.
+
+    The first signal starts a planned stop, a second one ends the process at
+    once with exit code 1 if requests were interrupted.
+    """
+    set_up_logs(settings.name, settings.log_level)
+    gevent.get_hub().print_exception = _log_task_failure
+    node = Node(settings, _read_token(settings))
+    stopping, ending = Event(), Event()
+
+    def on_signal() -> None:
+        (ending if stopping.is_set() else stopping).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, on_signal)
+    starter = gevent.spawn(node.start)
+    starter.link_exception(lambda _: stopping.set())
+    stopping.wait()
+    if starter.ready() and not starter.successful():
+        node.close()
+        return 1
+    starter.kill()
+    log(LogEvent.SHUTDOWN_STARTED, requests_count=node.gate.inflight)
+    stopper = gevent.spawn(node.stop)
+    gevent.wait([stopper, ending], count=1)
+    interrupted = node.gate.inflight
+    node.close()
+    event = LogEvent.SHUTDOWN_FORCED if interrupted else LogEvent.SHUTDOWN_FINISHED
+    log(event, requests_count=interrupted)
+    return 1 if interrupted else 0
+
+
+def _log_task_failure(context, kind, error, traceback) -> None:
+    """Log an error that ended a task; replaces gevent's traceback."""
+    frame = traceback
+    while frame is not None and frame.tb_next is not None:
+        frame = frame.tb_next
+    place = WITHOUT_PLACE
+    if frame is not None:
+        name = frame.tb_frame.f_globals.get("__name__", "")
+        place = f"{name}:{frame.tb_lineno}"
+    log(LogEvent.TASK_FAILED, task=place, error=error)
+
+
+def _unknown_target(name: str) -> UnknownResourceError:
+    return UnknownResourceError(
+        f"{name!r} is no data centre or backend server", step="drain", peer="operator"
+    )
+
+
+def _read_token(settings: Settings) -> str:
+    if not settings.operator_token_file:
+        return ""
+    with open(settings.operator_token_file, encoding="utf-8") as file:
+        return file.read().strip()
--- a/papayarelay/nodes/exchange.py
+++ b/papayarelay/nodes/exchange.py
@@ -113,6 +113,8 @@
     bytes_per_s: float = BYTES_PER_S
     suspect_after_s: float = SUSPECT_AFTER_S
     probe_interval_s: float = PROBE_INTERVAL_S
+    # Load records go to nodes of the same "data_centre" or "region".
+    load_scope: str = "data_centre"
     timing: LinkTiming = field(default_factory=LinkTiming)
 
 
@@ -199,8 +201,8 @@
         settings: ExchangeSettings,
         rng: random.Random,
         handlers: Handlers | None = None,
-        *,
         clock: Callable[[], float] = time.monotonic,
+        *,
         wall_clock: Callable[[], float] = time.time,
         make_link: Callable[..., Link] = Link,
         make_listener: Callable[..., Listener] = Listener,
@@ -963,7 +965,7 @@
             return
         if link is not None:
             self._close_link(name)
-        same = peer.data_centre == self._settings.data_centre
+        same = self._in_load_scope(peer)
         self._spread.open(name, same, now_s)
         link = self._make_link(
             name,
@@ -978,6 +980,11 @@
         self._links[name] = link
         link.start()
 
+    def _in_load_scope(self, peer: Peer) -> bool:
+        if self._settings.load_scope == "region":
+            return peer.region == self._settings.region
+        return peer.data_centre == self._settings.data_centre
+
     def _on_redial(self, link: Link) -> None:
         outbox = self._spread.outbox(link.name)
         if outbox is not None:
