Add the capacity page generator

Projections to the target size were not written down anywhere. The capacity command reads measurement files in a documented JSON line format, fits slopes by least squares with standard errors and writes docs/CAPACITY.md by role; rows over budget or without a measurement are marked.

--- a/papayarelay/bench/spread.py
+++ b/papayarelay/bench/spread.py
@@ -390,6 +390,7 @@
 
     def _line(self, quantity: str, unit: str, value: float) -> dict[str, Any]:
         options = self._options
+        links = [node.after["links"] for node in self._nodes]
         return {
             "quantity": quantity,
             "unit": unit,
@@ -397,6 +398,7 @@
                 "nodes": options.nodes,
                 "engines": options.engines,
                 "data_centres": DATA_CENTRES,
+                "links": round(statistics.fmean(links), 3),
                 "changes_per_s": round(options.changes / options.window_s, 4),
                 "marks_per_s": round(options.marks / options.window_s, 4),
                 "killed": options.kill,
@@ -445,7 +447,6 @@
     ("known_records", "records/s", lambda n: _rate(n, _counter("known_records"))),
     ("control_cpu", "core", lambda n: _rate(n, lambda report: report["cpu_s"])),
     ("resident_memory", "bytes", lambda n: n.after["rss_bytes"]),
-    ("links", "links", lambda n: n.after["links"]),
     ("suspects", "peers", lambda n: n.after["suspects"]),
     ("refused_frames", "frames", lambda n: sum(n.after["refused"].values())),
 )
--- /dev/null
+++ b/papayarelay/tests/test_capacity.py
@@ -0,0 +1,113 @@
+"""Tests of the capacity page."""
+
+import argparse
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from ..bench import capacity
+from ..bench.capacity import Line, Row, evaluate, fit
+
+
+def make_lines(function, quantity="q"):
+    """Return lines for several sizes."""
+    return [
+        Line(
+            quantity,
+            "s",
+            {"nodes": nodes, "policy": "p"},
+            function(nodes),
+            f"run {nodes}",
+        )
+        for nodes in (10, 20, 50, 100)
+    ]
+
+
+class FitTest(unittest.TestCase):
+    def test_line_with_errors(self):
+        """Guards against a slope or a standard error that is wrong."""
+        fitted = fit(make_lines(lambda nodes: 3 + 2 * nodes), ["nodes", "policy"])
+        self.assertEqual(fitted.variables, ("nodes",))
+        value, error = fitted.project({"nodes": 370})
+        self.assertAlmostEqual(value, 743, places=6)
+        self.assertAlmostEqual(error, 0, places=6)
+        noisy = fit(make_lines(lambda nodes: nodes + (-1) ** (nodes // 10)), ["nodes"])
+        mean = 45.0
+        places = [10, 20, 50, 100]
+        values = [n + (-1) ** (n // 10) for n in places]
+        spread = sum((n - mean) ** 2 for n in places)
+        average = sum(values) / 4
+        pairs = list(zip(places, values, strict=True))
+        slope = sum((n - mean) * (v - average) for n, v in pairs) / spread
+        left = [v - average - slope * (n - mean) for n, v in pairs]
+        error = (sum(r * r for r in left) / 2 / spread) ** 0.5
+        self.assertAlmostEqual(noisy.coefficients[1], slope)
+        self.assertAlmostEqual(noisy.errors[1], error)
+
+    def test_too_few_points(self):
+        """Guards against a projection from a fit without residual."""
+        self.assertIsNone(fit(make_lines(float)[:2], ["nodes"]))
+
+
+class RowTest(unittest.TestCase):
+    def row(self, **arguments):
+        return Row("r", "i", "s", "m", "q", ("nodes",), relief="less", **arguments)
+
+    def test_over_budget_is_marked(self):
+        """Guards against a row over budget that looks like any other."""
+        lines = make_lines(lambda nodes: 3 + 2 * nodes)
+        result = evaluate(self.row(budget=700.0), lines)
+        self.assertEqual(result.state, "OVER BUDGET: less")
+        result = evaluate(self.row(budget=800.0), lines)
+        self.assertEqual((result.state, result.command), ("within budget", "run 100"))
+
+    def test_not_measured(self):
+        """Guards against a value without a measurement."""
+        result = evaluate(self.row(only={"policy": "other"}), make_lines(float))
+        self.assertEqual((result.state, result.value), ("not measured", None))
+        result = evaluate(self.row(budget=5.0), make_lines(float)[:2])
+        self.assertTrue(result.state.startswith("OVER BUDGET at nodes 20"))
+
+
+class PageTest(unittest.TestCase):
+    def run_command(self, text):
+        parser = argparse.ArgumentParser()
+        capacity.add_arguments(parser.add_subparsers())
+        with tempfile.TemporaryDirectory() as directory:
+            (Path(directory) / "a.jsonl").write_text(text)
+            page = Path(directory) / "page.md"
+            arguments = ["--measurements", directory, "--output", str(page)]
+            namespace = parser.parse_args(["capacity", *arguments])
+            errors = io.StringIO()
+            with (
+                contextlib.redirect_stderr(errors),
+                contextlib.redirect_stdout(io.StringIO()),
+            ):
+                code = namespace.run(namespace)
+            return code, errors.getvalue(), page.read_text() if page.exists() else ""
+
+    def test_all_roles(self):
+        """Guards against a role or a file of another author that is left out."""
+        line = {
+            "quantity": "new_quantity",
+            "unit": "s",
+            "variables": {"size": 1},
+            "value": 2.0,
+            "command": "run",
+        }
+        code, _, page = self.run_command(json.dumps(line) + "\n")
+        self.assertEqual(code, 0)
+        for role in {row.role for row in capacity.ROWS}:
+            self.assertIn(f"## {role}\n", page)
+        self.assertIn("not measured", page)
+        self.assertIn("new_quantity", page)
+
+    def test_malformed_line(self):
+        """Guards against a measurement that is dropped without notice."""
+        for text in ('{"quantity": "q"}', "nonsense", '{"value": "3"}'):
+            code, errors, page = self.run_command(text)
+            self.assertEqual((code, page), (2, ""))
+            self.assertIn("a.jsonl:1", errors)
