Send configuration changes as merge patches; split the exchange

A change inside a large section, such as one organisation of a member, exceeded the bounded message, so that all nodes had to read the section from the table service. Changes are now JSON merge patches of the whole document. Reads of a version that did not arrive are spread over 0.5 s. A node that stood still no longer suspects its peers, and statements about nodes that have left expire. Load records, configuration state and transfer are modules of their own.

--- a/papayarelay/bench/capacity.py
+++ b/papayarelay/bench/capacity.py
@@ -213,7 +213,7 @@
         variables=("nodes",),
         only=_OVERLAY | _TARGET_ENGINES,
         budget=256e6,
-        relief="shorter `KEEP_S`",
+        relief="shorter `KEEP_LOAD_S`",
     ),
     Row(
         _CONTROL_ROLE,
--- /dev/null
+++ b/papayarelay/nodes/config_state.py
@@ -0,0 +1,126 @@
+"""The configuration that a node has, and the changes between versions."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+KEPT_CHANGES = 64
+
+
+class ConfigChange(msgspec.Struct, array_like=True, frozen=True):
+    """The difference between two versions as a JSON merge patch (RFC 7396)."""
+
+    base: int
+    version: int
+    patch: dict[str, Any]
+
+
+class UnpatchableError(ValueError):
+    """A value holds a null, which a merge patch cannot express."""
+
+
+def difference(old: Mapping[str, Any], new: Mapping[str, Any]) -> dict[str, Any]:
+    """Return the merge patch from ``old`` to ``new``; raises UnpatchableError."""
+    patch: dict[str, Any] = {name: None for name in old if name not in new}
+    for name, value in new.items():
+        before = old.get(name)
+        if isinstance(value, Mapping) and isinstance(before, Mapping):
+            if inner := difference(before, value):
+                patch[name] = inner
+        elif name not in old or before != value:
+            if _has_null(value):
+                raise UnpatchableError(name)
+            patch[name] = value
+    return patch
+
+
+def apply_patch(target: Any, patch: Mapping[str, Any]) -> dict[str, Any]:
+    """Return a copy of ``target`` with a merge patch applied."""
+    result = dict(target) if isinstance(target, Mapping) else {}
+    for name, value in patch.items():
+        if value is None:
+            result.pop(name, None)
+        elif isinstance(value, Mapping):
+            result[name] = apply_patch(result.get(name), value)
+        else:
+            result[name] = value
+    return result
+
+
+def _has_null(value: Any) -> bool:
+    if isinstance(value, Mapping):
+        return any(_has_null(inner) for inner in value.values())
+    return value is None
+
+
+@dataclass
+class ConfigState:
+    """The version in force, and changes that wait for earlier ones."""
+
+    version: int = 0
+    sections: dict[str, Any] = field(default_factory=dict)
+    # Highest version heard of, with the time at which it was first heard.
+    newest: int = 0
+    newest_heard_s: float = -math.inf
+    _held: dict[int, ConfigChange] = field(default_factory=dict)
+    _order: deque[str] = field(default_factory=deque)
+
+    def hear(self, version: int, now_s: float) -> None:
+        """Note that a version exists."""
+        if version > self.newest:
+            self.newest = version
+            self.newest_heard_s = now_s
+
+    def replace(
+        self, version: int, sections: Mapping[str, Any], now_s: float
+    ) -> ConfigChange | None:
+        """Take a version from the table service or a peer.
+
+        Returns the change from the previous version.  It is None when there is
+        no previous version, when ``version`` is not higher than the present
+        one, and when the change cannot be expressed as a patch.
+        """
+        self.hear(version, now_s)
+        if version <= self.version:
+            return None
+        base, before = self.version, self.sections
+        self.sections = {**before, **sections}
+        self.version = version
+        self._drop_held()
+        if not base:
+            return None
+        try:
+            return ConfigChange(base, version, difference(before, self.sections))
+        except UnpatchableError:
+            return None
+
+    def apply(self, change: ConfigChange, now_s: float) -> list[str]:
+        """Apply a change and those that waited for it; return the sections."""
+        self.hear(change.version, now_s)
+        if change.version <= self.version:
+            return []
+        self._held[change.base] = change
+        if len(self._held) > KEPT_CHANGES:
+            del self._held[max(self._held)]
+        touched: set[str] = set()
+        while (following := self._held.pop(self.version, None)) is not None:
+            self.sections = apply_patch(self.sections, following.patch)
+            self.version = following.version
+            touched |= following.patch.keys()
+        self._drop_held()
+        return sorted(touched)
+
+    def kept(self, key: str) -> str | None:
+        """Note a change that is kept; return the key to drop instead."""
+        self._order.append(key)
+        return self._order.popleft() if len(self._order) > KEPT_CHANGES else None
+
+    def _drop_held(self) -> None:
+        for base in [base for base in self._held if base < self.version]:
+            del self._held[base]
--- a/papayarelay/nodes/exchange.py
+++ b/papayarelay/nodes/exchange.py
@@ -5,7 +5,6 @@
 import collections
 import random
 import time
-import zlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
@@ -29,7 +28,9 @@
     OldIncarnationError,
     OversizedFrameError,
 )
+from .config_state import ConfigChange, ConfigState
 from .links import Link, LinkTiming, Listener
+from .load import LoadRecord, key_of, pack_value, summary_id, unpack_value
 from .spread import (
     BURST_BYTES,
     BYTES_PER_S,
@@ -39,25 +40,21 @@
     URGENT,
     WIRE_OVERHEAD_BYTES,
     Bucket,
-    ConfigChange,
-    ConfigState,
     Entry,
     Kind,
-    LoadRecord,
     Spread,
     is_expired,
-    key_of,
-    pack_value,
     received_entries,
-    summary_id,
-    unpack_value,
 )
+from .transfer import Download, Upload
 from .view import Peer, PeerState, PeerView
 
 log = logbook.Logger(__name__)
 
 MAINTAIN_INTERVAL_S = 0.5
 SUSPECT_AFTER_S = 9.0
+# A longer time between two reviews of the peers means that the process stood still.
+PAUSE_S = 3.0
 # A link that only the peer wants is kept this long after it last said so.
 ACCEPTED_FOR_S = 8.0
 MAX_ACCEPTED = 32
@@ -67,7 +64,9 @@
 PROBE_FOR_S = 8.0
 DIGEST_DIFFERS_S = 3.0
 # A version that was heard of but whose change did not arrive is reported.
-CHANGE_OVERDUE_S = 1.0
+CHANGE_OVERDUE_S = 0.5
+# Nodes read a version from the table service within this time of each other.
+REPORT_SPREAD_S = 0.5
 # Changed loads of a data centre with many engines share this rate, because each
 # record crosses about 1.5 links per node and the byte budget is fixed.
 LOAD_RECORDS_PER_S = 20.0
@@ -77,9 +76,6 @@
 SUMMARY_REFRESH_S = 30.0
 # The second watcher publishes when the first one's record is older than this.
 TAKE_OVER_S = 8.0
-CHUNK_BYTES = 1_100
-CHUNK_TIMEOUT_S = 2.0
-MAX_CONFIG_BYTES = 16 * 1024 * 1024
 
 
 class DrainState(IntEnum):
@@ -127,9 +123,8 @@
     """Functions that are called for what arrives from peers.
 
     ``on_config`` gets the version and the changed sections in full, or None
-    when the node has to read them itself, after a random delay of up to 1 s so
-    that not all nodes read the table service at once.  A version is reported
-    once; a node whose reading fails repeats it.
+    when the node has to read them itself.  A version is reported once; a node
+    whose reading fails repeats it.
     """
 
     on_load: Callable[[LoadRecord], None] = _ignore
@@ -152,47 +147,6 @@
     claim: int
 
 
-@dataclass
-class _Download:
-    """Parts of a configuration that arrive from several peers."""
-
-    version: int = 0
-    size: int = 0
-    parts: dict[int, bytes] = field(default_factory=dict)
-    asked: dict[str, tuple[int, float]] = field(default_factory=dict)
-    arrived: gevent.event.Event = field(default_factory=gevent.event.Event)
-
-    @property
-    def complete(self) -> bool:
-        """Whether all parts are there."""
-        return self.size > 0 and sum(map(len, self.parts.values())) >= self.size
-
-    def missing(self, now_s: float) -> int | None:
-        """Return the offset of a part to ask for."""
-        asked = {offset for offset, due_s in self.asked.values() if due_s > now_s}
-        for offset in range(0, max(1, self.size), CHUNK_BYTES):
-            if offset not in self.parts and offset not in asked:
-                return offset
-        return None
-
-    def add(self, chunk: ConfigChunk) -> None:
-        """Add a part; a newer version starts again."""
-        if chunk.version > self.version or not self.size:
-            self.version, self.size, self.parts = chunk.version, chunk.size, {}
-        if (chunk.version, chunk.size) == (self.version, self.size):
-            self.parts[chunk.offset] = chunk.data
-
-    def content(self) -> dict[str, Any]:
-        """Return the sections.  Raises ``ValueError`` for damaged data."""
-        data = b"".join(self.parts[offset] for offset in sorted(self.parts))
-        unpacker = zlib.decompressobj()
-        try:
-            packed = unpacker.decompress(data, MAX_CONFIG_BYTES)
-            return msgspec.msgpack.decode(packed, type=dict[str, Any])
-        except (zlib.error, msgspec.DecodeError) as error:
-            raise ValueError(str(error)) from error
-
-
 class Exchange:
     """Links to other nodes, the peer view and the disseminated state."""
 
@@ -227,6 +181,7 @@
         self._accepted: dict[str, float] = {}
         self._probe: tuple[str, float] | None = None
         self._next_probe_s = clock()
+        self._maintained_s = self._resumed_s = clock()
         self._hello_due: set[str] = set()
         self._greeted: dict[str, int] = {}
         self._control: dict[str, collections.deque] = {}
@@ -234,12 +189,13 @@
         self._differing: dict[str, tuple[tuple[int, int], float]] = {}
         self._peer_versions: dict[str, int] = {}
         self._reported_version = 0
+        self._report_due_s: float | None = None
         self._ids: dict[int, str] = {}
         self._ranks: dict[str, int] = {}
         self._ranks_for: tuple | None = None
         self._engine_count = 0
-        self._blob: tuple[int, bytes] | None = None
-        self._download: _Download | None = None
+        self._upload = Upload()
+        self._download: Download | None = None
         self._state = PeerState.LIVE
         self._claim = 0
         self._announced = False
@@ -338,10 +294,12 @@
         now_s = self._clock() if now_s is None else now_s
         if version <= self._config.version:
             return False
+        base = self._config.version
         change = self._config.replace(version, sections, now_s)
         self._reported_version = max(self._reported_version, version)
-        if change is not None:
-            self._add_change(change, now_s)
+        if base:
+            value = msgspec.msgpack.encode(change) if change else b""
+            self._add_change(base, version, value, now_s)
         else:
             # The first version has no base; heartbeats announce it.
             for link in self._links.values():
@@ -405,7 +363,7 @@
         Raises ``ConfigFetchError``.
         """
         deadline_s = self._clock() + timeout_s
-        self._download = _Download()
+        self._download = Download()
         try:
             while (now_s := self._clock()) < deadline_s:
                 self._ask_for_parts(self._download, now_s)
@@ -484,14 +442,12 @@
         entry, waiting = self._spread.publish(kind, key, bytes((value,)), now_s)
         self._wake(waiting, entry.kind, now_s)
 
-    def _add_change(self, change: ConfigChange, now_s: float) -> None:
-        value = msgspec.msgpack.encode(change)
+    def _add_change(self, base: int, version: int, value: bytes, now_s: float) -> None:
         if len(value) > MAX_CHANGE_BYTES:
             value = b""
-        key = f"{change.base}-{change.version}"
-        entry = Entry(Kind.CONFIG, key, change.version, value, now_s)
+        entry = Entry(Kind.CONFIG, f"{base}-{version}", version, value, now_s)
         self._wake(self._spread.add(entry), Kind.CONFIG, now_s)
-        self._keep_change(key)
+        self._keep_change(entry.key)
 
     def _keep_change(self, key: str) -> None:
         dropped = self._config.kept(key)
@@ -768,7 +724,7 @@
         self._keep_change(entry.key)
         self._config.hear(entry.version, now_s)
         if not entry.value:
-            self._report_version(now_s)
+            self._plan_report(now_s)
             return
         try:
             change = msgspec.msgpack.decode(entry.value, type=ConfigChange)
@@ -781,11 +737,25 @@
             self._reported_version = max(self._reported_version, version)
             self._handlers.on_config(version, {n: sections[n] for n in names})
 
+    def _plan_report(self, now_s: float) -> None:
+        """Plan to tell the node about a version whose change it has to read.
+
+        The delay is random, so that not all nodes read the table service at once.
+        """
+        newest = self._config.newest
+        if newest <= max(self._config.version, self._reported_version):
+            return
+        if self._report_due_s is None:
+            self._report_due_s = now_s + self._rng.uniform(0, REPORT_SPREAD_S)
+
     def _report_version(self, now_s: float) -> None:
-        """Tell the node about a version whose change it has to read."""
-        if self._config.newest > max(self._config.version, self._reported_version):
-            self._reported_version = self._config.newest
-            self._handlers.on_config(self._config.newest, None)
+        if self._report_due_s is None or now_s < self._report_due_s:
+            return
+        self._report_due_s = None
+        newest = self._config.newest
+        if newest > max(self._config.version, self._reported_version):
+            self._reported_version = newest
+            self._handlers.on_config(newest, None)
 
     def _on_statement(self, entry: Entry, now_s: float) -> None:
         try:
@@ -819,63 +789,45 @@
 
     # Configuration from peers.
 
-    def _ask_for_parts(self, download: _Download, now_s: float) -> None:
+    def _ask_for_parts(self, download: Download, now_s: float) -> None:
         newest = max(self._peer_versions.values(), default=0)
         for name, version in self._peer_versions.items():
-            due_s = download.asked.get(name, (0, now_s))[1]
-            if version == 0 or version < newest or due_s > now_s:
-                continue
             link = self._links.get(name)
-            offset = download.missing(now_s)
-            if link is None or offset is None:
+            if version == 0 or version < newest or link is None:
                 continue
-            download.asked[name] = (offset, now_s + CHUNK_TIMEOUT_S)
-            self._control.setdefault(name, collections.deque()).append(
-                ConfigRequest(download.version, offset)
-            )
-            link.wake()
+            request = download.ask(name, now_s)
+            if request is not None:
+                self._control.setdefault(name, collections.deque()).append(request)
+                link.wake()
 
-    def _finish_download(self, download: _Download) -> bool:
-        now_s = self._clock()
+    def _finish_download(self, download: Download) -> bool:
         try:
             sections = download.content()
         except ValueError:
             self.counters["damaged_downloads"] += 1
-            self._download = _Download()
+            self._download = Download()
             return False
-        if download.version > self._config.version:
-            self._config.replace(download.version, sections, now_s)
-            self._reported_version = download.version
+        self._config.replace(download.version, sections, self._clock())
+        self._reported_version = max(self._reported_version, download.version)
         return True
 
     def _on_config_request(
         self, sender: str, request: ConfigRequest, now_s: float
     ) -> None:
-        if self._config.version == 0 or sender not in self._links:
-            return
-        if self._blob is None or self._blob[0] != self._config.version:
-            packed = msgspec.msgpack.encode(self._config.sections)
-            self._blob = (self._config.version, zlib.compress(packed))
-        version, blob = self._blob
-        offset = request.offset if request.version in (0, version) else 0
-        if not 0 <= offset < len(blob):
+        chunk = self._upload.answer(request, *self.config)
+        link = self._links.get(sender)
+        if chunk is None or link is None:
             return
-        chunk = ConfigChunk(
-            version, offset, len(blob), blob[offset : offset + CHUNK_BYTES]
-        )
         waiting = self._control.setdefault(sender, collections.deque())
         # A peer has one request outstanding; an older one has timed out there.
         for old in [m for m in waiting if isinstance(m, ConfigChunk)]:
             waiting.remove(old)
         waiting.append(chunk)
-        self._wake_urgent(self._links[sender], now_s)
+        self._wake_urgent(link, now_s)
 
     def _on_config_chunk(self, sender: str, chunk: ConfigChunk) -> None:
-        if self._download is None or not 0 < chunk.size <= MAX_CONFIG_BYTES:
-            return
-        self._download.asked.pop(sender, None)
-        self._download.add(chunk)
-        self._download.arrived.set()
+        if self._download is not None:
+            self._download.add(sender, chunk)
 
     # Maintenance.
 
@@ -891,6 +843,10 @@
         """Review the peers and open and close links; runs in a task twice a second."""
         if not self._announced:
             self._announce(now_s)
+        if now_s - self._maintained_s > PAUSE_S:
+            # After a pause the frames of the peers wait to be read.
+            self._resumed_s = now_s
+        self._maintained_s = now_s
         self._suspect_silent(now_s)
         self._start_probe(now_s)
         self._select(now_s)
@@ -907,7 +863,8 @@
         self._view.forget(now_s)
         overdue_s = now_s - self._config.newest_heard_s
         if overdue_s > CHANGE_OVERDUE_S:
-            self._report_version(now_s)
+            self._plan_report(now_s)
+        self._report_version(now_s)
 
     def _select(self, now_s: float) -> None:
         epoch = int(self._wall_clock() // self._policy.epoch_s)
@@ -929,7 +886,7 @@
             peer = self._view.get(name)
             if link is None or peer is None:
                 continue
-            heard_s = max(link.started_s, peer.heard_s)
+            heard_s = max(link.started_s, peer.heard_s, self._resumed_s)
             if now_s - heard_s <= self._settings.suspect_after_s:
                 continue
             suspect = self._view.suspect(name, now_s)
--- a/papayarelay/nodes/spread.py
+++ b/papayarelay/nodes/spread.py
@@ -7,14 +7,10 @@
 from __future__ import annotations
 
 import enum
-import hashlib
-import math
 import struct
 import zlib
-from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
-from typing import Any
+from dataclasses import dataclass
 
 import msgspec
 
@@ -27,7 +23,6 @@
 # Room for records in one frame, beside header, tag and acknowledgements.
 MAX_RECORDS_BYTES = 1_100
 RECORD_OVERHEAD_BYTES = 17
-KEPT_CHANGES = 64
 # TCP and IP headers with timestamps, the length prefix of nng and the pure
 # acknowledgement that the peer returns for a frame.
 WIRE_OVERHEAD_BYTES = 52 + 8 + 52
@@ -41,7 +36,12 @@
 FRESH_CHANGE_S = 10.0
 # Records are dropped this long after their publication; every node uses the
 # age of the record, so all drop it at about the same time.
-KEEP_S = {"live": 60.0, "cleared": 600.0, "active_cold": 3_600.0, "load": 60.0}
+KEEP_LOAD_S = 60.0
+KEEP_LIVE_PEER_S = 60.0
+# The peer view keeps the state; the record only has to reach all nodes.
+KEEP_OTHER_PEER_S = 600.0
+KEEP_CLEARED_MARK_S = 600.0
+KEEP_COLD_MARK_S = 3_600.0
 # A value whose publication is later than a conflicting one by more than this
 # is published again above it.
 CONFLICT_MARGIN_S = 1.0
@@ -67,82 +67,9 @@
 # First byte of the value of a mark that no longer has an effect.
 CLEARED = 0
 
-STATES = ("warm", "cold", "down", "leaving")
 _PACKED = struct.Struct(">IIBBBBBB")
 PACKED_BYTES = _PACKED.size
 _AGE_STEP_S = 0.1
-_LOG_STEPS = 8
-
-
-@dataclass(frozen=True)
-class LoadRecord:
-    """Load of an engine, or of a model in a data centre.
-
-    ``id`` is the engine id, or ``summary_id(data_centre, model)``.  A summary
-    holds sums over the warm engines.  ``reported_s`` is on the local clock.
-    """
-
-    id: str
-    state: str = "warm"
-    kv_capacity_tokens: int = 0
-    kv_used_tokens: int = 0
-    queued_prefill_tokens: int = 0
-    running: int = 0
-    prefill_tokens_per_s: float = 0.0
-    reported_s: float = 0.0
-
-
-def summary_id(data_centre: str, model: str) -> str:
-    """Return the id of the summary of a model in a data centre."""
-    return f"{data_centre}/{model}"
-
-
-def key_of(record_id: str) -> int:
-    """Return the 32-bit key that stands for an id in packed records."""
-    digest = hashlib.blake2b(record_id.encode(), digest_size=4).digest()
-    return int.from_bytes(digest)
-
-
-def quantise(value: float) -> int:
-    """Return one byte on a logarithmic scale; the error is below 5%."""
-    return min(255, round(_LOG_STEPS * math.log2(1 + max(0.0, value))))
-
-
-def restore(code: int) -> float:
-    """Return the value that ``quantise`` has coded."""
-    return 2 ** (code / _LOG_STEPS) - 1
-
-
-def pack_value(record: LoadRecord) -> bytes:
-    """Return the quantised values of a load record, 5 bytes."""
-    used = 0.0
-    if record.kv_capacity_tokens > 0:
-        used = min(1.0, record.kv_used_tokens / record.kv_capacity_tokens)
-    first = STATES.index(record.state) << 6 | round(used * 63)
-    return bytes(
-        (
-            first,
-            quantise(record.kv_capacity_tokens),
-            quantise(record.queued_prefill_tokens),
-            quantise(record.running),
-            quantise(record.prefill_tokens_per_s),
-        )
-    )
-
-
-def unpack_value(record_id: str, value: bytes, reported_s: float) -> LoadRecord:
-    """Return the load record that ``pack_value`` has coded."""
-    capacity = round(restore(value[1]))
-    return LoadRecord(
-        id=record_id,
-        state=STATES[value[0] >> 6],
-        kv_capacity_tokens=capacity,
-        kv_used_tokens=round(capacity * (value[0] & 63) / 63),
-        queued_prefill_tokens=round(restore(value[2])),
-        running=round(restore(value[3])),
-        prefill_tokens_per_s=restore(value[4]),
-        reported_s=reported_s,
-    )
 
 
 @dataclass(frozen=True)
@@ -498,13 +425,14 @@
 
 
 def _keep_s(entry: Entry) -> float | None:
+    cleared = entry.kind in (*MARKS, Kind.PEER) and entry.value[0] == CLEARED
     if entry.kind in (Kind.LOAD, Kind.SUMMARY):
-        return KEEP_S["load"]
+        return KEEP_LOAD_S
     if entry.kind is Kind.PEER:
-        return KEEP_S["live"] if entry.value[0] == CLEARED else None
-    if entry.kind in MARKS and entry.value[0] == CLEARED:
-        return KEEP_S["cleared"]
-    return KEEP_S["active_cold"] if entry.kind is Kind.COLD else None
+        return KEEP_LIVE_PEER_S if cleared else KEEP_OTHER_PEER_S
+    if cleared:
+        return KEEP_CLEARED_MARK_S
+    return KEEP_COLD_MARK_S if entry.kind is Kind.COLD else None
 
 
 def _pack(entry: Entry, now_s: float) -> bytes:
@@ -533,108 +461,3 @@
             made_s = now_s - age * _AGE_STEP_S
             entries.append(Entry(kind, key, version, bytes(value), made_s))
     return entries
-
-
-class ConfigChange(msgspec.Struct, array_like=True, frozen=True):
-    """The entries that differ between configuration versions.
-
-    ``changed`` maps a section to its changed entries, ``removed`` to the names
-    of removed ones.
-    """
-
-    base: int
-    version: int
-    changed: dict[str, dict[str, Any]]
-    removed: dict[str, list[str]]
-
-
-@dataclass
-class ConfigState:
-    """The configuration that a node has, and changes that wait for earlier ones."""
-
-    version: int = 0
-    sections: dict[str, dict[str, Any]] = field(default_factory=dict)
-    # Highest version heard of, with the time at which it was first heard.
-    newest: int = 0
-    newest_heard_s: float = -math.inf
-    _held: dict[int, ConfigChange] = field(default_factory=dict)
-    _order: deque = field(default_factory=deque)
-
-    def hear(self, version: int, now_s: float) -> None:
-        """Note that a version exists."""
-        if version > self.newest:
-            self.newest = version
-            self.newest_heard_s = now_s
-
-    def replace(
-        self, version: int, sections: Mapping[str, Any], now_s: float
-    ) -> ConfigChange | None:
-        """Take a version from the table service or a peer.
-
-        Returns the change from the previous version, or None when there is
-        none or ``version`` is not higher than the present one.
-        """
-        self.hear(version, now_s)
-        if version <= self.version:
-            return None
-        base = self.version
-        change = _difference(base, version, self.sections, sections)
-        self.sections = {**self.sections, **sections}
-        self.version = version
-        self._drop_held()
-        return change if base else None
-
-    def apply(self, change: ConfigChange, now_s: float) -> list[str]:
-        """Apply a change and those that waited for it; return the sections."""
-        self.hear(change.version, now_s)
-        if change.version <= self.version:
-            return []
-        self._held[change.base] = change
-        if len(self._held) > KEPT_CHANGES:
-            del self._held[min(self._held)]
-        touched: set[str] = set()
-        while (following := self._held.pop(self.version, None)) is not None:
-            touched |= self._apply(following)
-        self._drop_held()
-        return sorted(touched)
-
-    def kept(self, key: str) -> str | None:
-        """Note a change that is kept; return the key to drop instead."""
-        self._order.append(key)
-        return self._order.popleft() if len(self._order) > KEPT_CHANGES else None
-
-    def _apply(self, change: ConfigChange) -> set[str]:
-        names = change.changed.keys() | change.removed.keys()
-        sections = dict(self.sections)
-        for name in names:
-            removed = set(change.removed.get(name, ()))
-            section = {
-                k: v for k, v in sections.get(name, {}).items() if k not in removed
-            }
-            sections[name] = {**section, **change.changed.get(name, {})}
-        self.sections = sections
-        self.version = change.version
-        return set(names)
-
-    def _drop_held(self) -> None:
-        for base in [base for base in self._held if base < self.version]:
-            del self._held[base]
-
-
-def _difference(
-    base: int, version: int, old: Mapping[str, Any], new: Mapping[str, Any]
-) -> ConfigChange:
-    changed: dict[str, dict[str, Any]] = {}
-    removed: dict[str, list[str]] = {}
-    for name, section in new.items():
-        before = old.get(name, {})
-        different = {k: v for k, v in section.items() if before.get(k, _ABSENT) != v}
-        gone = [k for k in before if k not in section]
-        if different:
-            changed[name] = different
-        if gone:
-            removed[name] = gone
-    return ConfigChange(base, version, changed, removed)
-
-
-_ABSENT = object()
--- /dev/null
+++ b/papayarelay/nodes/transfer.py
@@ -0,0 +1,88 @@
+"""Transfer of the whole configuration between nodes, in bounded parts."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import gevent.event
+import msgspec
+
+from .codec import ConfigChunk, ConfigRequest
+
+CHUNK_BYTES = 1_100
+CHUNK_TIMEOUT_S = 2.0
+MAX_CONFIG_BYTES = 16 * 1024 * 1024
+
+
+class Upload:
+    """Answers requests for parts of the configuration in force."""
+
+    def __init__(self):
+        self._version = 0
+        self._data = b""
+
+    def answer(
+        self, request: ConfigRequest, version: int, sections: Mapping[str, Any]
+    ) -> ConfigChunk | None:
+        """Return the part that was asked for, or the first of a newer version."""
+        if version == 0:
+            return None
+        if self._version != version:
+            self._data = zlib.compress(msgspec.msgpack.encode(sections))
+            self._version = version
+        offset = request.offset if request.version in (0, version) else 0
+        if not 0 <= offset < len(self._data):
+            return None
+        data = self._data[offset : offset + CHUNK_BYTES]
+        return ConfigChunk(version, offset, len(self._data), data)
+
+
+@dataclass
+class Download:
+    """Parts of a configuration that arrive from several peers."""
+
+    version: int = 0
+    arrived: gevent.event.Event = field(default_factory=gevent.event.Event)
+    _size: int = 0
+    _parts: dict[int, bytes] = field(default_factory=dict)
+    # Offset asked for and time limit of its answer, by peer.
+    _asked: dict[str, tuple[int, float]] = field(default_factory=dict)
+
+    @property
+    def complete(self) -> bool:
+        """Whether all parts are there."""
+        return self._size > 0 and sum(map(len, self._parts.values())) >= self._size
+
+    def ask(self, peer: str, now_s: float) -> ConfigRequest | None:
+        """Return a request for a peer that has none outstanding."""
+        if self._asked.get(peer, (0, now_s))[1] > now_s:
+            return None
+        asked = {offset for offset, due_s in self._asked.values() if due_s > now_s}
+        for offset in range(0, max(1, self._size), CHUNK_BYTES):
+            if offset not in self._parts and offset not in asked:
+                self._asked[peer] = (offset, now_s + CHUNK_TIMEOUT_S)
+                return ConfigRequest(self.version, offset)
+        return None
+
+    def add(self, peer: str, chunk: ConfigChunk) -> None:
+        """Add a part; a newer version starts again."""
+        if not 0 < chunk.size <= MAX_CONFIG_BYTES:
+            return
+        self._asked.pop(peer, None)
+        if chunk.version > self.version or not self._size:
+            self.version, self._size, self._parts = chunk.version, chunk.size, {}
+        if (chunk.version, chunk.size) == (self.version, self._size):
+            self._parts[chunk.offset] = chunk.data
+        self.arrived.set()
+
+    def content(self) -> dict[str, Any]:
+        """Return the sections; raises ``ValueError`` for damaged data."""
+        data = b"".join(self._parts[offset] for offset in sorted(self._parts))
+        try:
+            packed = zlib.decompressobj().decompress(data, MAX_CONFIG_BYTES)
+            return msgspec.msgpack.decode(packed, type=dict[str, Any])
+        except (zlib.error, msgspec.DecodeError) as error:
+            raise ValueError(str(error)) from error
--- a/papayarelay/tests/test_exchange.py
+++ b/papayarelay/tests/test_exchange.py
@@ -18,7 +18,7 @@
     Handlers,
 )
 from ..nodes.links import LinkTiming
-from ..nodes.spread import LoadRecord
+from ..nodes.load import LoadRecord
 
 KEY = b"k" * 32
 FAST = LinkTiming(heartbeat_s=0.1, batch_s=0.05, idle_limit_s=0.5, redial_limit_s=1.0)
@@ -416,21 +416,25 @@
             delay_s = self.rng.uniform(0.001, 0.3)
             self.in_transit.append((self.now_s + delay_s, link, frame))
 
-    def run(self, seconds, check):
-        """Advance the virtual time."""
+    def run(self, seconds, check, paused=None):
+        """Advance the virtual time; the paused node does nothing in it."""
         end_s = self.now_s + seconds
         while self.now_s < end_s:
             self.now_s += 0.05
             arrived = [t for t in self.in_transit if t[0] <= self.now_s]
             self.in_transit = [t for t in self.in_transit if t[0] > self.now_s]
             for _, link, frame in arrived:
-                self.nodes[link.name][0].receive(frame)
+                if link.name == paused:
+                    self.in_transit.append((self.now_s + 0.05, link, frame))
+                else:
+                    self.nodes[link.name][0].receive(frame)
             for link in list(self.links):
-                if link in self.links:
+                if link in self.links and link.source != paused:
                     link.step(link.clock())
             if round(self.now_s / 0.05) % 10 == 0:
-                for exchange, clock, _ in self.nodes.values():
-                    exchange.maintain(clock())
+                for name, (exchange, clock, _) in self.nodes.items():
+                    if name != paused:
+                        exchange.maintain(clock())
             check()
 
 
@@ -496,6 +500,34 @@
             self.assertTrue(other.drains())
             self.assertEqual(other.config[0], max(network.history))
 
+    def test_paused_node(self):
+        """Guards against a node that suspects all others after it stood still."""
+        self.network = network = Network(3, 12)
+        network.run(5, self.check_versions)
+        network.run(30, self.check_versions, paused="n0")
+        exchange = network.nodes["n0"][0]
+        others = [e for name, (e, _, _) in network.nodes.items() if name != "n0"]
+        seen = [e._view.get("n0").state == "suspect" for e in others]
+        self.assertTrue(any(seen))
+        network.run(30, self.check_versions)
+        self.assertNotIn("suspected", exchange.status(0.0)["counters"])
+        for other in others:
+            self.assertEqual(other._view.get("n0").state, "live")
+
+    def test_dropped_records_do_not_return(self):
+        """Guards against old changes that circulate among the nodes for ever."""
+        self.network = network = Network(4, 8)
+        network.run(5, self.check_versions)
+        for _ in range(150):
+            network.edit()
+            network.run(0.3, self.check_versions)
+        network.run(20, self.check_versions)
+        names = ("new_records", "expired_records")
+        before = [e.counters[n] for e, _, _ in network.nodes.values() for n in names]
+        network.run(60, self.check_versions)
+        after = [e.counters[n] for e, _, _ in network.nodes.values() for n in names]
+        self.assertEqual(after, before)
+
     def test_debt_of_the_bucket_is_paid_back(self):
         """Guards against empty frames that keep the byte bucket in debt."""
         self.network = network = Network(2, 8)
--- a/papayarelay/tests/test_spread.py
+++ b/papayarelay/tests/test_spread.py
@@ -6,23 +6,20 @@
 import msgspec
 
 from ..nodes.codec import Batch, Record
+from ..nodes.config_state import ConfigChange, ConfigState
+from ..nodes.load import LoadRecord, key_of, pack_value, unpack_value
 from ..nodes.spread import (
     BURST_BYTES,
     DEBT_BYTES,
+    MAX_CHANGE_BYTES,
     MAX_RECORDS_BYTES,
     PACKED_BYTES,
     URGENT,
     Bucket,
-    ConfigChange,
-    ConfigState,
     Entry,
     Kind,
-    LoadRecord,
     Spread,
-    key_of,
-    pack_value,
     received_entries,
-    unpack_value,
 )
 
 
@@ -250,6 +247,29 @@
         self.assertIsNone(state.replace(4, {"limits": {"a": 4}}, 0.0))
         self.assertEqual((state.version, state.sections), (5, {"limits": {"a": 5}}))
 
+    def test_change_inside_a_large_section(self):
+        """Guards against a whole section that travels for one changed entry."""
+        organisations = {f"o{n}": {"key_sha256": ["0" * 64]} for n in range(650)}
+        members = {"m": {"share": 0.5, "organisations": organisations}}
+        state = ConfigState()
+        state.replace(1, {"members": members}, 0.0)
+        other = ConfigState()
+        other.replace(1, {"members": members}, 0.0)
+        changed = {**organisations, "o3": {"key_sha256": []}, "new": {"weight": 2}}
+        del changed["o5"]
+        new = {"members": {"m": {"share": 0.4, "organisations": changed}}}
+        change = state.replace(2, new, 0.0)
+        self.assertLess(len(msgspec.msgpack.encode(change)), MAX_CHANGE_BYTES)
+        self.assertEqual(other.apply(change, 0.0), ["members"])
+        self.assertEqual(other.sections, new)
+
+    def test_null_is_not_taken_for_a_removal(self):
+        """Guards against an entry that a merge patch removes by mistake."""
+        state = ConfigState()
+        state.replace(1, {"limits": {"a": 1}}, 0.0)
+        self.assertIsNone(state.replace(2, {"limits": {"a": {"b": None}}}, 0.0))
+        self.assertEqual(state.version, 2)
+
     def test_gap_is_not_skipped(self):
         """Guards against a change that is applied to the wrong version."""
         history, changes = make_changes(random.Random(1), 3)
