--- a/papayarelay/bench/client.py
+++ b/papayarelay/bench/client.py
@@ -111,10 +111,15 @@
         return answer
 
     def call_service(
-        self, kind: str, body: bytes, key: str | None, timeout_s: float = 60.0
+        self,
+        kind: str,
+        body: bytes,
+        key: str | None,
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = 60.0,
     ) -> tuple[int, dict]:
         """Call a plain service; return the status and the JSON answer."""
-        headers = {"Idempotency-Key": key} if key else {}
+        headers = dict(headers or {}) | ({"Idempotency-Key": key} if key else {})
         response = self._post(f"/v1/services/{kind}", body, headers, timeout_s)
         try:
             return response.status, msgspec.json.decode(response.read())
--- a/papayarelay/local.py
+++ b/papayarelay/local.py
@@ -22,6 +22,7 @@
 START_LIMIT_S = 30.0
 STOP_LIMIT_S = 20.0
 POLL_S = 0.02
+ANY_ADDRESS = "127.0.0.1:0"
 
 MODEL = "prompt-1m"
 OPERATOR_TOKEN = "local-operator-token"
@@ -71,6 +72,7 @@
 
     def __init__(self, name: str, arguments: list[str], log_path: Path):
         self.name = name
+        self.log_path = log_path
         self._log = log_path.open("ab")
         self._popen = subprocess.Popen(
             [sys.executable, "-m", "papayarelay", *arguments],
@@ -84,6 +86,12 @@
         """Return the process id."""
         return self._popen.pid
 
+    @property
+    def log_lines(self) -> list[dict]:
+        """Return the JSON lines that the process has logged so far."""
+        lines = self.log_path.read_text("utf-8", "replace").splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
     @property
     def exit_code(self) -> int | None:
         """Return the exit code, or None while the process runs."""
@@ -133,6 +141,7 @@
         self.engine_addresses: list[str] = []
         self.service_addresses: list[str] = []
         self.nodes: list[Process] = []
+        self.engines: list[Process] = []
         self.store_address = ""
         self.vms_address = ""
         self._counts = (nodes, engines, services)
@@ -145,14 +154,14 @@
     def start(self) -> None:
         """Start everything and wait until all nodes are ready."""
         nodes, engines, services = self._counts
-        self.store_address = self._start_standin("tables")
-        self.vms_address = self._start_standin("vms")
-        self.engine_addresses = [
-            self._start_standin("engine", *self._engine_arguments)
-            for _ in range(engines)
-        ]
+        _, self.store_address = self._start_standin("tables")
+        _, self.vms_address = self._start_standin("vms")
+        for _ in range(engines):
+            process, address = self._start_engine(ANY_ADDRESS)
+            self.engines.append(process)
+            self.engine_addresses.append(address)
         self.service_addresses = [
-            self._start_standin("service") for _ in range(services)
+            self._start_standin("service")[1] for _ in range(services)
         ]
         write_config(f"http://{self.store_address}", self.document())
         for index in range(nodes):
@@ -185,9 +194,9 @@
             "name": f"node-{index + 1}",
             "data_centre": f"dc{index % 3 + 1}",
             "region": "r1",
-            "caller_address": "127.0.0.1:0",
-            "operator_address": "127.0.0.1:0",
-            "node_address": "127.0.0.1:0",
+            "caller_address": ANY_ADDRESS,
+            "operator_address": ANY_ADDRESS,
+            "node_address": ANY_ADDRESS,
             "store_url": f"http://{self.store_address}",
             "vms_url": f"http://{self.vms_address}",
             "vms_poll_interval_s": 1.0,
@@ -205,6 +214,12 @@
         self._list_vm(settings, addresses["nodes"])
         return process
 
+    def restart_engine(self, index: int) -> None:
+        """Kill an engine and start it again at its address."""
+        self.engines[index].stop(signal.SIGKILL)
+        address = self.engine_addresses[index]
+        self.engines[index], _ = self._start_engine(address)
+
     def _list_vm(self, settings: Mapping[str, object], address: str) -> None:
         """Add a node to the VM list."""
         fields = {
@@ -241,9 +256,15 @@
         )
         return response.status
 
-    def _start_standin(self, kind: str, *arguments: str) -> str:
-        command = ["standin", kind, "--listen", "127.0.0.1:0", *arguments]
-        return self._start(kind, command).read_line()["listening"]
+    def _start_engine(self, listen: str) -> tuple[Process, str]:
+        return self._start_standin("engine", *self._engine_arguments, listen=listen)
+
+    def _start_standin(
+        self, kind: str, *arguments: str, listen: str = ANY_ADDRESS
+    ) -> tuple[Process, str]:
+        command = ["standin", kind, "--listen", listen, *arguments]
+        process = self._start(kind, command)
+        return process, process.read_line()["listening"]
 
     def _start(self, name: str, arguments: list[str]) -> Process:
         log_path = Path(self._directory.name) / f"{name}.log"
