Keep drains in the table service and report changes of state

Cause: a drain lived only in the marks that nodes pass on, so a node that started later or a restart of all nodes lost it; a cold-start mark was never cleared, so other nodes never used that engine again; 19 events of the catalogue were never written. Change: drains are rows drain/<target>, written as soon as the table service answers and adopted at the start; one housekeeping task renews and clears cold-start marks, collects expired claims and logs what changed; status lists suspended guarantees; three events that nothing can cause are removed.

--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -39,6 +39,10 @@
     reported_s: float = 0.0
     work: set[Work] = field(default_factory=set)
 
+    def report_age_s(self, now_s: float) -> float | None:
+        """Return the age of the load report, None before the first one."""
+        return round(now_s - self.reported_s, 1) if self.reported_s else None
+
 
 class BackendTable:
     """The backend servers of the configuration in force."""
@@ -56,6 +60,17 @@
         """Return all backend servers, also those that take no new work."""
         return list(self._entries.values())
 
+    @property
+    def drained(self) -> list[str]:
+        """Return the data centres and backend servers that get no new work."""
+        states = {f"data_centre/{n}": d for n, d in self._config.data_centres.items()}
+        states |= {f"backend/{n}": b for n, b in self._config.backends.items()}
+        return sorted(
+            target
+            for target, item in states.items()
+            if self._marks.get(target, item.state != "active")
+        )
+
     def get(self, backend_id: str) -> BackendEntry | None:
         """Return one backend server, or None."""
         return self._entries.get(backend_id)
@@ -84,6 +99,14 @@
         else:
             self._marks[target] = drained
 
+    def adopt_drain(self, target: str) -> None:
+        """Drain a target unless a mark has said otherwise since."""
+        self._marks.setdefault(target, True)
+
+    def is_watched(self, backend_id: str) -> bool:
+        """Return whether this node watches a server."""
+        return backend_id in self._watched
+
     def mark_cold(self, backend_id: str, cold: bool) -> None:
         """Note what a watcher says of an engine."""
         (self._cold.add if cold else self._cold.discard)(backend_id)
@@ -105,6 +128,14 @@
         entry.reported_s = now_s
         return restarted or turned_cold
 
+    def record_rate(
+        self, backend_id: str, prefill_tokens_per_s: float, now_s: float
+    ) -> None:
+        """Note the speed that a watched server reports; a fall means cold."""
+        entry = self._entries.get(backend_id)
+        if entry is not None and entry.config.target == "engine":
+            entry.warm_up.record_rate(prefill_tokens_per_s, now_s)
+
     def views(self, target: str, name: str, now_s: float) -> list[BackendView]:
         """Return the servers that may take new work.
 
--- a/papayarelay/config_feed.py
+++ b/papayarelay/config_feed.py
@@ -7,13 +7,12 @@
 
 import gevent
 
-from .config import SECTIONS, Config, parse_sections
+from .config import Config, parse_sections
 from .errors import RelayError
+from .events import Event
+from .logs import log
 from .store.client import TableClient
-
-SECTION_PREFIX = "config/"
-VERSION_KEY = "config/version"
-SCAN_LIMIT = 100
+from .store.sections import VERSION_KEY, read_sections
 
 
 class ConfigFeed:
@@ -35,6 +34,7 @@
         self.config = Config()
         self.sections: dict[str, str] = {}
         self.error: str | None = None
+        self.answered = True
         self._client = client
         self._apply = apply
         self._publish = publish
@@ -56,13 +56,14 @@
         try:
             row = self._client.get(VERSION_KEY)
             if row is not None and int(row.value) > self.config.version:
-                version, sections = self._read_sections()
+                sections, version = read_sections(self._client)
                 if self.offer(version, sections):
                     self._publish(version, sections)
         except (RelayError, ValueError) as error:
             self.error = str(error)
+            self.answered = False
             return False
-        self.error = None
+        self.answered = True
         return True
 
     def offer(self, version: int, sections: Mapping[str, str]) -> bool:
@@ -73,22 +74,14 @@
             config = parse_sections(sections, version)
         except ExceptionGroup as group:
             self.error = f"version {version} is not valid: {group.exceptions[0]}"
+            log(Event.CONFIG_REJECTED, version=version, error=group.exceptions[0])
             return False
+        self.error = None
         self.config = config
         self.sections = dict(sections)
         self._apply(config)
         return True
 
-    def _read_sections(self) -> tuple[int, dict[str, str]]:
-        """Read all rows at one version; an edit in between starts it again."""
-        rows = {r.key: r.value for r in self._client.scan(SECTION_PREFIX, SCAN_LIMIT)}
-        sections = {
-            name: rows[SECTION_PREFIX + name].decode()
-            for name in SECTIONS
-            if SECTION_PREFIX + name in rows
-        }
-        return int(rows[VERSION_KEY]), sections
-
     def _run(self) -> None:
         while True:
             # A random interval keeps the nodes from reading in step.
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -12,6 +12,8 @@
 from .backends.table import BackendEntry
 from .cost import Cost, estimate_cost
 from .errors import BackendError, DeadlineError, Outcome, OverloadError, RelayError
+from .events import Event
+from .logs import log
 from .request import Request
 from .retry import RetryBudget
 from .scheduler import Scheduler, Ticket
@@ -213,6 +215,8 @@
         if not (first and refused) and not self._budget.allow(self._clock()):
             raise error
         self.retries += 1
+        if progress.received:
+            log(Event.STREAM_RESUMED, request=request.id, backend=entry.id, error=error)
 
 
 def _cost_of(request: Request) -> Cost:
--- a/papayarelay/events.py
+++ b/papayarelay/events.py
@@ -26,12 +26,6 @@
         "node ready",
         "The node has a configuration and /readyz succeeds.",
     )
-    NODE_NOT_READY = (
-        1003,
-        "warning",
-        "node not ready",
-        "The node lost a condition of /readyz; reason names it.",
-    )
     SHUTDOWN_STARTED = (
         1004,
         "info",
@@ -192,18 +186,6 @@
         "store available",
         "The table service answers again.",
     )
-    STORE_SLOW = (
-        1403,
-        "warning",
-        "store slow",
-        "Operations of the table service exceed their time limit.",
-    )
-    STORE_UNCERTAIN = (
-        1404,
-        "warning",
-        "store outcome unknown",
-        "The response to a write was lost; the write is checked or repeated.",
-    )
 
     PEER_LOST = (
         1501,
--- /dev/null
+++ b/papayarelay/housekeeping.py
@@ -0,0 +1,186 @@
+"""Periodic work of a node, and the events of what changed since the last time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+import gevent
+
+from .backends.table import BackendEntry, BackendTable
+from .circuit import CircuitState
+from .claim import Claims
+from .config_feed import ConfigFeed
+from .dispatch import Dispatcher
+from .drain import Drains
+from .errors import StoreError
+from .events import Event
+from .logs import log
+from .nodes.peering import Peering
+from .scheduler import Scheduler
+
+INTERVAL_S = 1.0
+# A pause of the process longer than this is reported.
+PAUSE_LIMIT_S = 1.0
+LOAD_AGE_LIMIT_S = 15.0
+CONFIG_LATE_S = 3.0
+SAVE_INTERVAL_S = 5.0
+SWEEP_INTERVAL_S = 30.0
+# Cold-start marks of the exchange end by themselves after 30 min.
+COLD_RENEWAL_S = 600.0
+
+
+class Housekeeping:
+    """One task that checks the parts of a node every second."""
+
+    def __init__(
+        self,
+        backends: BackendTable,
+        scheduler: Scheduler,
+        dispatcher: Dispatcher,
+        feed: ConfigFeed,
+        peering: Peering,
+        claims: Claims,
+        drains: Drains,
+        clock: Callable[[], float],
+    ):
+        self._backends = backends
+        self._scheduler = scheduler
+        self._dispatcher = dispatcher
+        self._feed = feed
+        self._peering = peering
+        self._claims = claims
+        self._drains = drains
+        self._clock = clock
+        self._task: gevent.Greenlet | None = None
+        self._circuits: dict[str, CircuitState] = {}
+        self._cold: dict[str, float] = {}
+        self._unknown: set[str] = set()
+        self._live: frozenset[str] = frozenset()
+        self._counts: dict[Event, int] = {}
+        self._store_up = True
+        self._drains_loaded = False
+        self._late_since_s: float | None = None
+        self._saved_s = 0.0
+        self._swept_s = 0.0
+
+    def start(self) -> None:
+        """Begin to check."""
+        self._drains_loaded = self._drains.load()
+        self._task = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Stop checking."""
+        if self._task is not None:
+            self._task.kill()
+
+    def check(self, now_s: float) -> None:
+        """Do what is due at a time."""
+        for entry in self._backends.entries:
+            self._check_circuit(entry)
+            self._check_cold(entry, now_s)
+            self._check_load(entry, now_s)
+        self._check_store()
+        self._check_peers()
+        self._check_version(now_s)
+        self._check_counters()
+        if now_s - self._saved_s >= SAVE_INTERVAL_S:
+            self._saved_s = now_s
+            self._drains.save()
+            self._drains_loaded = self._drains_loaded or self._drains.load()
+        if now_s - self._swept_s >= SWEEP_INTERVAL_S:
+            self._swept_s = now_s
+            self._sweep(now_s)
+
+    def _run(self) -> None:
+        last_s = self._clock()
+        while True:
+            gevent.sleep(INTERVAL_S)
+            now_s = self._clock()
+            pause_s = now_s - last_s - INTERVAL_S
+            if pause_s > PAUSE_LIMIT_S:
+                log(Event.CLOCK_JUMPED, pause_s=round(pause_s, 3))
+            last_s = now_s
+            self.check(now_s)
+
+    def _check_circuit(self, entry: BackendEntry) -> None:
+        state = entry.circuit.state
+        before = self._circuits.get(entry.id, CircuitState.CLOSED)
+        self._circuits[entry.id] = state
+        if state is CircuitState.OPEN and before is CircuitState.CLOSED:
+            log(Event.CIRCUIT_OPENED, backend=entry.id)
+        if state is CircuitState.CLOSED and before is not CircuitState.CLOSED:
+            log(Event.CIRCUIT_CLOSED, backend=entry.id)
+            self._scheduler.wake()
+
+    def _check_cold(self, entry: BackendEntry, now_s: float) -> None:
+        """Tell the other nodes when a watched server turns cold or warm."""
+        if not self._backends.is_watched(entry.id):
+            self._cold.pop(entry.id, None)
+            return
+        cold = entry.warm_up.cold
+        told_s = self._cold.get(entry.id)
+        if cold and told_s is None:
+            log(Event.BACKEND_COLD, backend=entry.id)
+        if cold and (told_s is None or now_s - told_s > COLD_RENEWAL_S):
+            self._cold[entry.id] = now_s
+            self._peering.publish_cold(entry.id, True, now_s)
+        if not cold and told_s is not None:
+            del self._cold[entry.id]
+            log(Event.BACKEND_WARM, backend=entry.id)
+            self._peering.publish_cold(entry.id, False, now_s)
+            self._scheduler.wake()
+
+    def _check_load(self, entry: BackendEntry, now_s: float) -> None:
+        age_s = now_s - entry.reported_s
+        if entry.reported_s and age_s <= LOAD_AGE_LIMIT_S:
+            self._unknown.discard(entry.id)
+        elif entry.reported_s and entry.id not in self._unknown:
+            self._unknown.add(entry.id)
+            log(Event.LOAD_UNKNOWN, backend=entry.id, age_s=round(age_s, 1))
+
+    def _check_store(self) -> None:
+        up = self._feed.answered
+        if up is not self._store_up:
+            self._store_up = up
+            log(Event.STORE_BACK if up else Event.STORE_DOWN)
+
+    def _check_peers(self) -> None:
+        live = frozenset(self._peering.live_names)
+        for name in sorted(live - self._live):
+            log(Event.PEER_FOUND, peer=name)
+        for name in sorted(self._live - live):
+            log(Event.PEER_LOST, peer=name)
+        self._live = live
+
+    def _check_version(self, now_s: float) -> None:
+        newest = self._peering.newest_version
+        if newest <= self._feed.config.version:
+            self._late_since_s = None
+        elif self._late_since_s is None:
+            self._late_since_s = now_s
+        elif now_s - self._late_since_s > CONFIG_LATE_S:
+            self._late_since_s = now_s
+            log(Event.CONFIG_LATE, version=newest)
+
+    def _check_counters(self) -> None:
+        """Report the counters that have grown."""
+        exchange = self._peering.counters
+        grown: Mapping[Event, int] = {
+            Event.CHUNK_DROPPED: self._dispatcher.counters.other_request,
+            Event.MESSAGE_REFUSED: self._peering.refused_count,
+            Event.LINK_REOPENED: exchange.get("redials", 0),
+        }
+        for event, count in grown.items():
+            more = count - self._counts.get(event, 0)
+            if more > 0:
+                log(event, count=more)
+            self._counts[event] = count
+
+    def _sweep(self, now_s: float) -> None:
+        """Collect expired claims, in this node's part of them."""
+        try:
+            self._claims.sweep(
+                now_s, self._peering.node_index, self._peering.node_count
+            )
+        except StoreError as error:
+            log(Event.STORE_DOWN, error=error)
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -27,8 +27,9 @@
 from .config import Config
 from .config_feed import ConfigFeed
 from .dispatch import Dispatcher
-from .errors import UnknownResourceError
+from .drain import Drains
 from .events import Event as LogEvent
+from .housekeeping import Housekeeping
 from .job import JobRunner
 from .logs import log, set_up_logs
 from .metrics import Metrics
@@ -82,6 +83,19 @@
         )
         self._watcher = Watcher(self.backends, self._record_load, self._rng, clock)
         self.claims = Claims(self.store, scopes=self._claim_scopes, clock=clock)
+        self.drains = Drains(
+            self.store, self.peering.publish_drain, self.backends.adopt_drain
+        )
+        self._housekeeping = Housekeeping(
+            self.backends,
+            self.scheduler,
+            self.dispatcher,
+            self.feed,
+            self.peering,
+            self.claims,
+            self.drains,
+            clock,
+        )
         self._api = CallerApi(
             self.dispatcher,
             JobRunner(self.claims, clock),
@@ -128,6 +142,7 @@
         self.feed.start()
         self.scheduler.start()
         self._monitor.start()
+        self._housekeeping.start()
         self.gate.ready = True
         log(LogEvent.NODE_READY, version=self.feed.config.version)
 
@@ -163,6 +178,7 @@
         self.feed.close()
         self.scheduler.close()
         self._monitor.close()
+        self._housekeeping.close()
         self._watcher.close()
         self.peering.close()
         self._server.close()
@@ -181,11 +197,14 @@
             "requests_queued": len(self.scheduler.queue),
             "config_version": self.feed.config.version,
             "config_error": self.feed.error,
+            "suspended": self._suspended(),
+            "drained": self.backends.drained,
+            "drains_not_stored": self.drains.unsaved,
             "peers": self.peering.status(),
             "backends": {
                 entry.id: {
                     "state": entry.load.state,
-                    "report_age_s": round(now_s - entry.reported_s, 1),
+                    "report_age_s": entry.report_age_s(now_s),
                     "own_requests": len(entry.work),
                     "circuit": entry.circuit.state.value,
                 }
@@ -193,17 +212,24 @@
             },
         }
 
+    def _suspended(self) -> list[str]:
+        """Return the guarantees that do not hold now, and why."""
+        found = []
+        if not self.feed.answered:
+            found.append("non-idempotent requests: the table service does not answer")
+            found.append("configuration edits: the table service does not answer")
+        if not self.peering.live_names and self.peering.listed_count:
+            found.append("drains and configuration from other nodes: none is reachable")
+        return found
+
     def set_drained(self, name: str, drained: bool) -> dict:
         """Drain or return a data centre or backend server on all nodes."""
-        config = self.feed.config
-        if name in config.data_centres:
-            target = f"data_centre/{name}"
-        elif name in config.backends:
-            target = f"backend/{name}"
-        else:
-            raise _unknown_target(name)
-        self.peering.publish_drain(target, drained)
-        return {"target": target, "drained": drained}
+        target = self.drains.set(self.feed.config, name, drained)
+        return {
+            "target": target,
+            "drained": drained,
+            "stored": target not in self.drains.unsaved,
+        }
 
     def look_up_job(self, member: str, kind: str, key: str) -> dict | None:
         """Return the record of an idempotency key, or None."""
@@ -291,9 +317,8 @@
         self.peering.publish_config(version, sections)
 
     def _record_load(self, backend_id: str, load: LoadReport, now_s: float) -> None:
-        turned_cold = self.backends.record_load(backend_id, load, now_s)
-        if turned_cold:
-            self.peering.publish_cold(backend_id, True, now_s)
+        self.backends.record_load(backend_id, load, now_s)
+        self.backends.record_rate(backend_id, load.prefill_tokens_per_s, now_s)
         self.peering.publish_load(backend_id, load, now_s)
         self.scheduler.wake()
 
@@ -353,12 +378,6 @@
     log(LogEvent.TASK_FAILED, task=place, error=error)
 
 
-def _unknown_target(name: str) -> UnknownResourceError:
-    return UnknownResourceError(
-        f"{name!r} is no data centre or backend server", step="drain", peer="operator"
-    )
-
-
 def _read_token(settings: Settings) -> str:
     if not settings.operator_token_file:
         return ""
--- a/papayarelay/nodes/peering.py
+++ b/papayarelay/nodes/peering.py
@@ -85,14 +85,37 @@
     @property
     def node_count(self) -> int:
         """Return the number of live nodes with this one."""
-        return 1 + sum(p.state is PeerState.LIVE for p in self._exchange.peers())
+        return 1 + len(self.live_names)
 
     @property
     def node_index(self) -> int:
         """Return the place of this node among the names of the live nodes."""
-        own = self._settings.name
-        names = [p.name for p in self._exchange.peers() if p.state is PeerState.LIVE]
-        return sum(name < own for name in names)
+        return sum(name < self._settings.name for name in self.live_names)
+
+    @property
+    def live_names(self) -> list[str]:
+        """Return the names of the other live nodes."""
+        return [p.name for p in self._exchange.peers() if p.state is PeerState.LIVE]
+
+    @property
+    def listed_count(self) -> int:
+        """Return the number of other nodes in the VM list."""
+        return sum(peer.listed for peer in self._exchange.peers())
+
+    @property
+    def newest_version(self) -> int:
+        """Return the newest configuration version that a peer has mentioned."""
+        return self._exchange.status(self._clock())["config_newest"]
+
+    @property
+    def counters(self) -> Mapping[str, int]:
+        """Return the counters of the exchange."""
+        return self._exchange.counters
+
+    @property
+    def refused_count(self) -> int:
+        """Return the number of refused messages."""
+        return sum(self._exchange.status(self._clock())["refused"].values())
 
     def start(self) -> None:
         """Link to the other nodes."""
--- a/papayarelay/tests/test_node.py
+++ b/papayarelay/tests/test_node.py
@@ -244,6 +244,59 @@
         self.assertTrue(answer.is_own("some prompt", TOKENS), answer)
 
 
+class SpreadTest(unittest.TestCase):
+    """Guards against nodes that act on what other nodes know to be wrong."""
+
+    def setUp(self):
+        self.system = self.enterContext(System(nodes=2, engines=2, services=0))
+        self.system.wait_for_loads()
+        self.callers = [
+            Caller(self.system.url(index), api_key("office")) for index in range(2)
+        ]
+
+    def _views(self, index: int) -> dict[str, int | None]:
+        node = self.system.nodes[index]
+        views = node.backends.views("engine", MODEL, self.system.now_s())
+        return {view.id: view.bound for view in views}
+
+    def test_cold_engine(self):
+        """A cold engine would get work from all nodes instead of its watchers."""
+        engine = self.system.engines[0]
+        engine.model.turn_cold(self.system.now_s())
+        other = 1
+        wait_for(lambda: self._views(other)["engine-1"] == 0, LIMIT_S, "cold mark")
+        self.assertGreater(self._views(0)["engine-1"], 0)
+
+        rng = random.Random(SEED)
+
+        def warm() -> bool:
+            prompt = make_prompt(3000, rng)
+            answer = self.callers[0].complete(MODEL, prompt, TOKENS)
+            self.assertTrue(answer.finished, answer)
+            return self._views(other)["engine-1"] is None
+
+        wait_for(warm, LIMIT_S, "end of the cold mark")
+
+    def test_drain_is_kept(self):
+        """A drain would be lost for a node that starts later."""
+        self.system.nodes[0].set_drained("dc1", True)
+        wait_for(lambda: "engine-1" not in self._views(1), 3.0, "drain on the peer")
+        node = self.system.start_node(2)
+        wait_for(lambda: node.backends.drained == ["data_centre/dc1"], LIMIT_S, "drain")
+        self.system.nodes[1].set_drained("dc1", False)
+        wait_for(lambda: "engine-1" in self._views(0), 3.0, "return on the peer")
+        self.assertEqual(self.system.nodes[1].drains.unsaved, [])
+
+    def test_drain_while_store_is_down(self):
+        """A drain would wait for the table service."""
+        self.system.tables.set_faults(Faults(outage="reject"))
+        answer = self.system.nodes[0].set_drained("engine-1", True)
+        self.assertFalse(answer["stored"])
+        wait_for(lambda: "engine-1" not in self._views(1), 3.0, "drain on the peer")
+        self.system.tables.set_faults(Faults())
+        wait_for(lambda: not self.system.nodes[0].drains.unsaved, LIMIT_S, "row")
+
+
 class MalformedRequestTest(unittest.TestCase):
     """Guards against malformed requests that crash or block a node."""
 
