Bound the requests tried per call and keep more memory for long prompts

Cause: with a backlog every call tried up to 64 requests that fit nowhere, and 64 long ones at the top level would have hidden short ones. Prompts above 85% of an engine's memory only fitted on an engine without any other request.

Change: at most 8 longer requests are tried per call, then short ones. KV_FRACTION of long prompts is 0.95.

Finer priorities by length on the engine gave no difference beyond the spread and were reverted; MAX_LONG_FRACTION 0.8 and waits of 3 and 6 s neither.

--- a/papayarelay/admission.py
+++ b/papayarelay/admission.py
@@ -18,7 +18,9 @@
 TOP_LEVEL = -1
 """Level of a request that has waited half of its slack, above priority 0."""
 PRIORITY_SLACK_TOKENS = 1_000_000
-MAX_ATTEMPTS = 64
+MAX_SHORT_ATTEMPTS = 64
+MAX_LONGER_ATTEMPTS = 8
+"""Requests tried per call; short ones are tried after the others that failed."""
 RATE_WINDOW_S = 10.0
 MIN_BUSY_S = 0.5
 MIN_RETRY_AFTER_S = 0.5
@@ -100,7 +102,7 @@
         """Return the first entries of the organisations that are next by share."""
         turns: list[tuple[float, str]] = []
         seen: set[str] = set()
-        while self._turns and len(turns) < MAX_ATTEMPTS:
+        while self._turns and len(turns) < MAX_SHORT_ATTEMPTS:
             virtual, name = heapq.heappop(self._turns)
             if name not in self._queues or name in seen:
                 continue
@@ -230,15 +232,21 @@
         """
         self._age(now_s)
         held = False
-        for attempt, entry in enumerate(self._candidates()):
-            if attempt >= MAX_ATTEMPTS:
-                break
+        attempts = {True: 0, False: 0}
+        for entry in self._candidates():
             if held and not entry.short:
                 continue
             if fits(entry.request, entry.cost):
                 self._release(entry, now_s)
                 return entry.request
-            held = held or entry.level == TOP_LEVEL
+            attempts[entry.short] += 1
+            if attempts[True] >= MAX_SHORT_ATTEMPTS:
+                break
+            held = (
+                held
+                or entry.level == TOP_LEVEL
+                or attempts[False] >= MAX_LONGER_ATTEMPTS
+            )
         return None
 
     def remove(self, request_id: str) -> bool:
--- a/papayarelay/routing.py
+++ b/papayarelay/routing.py
@@ -74,8 +74,12 @@
 DEFAULT_NODES = 7
 MAX_WAIT_S = (0.5, 1.0, 2.0)
 """Longest expected wait on an engine per size class; longer ones stay queued."""
-KV_FRACTION = (1.0, 0.85, 0.85)
-"""Part of an engine's memory per size class; the rest is for short requests."""
+KV_FRACTION = (1.0, 0.85, 0.95)
+"""Part of an engine's memory per size class; the rest is for shorter requests.
+
+The part for long prompts is larger, since prompts above it only fit on an
+engine without any other request.
+"""
 AWAY_S = 0.6
 """Weight of an engine that is not a home engine of the node.
 
@@ -102,8 +106,8 @@
 def engine_priority(kind_priority: int, prompt_tokens: int) -> int:
     """Return the priority to send to an engine.
 
-    A long prompt is never more urgent than a short one on an engine, whatever
-    its kind, since short requests would wait for the whole of its prefill.
+    A longer prompt is never more urgent than a shorter one on an engine,
+    whatever its kind, since the shorter one would wait for its whole prefill.
     """
     return max(kind_priority, size_class(prompt_tokens))
 
--- a/papayarelay/tests/test_admission.py
+++ b/papayarelay/tests/test_admission.py
@@ -99,6 +99,22 @@
         chosen = queue.next(0.0, lambda request, cost: cost.prefill_tokens < 5_000)
         self.assertEqual(chosen, short)
 
+    def test_many_aged_long_requests_do_not_block_short_ones(self):
+        """Guards against short requests behind long ones that fit nowhere."""
+        queue = AdmissionQueue()
+        for index in range(200):
+            organisation = f"o{index}"
+            offer(queue, make("a", organisation, tokens=300_000, priority=2, time_s=99))
+        short = offer(queue, make(tokens=1_000, now_s=60.0))
+        tried = []
+
+        def fits(request, cost):
+            tried.append(request)
+            return cost.prefill_tokens < 5_000
+
+        self.assertEqual(queue.next(60.0, fits), short)
+        self.assertLess(len(tried), 20)
+
 
 class ShareTest(unittest.TestCase):
     def served(self, queue, offered, rounds, refill):
