--- a/papayarelay/bench/spread.py
+++ b/papayarelay/bench/spread.py
@@ -374,6 +374,8 @@
         return lines + self._delay_lines(events, "")
 
     def _delay_lines(self, events: Sequence[str], prefix: str) -> list[dict[str, Any]]:
+        if not events:
+            return []
         seen: dict[str, list[float]] = {event: [] for event in events}
         for node in self._nodes:
             for what, at_s in node.after["seen"]:
@@ -382,8 +384,8 @@
         missing = sum(len(self._nodes) - len(times) for times in seen.values())
         delays = [t - min(times) for times in seen.values() for t in times]
         values = {
-            "urgent_delay_median": ("s", statistics.median(delays) if delays else 0.0),
-            "urgent_delay_worst": ("s", max(delays, default=0.0)),
+            "urgent_delay_median": ("s", statistics.median(delays)),
+            "urgent_delay_worst": ("s", max(delays)),
             "urgent_not_received": ("records", float(missing)),
         }
         return [self._line(prefix + n, u, value) for n, (u, value) in values.items()]
