--- a/papayarelay/backends/engine.py
+++ b/papayarelay/backends/engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import gevent
@@ -10,10 +10,12 @@
 
 from ..errors import BackendError, Outcome, OverloadError, RequestError
 from ..request import Request
+from .monitor import StreamMonitor
 from .pool import STREAM_IDLE_LIMIT_S, BackendPool
 from .stream import EngineStream, StreamCounters
 
 CANCEL_TIMEOUT_S = 1.0
+CANCEL_PATH = "/v1/cancel"
 
 
 def _headers(request: Request, offset: int, now_s: float) -> dict[str, str]:
@@ -34,7 +36,8 @@
     request: Request,
     offset: int,
     counters: StreamCounters,
-    now_s: float,
+    monitor: StreamMonitor,
+    clock: Callable[[], float],
 ) -> Iterator[EngineStream]:
     """Send a request to an engine and give its answer stream.
 
@@ -44,18 +47,22 @@
     ``OverloadError`` when the engine refuses it.
     """
     stream = EngineStream(
-        _send(pool, request, offset, now_s),
+        _send(pool, request, offset, clock()),
         request.id,
         pool.backend_id,
         offset,
+        request.deadline_s,
         counters,
+        clock,
     )
+    monitor.add(stream)
     try:
         yield stream
     finally:
+        monitor.discard(stream)
         stream.close()
         if not stream.finished:
-            gevent.spawn(cancel, pool, request.id)
+            pool.cancels[request.id] = gevent.spawn(cancel, pool, request.id)
 
 
 def cancel(pool: BackendPool, request_id: str) -> None:
@@ -64,18 +71,23 @@
     try:
         pool.request(
             "POST",
-            "/v1/cancel",
+            CANCEL_PATH,
             body=body,
             headers={"Content-Type": "application/json"},
             read_timeout_s=CANCEL_TIMEOUT_S,
         )
     except (urllib3.exceptions.HTTPError, OSError):
         return
+    finally:
+        pool.cancels.pop(request_id, None)
 
 
 def _send(
     pool: BackendPool, request: Request, offset: int, now_s: float
 ) -> urllib3.BaseHTTPResponse:
+    if request.id in pool.cancels:
+        # A cancel that arrives late would end the resumed stream as well.
+        pool.cancels[request.id].join()
     limit_s = max(0.001, min(STREAM_IDLE_LIMIT_S, request.time_left_s(now_s)))
     try:
         response = pool.request(
@@ -108,6 +120,7 @@
             f"engine refused the request with {status}",
             step="send",
             peer=pool.backend_id,
+            outcome=Outcome.UNKNOWN,
             retry_after_s=1.0,
         )
     if 400 <= status < 500:
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import random
 import signal
@@ -14,6 +15,7 @@
 
 from .admission import AdmissionQueue
 from .backends.load import LoadReport
+from .backends.monitor import StreamMonitor
 from .backends.table import BackendTable
 from .backends.watcher import Watcher
 from .callers.api import CallerApi
@@ -39,6 +41,7 @@
 from .store.client import TableClient
 
 START_RETRY_S = 0.5
+GC_ALLOCATIONS = 20_000
 WITHOUT_PLACE = "unknown"
 
 
@@ -63,8 +66,9 @@
         self.scheduler = Scheduler(
             self.backends, policy, AdmissionQueue(), self._rng, clock
         )
+        self._monitor = StreamMonitor(clock)
         self.dispatcher = Dispatcher(
-            self.backends, self.scheduler, RetryBudget(), clock
+            self.scheduler, self._monitor, RetryBudget(), clock
         )
         self.feed = ConfigFeed(
             self.store,
@@ -123,6 +127,7 @@
             gevent.sleep(START_RETRY_S)
         self.feed.start()
         self.scheduler.start()
+        self._monitor.start()
         self.gate.ready = True
         log(LogEvent.NODE_READY, version=self.feed.config.version)
 
@@ -157,6 +162,7 @@
         """End all parts at once."""
         self.feed.close()
         self.scheduler.close()
+        self._monitor.close()
         self._watcher.close()
         self.peering.close()
         self._server.close()
@@ -299,6 +305,7 @@
     once with exit code 1 if requests were interrupted.
     """
     set_up_logs(settings.name, settings.log_level)
+    tune_collector()
     gevent.get_hub().print_exception = _log_task_failure
     node = Node(settings, _read_token(settings))
     stopping, ending = Event(), Event()
@@ -325,6 +332,15 @@
     return 1 if interrupted else 0
 
 
+def tune_collector() -> None:
+    """Make the garbage collector run rarely and skip what lives for good.
+
+    A full collection of a node with many streams pauses all of them.
+    """
+    gc.freeze()
+    gc.set_threshold(GC_ALLOCATIONS, 20, 100)
+
+
 def _log_task_failure(context, kind, error, traceback) -> None:
     """Log an error that ended a task; replaces gevent's traceback."""
     frame = traceback
