Share the rate of load records among the data centres of the scope

With load_scope region every data centre published up to 20 records/s, so that three of them exceeded the byte budget of a forwarding node. The rate is now divided by the number of data centres whose records a node forwards.

.venv/bin/python -m papayarelay.tests papayarelay.tests.test_exchange: 16 passed, 0 failed.

--- a/papayarelay/nodes/exchange.py
+++ b/papayarelay/nodes/exchange.py
@@ -67,7 +67,7 @@
 CHANGE_OVERDUE_S = 0.5
 # Nodes read a version from the table service within this time of each other.
 REPORT_SPREAD_S = 0.5
-# Changed loads of a data centre with many engines share this rate, because each
+# Changed loads of all data centres of the load scope share this rate, because each
 # record crosses about 1.5 links per node and the byte budget is fixed.
 LOAD_RECORDS_PER_S = 20.0
 LOAD_MIN_INTERVAL_S = 1.0
@@ -194,6 +194,8 @@
         self._ranks: dict[str, int] = {}
         self._ranks_for: tuple | None = None
         self._engine_count = 0
+        # Data centres whose load records this node forwards.
+        self._load_data_centres = 1
         self._upload = Upload()
         self._download: Download | None = None
         self._state = PeerState.LIVE
@@ -257,7 +259,8 @@
             fresh = now_s - old.made_s < TAKE_OVER_S
             if fresh and not self._spread.is_own(old.id):
                 return False
-        interval_s = max(LOAD_MIN_INTERVAL_S, self._engine_count / LOAD_RECORDS_PER_S)
+        engines = self._engine_count * self._load_data_centres
+        interval_s = max(LOAD_MIN_INTERVAL_S, engines / LOAD_RECORDS_PER_S)
         intervals = (min(interval_s, LOAD_REFRESH_S), LOAD_REFRESH_S)
         return self._publish_packed(Kind.LOAD, record, old, intervals, now_s)
 
@@ -876,6 +879,8 @@
         self._selected_for = question
         own = self._settings
         peer = Peer(own.name, self.address, own.data_centre, own.region)
+        places = {p.data_centre for p in self._view.peers() if self._in_load_scope(p)}
+        self._load_data_centres = len(places | {own.data_centre})
         self._selected = overlay.neighbours(
             self._policy, peer, self._view.live(), epoch, self._rng
         )
--- a/papayarelay/tests/test_exchange.py
+++ b/papayarelay/tests/test_exchange.py
@@ -442,6 +442,49 @@
             check()
 
 
+def make_fake(name, now, **settings):
+    """Return an exchange without a network; ``now`` holds its time."""
+    return Exchange(
+        ExchangeSettings(name, "dc0", "r0", KEY, address=name, **settings),
+        random.Random(1),
+        clock=lambda: now[0],
+        make_link=lambda *a, **k: FakeLink(Network(0, 0), name, *a, **k),
+        make_listener=FakeListener,
+    )
+
+
+class LoadRateTest(unittest.TestCase):
+    def test_rate_is_shared_by_the_data_centres_of_the_scope(self):
+        """Guards against loads of a region that exceed the byte budget."""
+        peers = [
+            {
+                "name": f"n{number}",
+                "address": "h:1",
+                "data_centre": f"dc{number}",
+                "region": "r0",
+                "state": "live",
+            }
+            for number in range(3)
+        ]
+        engines = [f"e{number}" for number in range(30)]
+        counts = {}
+        for scope in ("data_centre", "region"):
+            now = [0.0]
+            exchange = make_fake("n0", now, load_scope=scope)
+            exchange.set_peers(peers, 0.0)
+            exchange.maintain(0.0)
+            exchange.watched(engines, 0.0)
+            published = 0
+            for second in range(60):
+                now[0] = float(second)
+                for engine in engines:
+                    record = LoadRecord(engine, "warm", 1_000, second * 16)
+                    published += exchange.publish_load(record, now[0])
+            counts[scope] = published / 60
+        self.assertLessEqual(counts["data_centre"], 20)
+        self.assertLessEqual(counts["region"], 20 / 3)
+
+
 class ScheduleTest(unittest.TestCase):
     def check_versions(self):
         for name, (exchange, _, _) in self.network.nodes.items():
