--- a/papayarelay/backends/stream.py
+++ b/papayarelay/backends/stream.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import contextlib
+import socket
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import msgspec
 import urllib3
 
-from ..errors import BackendError, Outcome
+from ..errors import BackendError, DeadlineError, Outcome, RelayError
 from .pool import STREAM_IDLE_LIMIT_S
 
 EVENT_END = b"\n\n"
@@ -40,10 +42,11 @@
 class Payload(msgspec.Struct):
     """The fields of a chunk that a node reads."""
 
-    id: str
+    id: str = ""
     choices: list[Choice] = []
     offset: int | None = None
     tokens: int = 1
+    error: msgspec.Raw | None = None
 
 
 _DECODER = msgspec.json.Decoder(Payload)
@@ -89,7 +92,9 @@
         request_id: str,
         peer: str,
         offset: int,
+        deadline_s: float,
         counters: StreamCounters,
+        clock: Callable[[], float],
     ):
         self.offset = offset
         self.finished = False
@@ -97,11 +102,36 @@
         self._request_id = request_id
         self._peer = peer
         self._counters = counters
+        self._deadline_s = deadline_s
+        self._clock = clock
+        self._read_s = clock()
+        self._fault: RelayError | None = None
+        # Reading by the engine's own chunks costs less than half of ``read1``.
+        chunked = getattr(response, "chunked", False)
+        read = response.stream().__next__ if chunked else response.read1
+        self._receive: Callable[[], bytes] = read
         self._sock = response.connection.sock
-
-    def limit_read(self, limit_s: float) -> None:
-        """Let the next reads wait for at most ``limit_s`` seconds."""
-        self._sock.settimeout(max(0.001, min(limit_s, STREAM_IDLE_LIMIT_S)))
+        # The stream monitor limits the reads.
+        self._sock.settimeout(None)
+
+    def find_fault(self, now_s: float) -> RelayError | None:
+        """Return why the stream must end now, or None."""
+        if now_s >= self._deadline_s:
+            return DeadlineError(
+                "deadline passed while the answer was produced",
+                step="stream",
+                peer=self._peer,
+                outcome=Outcome.UNKNOWN,
+            )
+        if now_s - self._read_s > STREAM_IDLE_LIMIT_S:
+            return self._error(f"no data for {STREAM_IDLE_LIMIT_S:g} s")
+        return None
+
+    def abort(self, error: RelayError) -> None:
+        """Let the reader of the stream fail with an error."""
+        self._fault = error
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """Release the connection, or close it when the answer is incomplete."""
@@ -133,9 +163,16 @@
 
     def _read(self) -> bytes:
         try:
-            data = self._response.read1()
+            data = self._receive()
+        except StopIteration:
+            data = b""
         except (urllib3.exceptions.HTTPError, OSError) as error:
+            if self._fault is not None:
+                raise self._fault from None
             raise self._error(f"stream broke: {type(error).__name__}") from error
+        self._read_s = self._clock()
+        if self._fault is not None:
+            raise self._fault
         if not data:
             raise self._error("stream ended before the answer was complete")
         return data
@@ -157,9 +194,11 @@
             payload = _DECODER.decode(event[6:-2])
         except msgspec.MsgspecError:
             raise self._error("stream has a malformed chunk") from None
-        if payload.id != self._request_id:
+        if payload.id != self._request_id and not (payload.error and not payload.id):
             self._counters.other_request += 1
             return None
+        if payload.error is not None:
+            raise self._error("engine ended the stream with an error")
         choice = payload.choices[0] if payload.choices else None
         content = choice.content if choice else ""
         if content:
--- a/papayarelay/local.py
+++ b/papayarelay/local.py
@@ -230,6 +230,21 @@
         url = f"http://{self.vms_address}/vms/{settings['name']}"
         self._http.request("PUT", url, json=fields)
 
+    def start_engine(self, *arguments: str) -> str:
+        """Start an engine and return its address."""
+        return self._start_standin("engine", *arguments)[1]
+
+    def wait_for_version(self, operator_address: str, version: int) -> None:
+        """Wait until a node works with a configuration version."""
+        wait_for(
+            lambda: (
+                self.get(operator_address, "/operator/status")["config_version"]
+                >= version
+            ),
+            START_LIMIT_S,
+            f"configuration version {version}",
+        )
+
     def is_ready(self, address: str) -> bool:
         """Return whether a node says that it is ready."""
         try:
--- a/papayarelay/nodes/exchange.py
+++ b/papayarelay/nodes/exchange.py
@@ -5,7 +5,6 @@
 import collections
 import random
 import time
-import zlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
@@ -29,41 +28,45 @@
     OldIncarnationError,
     OversizedFrameError,
 )
+from .config_state import ConfigChange, ConfigState
 from .links import Link, LinkTiming, Listener
+from .load import LoadRecord, key_of, pack_value, summary_id, unpack_value
 from .spread import (
     BURST_BYTES,
     BYTES_PER_S,
+    CLEARED,
     DEBT_BYTES,
     MAX_CHANGE_BYTES,
     URGENT,
     WIRE_OVERHEAD_BYTES,
     Bucket,
-    ConfigChange,
-    ConfigState,
     Entry,
     Kind,
-    LoadRecord,
     Spread,
-    key_of,
-    pack_value,
+    is_expired,
     received_entries,
-    summary_id,
-    unpack_value,
 )
+from .transfer import Download, Upload
 from .view import Peer, PeerState, PeerView
 
 log = logbook.Logger(__name__)
 
 MAINTAIN_INTERVAL_S = 0.5
 SUSPECT_AFTER_S = 9.0
+# A longer time between two reviews of the peers means that the process stood still.
+PAUSE_S = 3.0
 # A link that only the peer wants is kept this long after it last said so.
 ACCEPTED_FOR_S = 8.0
 MAX_ACCEPTED = 32
+# A frame that the socket did not take is tried again after this time.
+UNSENT_RETRY_S = 0.25
 PROBE_INTERVAL_S = 10.0
 PROBE_FOR_S = 8.0
 DIGEST_DIFFERS_S = 3.0
 # A version that was heard of but whose change did not arrive is reported.
-CHANGE_OVERDUE_S = 1.0
+CHANGE_OVERDUE_S = 0.5
+# Nodes read a version from the table service within this time of each other.
+REPORT_SPREAD_S = 0.5
 # Changed loads of a data centre with many engines share this rate, because each
 # record crosses about 1.5 links per node and the byte budget is fixed.
 LOAD_RECORDS_PER_S = 20.0
@@ -73,9 +76,6 @@
 SUMMARY_REFRESH_S = 30.0
 # The second watcher publishes when the first one's record is older than this.
 TAKE_OVER_S = 8.0
-CHUNK_BYTES = 1_100
-CHUNK_TIMEOUT_S = 2.0
-MAX_CONFIG_BYTES = 16 * 1024 * 1024
 
 
 class DrainState(IntEnum):
@@ -108,6 +108,7 @@
     policy: str = "fixed_overlay"
     bytes_per_s: float = BYTES_PER_S
     suspect_after_s: float = SUSPECT_AFTER_S
+    probe_interval_s: float = PROBE_INTERVAL_S
     # Load records go to nodes of the same "data_centre" or "region".
     load_scope: str = "data_centre"
     timing: LinkTiming = field(default_factory=LinkTiming)
@@ -122,8 +123,8 @@
     """Functions that are called for what arrives from peers.
 
     ``on_config`` gets the version and the changed sections in full, or None
-    when the node has to read them itself, after a random delay of up to 1 s so
-    that not all nodes read the table service at once.
+    when the node has to read them itself.  A version is reported once; a node
+    whose reading fails repeats it.
     """
 
     on_load: Callable[[LoadRecord], None] = _ignore
@@ -146,47 +147,6 @@
     claim: int
 
 
-@dataclass
-class _Download:
-    """Parts of a configuration that arrive from several peers."""
-
-    version: int = 0
-    size: int = 0
-    parts: dict[int, bytes] = field(default_factory=dict)
-    asked: dict[str, tuple[int, float]] = field(default_factory=dict)
-    arrived: gevent.event.Event = field(default_factory=gevent.event.Event)
-
-    @property
-    def complete(self) -> bool:
-        """Whether all parts are there."""
-        return self.size > 0 and sum(map(len, self.parts.values())) >= self.size
-
-    def missing(self, now_s: float) -> int | None:
-        """Return the offset of a part to ask for."""
-        asked = {offset for offset, due_s in self.asked.values() if due_s > now_s}
-        for offset in range(0, max(1, self.size), CHUNK_BYTES):
-            if offset not in self.parts and offset not in asked:
-                return offset
-        return None
-
-    def add(self, chunk: ConfigChunk) -> None:
-        """Add a part; a newer version starts again."""
-        if chunk.version > self.version or not self.size:
-            self.version, self.size, self.parts = chunk.version, chunk.size, {}
-        if (chunk.version, chunk.size) == (self.version, self.size):
-            self.parts[chunk.offset] = chunk.data
-
-    def content(self) -> dict[str, Any]:
-        """Return the sections.  Raises ``ValueError`` for damaged data."""
-        data = b"".join(self.parts[offset] for offset in sorted(self.parts))
-        unpacker = zlib.decompressobj()
-        try:
-            packed = unpacker.decompress(data, MAX_CONFIG_BYTES)
-            return msgspec.msgpack.decode(packed, type=dict[str, Any])
-        except (zlib.error, msgspec.DecodeError) as error:
-            raise ValueError(str(error)) from error
-
-
 class Exchange:
     """Links to other nodes, the peer view and the disseminated state."""
 
@@ -196,7 +156,10 @@
         rng: random.Random,
         handlers: Handlers | None = None,
         clock: Callable[[], float] = time.monotonic,
+        *,
         wall_clock: Callable[[], float] = time.time,
+        make_link: Callable[..., Link] = Link,
+        make_listener: Callable[..., Listener] = Listener,
     ):
         self._settings = settings
         self._rng = rng
@@ -210,28 +173,32 @@
         self._spread = Spread()
         self._config = ConfigState()
         self._bucket = Bucket(settings.bytes_per_s, BURST_BYTES, DEBT_BYTES, clock())
-        self._listener = Listener(settings.listen, self._on_frame)
+        self._make_link = make_link
+        self._listener = make_listener(settings.listen, self.receive)
         self._links: dict[str, Link] = {}
         self._selected: set[str] = set()
         self._selected_for: tuple[int, int] | None = None
         self._accepted: dict[str, float] = {}
         self._probe: tuple[str, float] | None = None
-        self._next_probe_s = 0.0
+        self._next_probe_s = clock()
+        self._maintained_s = self._resumed_s = clock()
         self._hello_due: set[str] = set()
         self._greeted: dict[str, int] = {}
         self._control: dict[str, collections.deque] = {}
         self._in_flight: dict[str, tuple[int, int, list[Entry]]] = {}
-        self._differing: dict[str, float] = {}
+        self._differing: dict[str, tuple[tuple[int, int], float]] = {}
         self._peer_versions: dict[str, int] = {}
         self._reported_version = 0
+        self._report_due_s: float | None = None
         self._ids: dict[int, str] = {}
         self._ranks: dict[str, int] = {}
         self._ranks_for: tuple | None = None
         self._engine_count = 0
-        self._blob: tuple[int, bytes] | None = None
-        self._download: _Download | None = None
+        self._upload = Upload()
+        self._download: Download | None = None
         self._state = PeerState.LIVE
         self._claim = 0
+        self._announced = False
         self._task: gevent.Greenlet | None = None
         self.counters: collections.Counter[str] = collections.Counter()
 
@@ -248,7 +215,6 @@
     def start(self) -> None:
         """Listen and link to the peers from now on."""
         self._listener.start()
-        self._announce(self._clock())
         self._task = gevent.spawn(self._run)
 
     def close(self) -> None:
@@ -328,10 +294,12 @@
         now_s = self._clock() if now_s is None else now_s
         if version <= self._config.version:
             return False
+        base = self._config.version
         change = self._config.replace(version, sections, now_s)
         self._reported_version = max(self._reported_version, version)
-        if change is not None:
-            self._add_change(change, now_s)
+        if base:
+            value = msgspec.msgpack.encode(change) if change else b""
+            self._add_change(base, version, value, now_s)
         else:
             # The first version has no base; heartbeats announce it.
             for link in self._links.values():
@@ -395,7 +363,7 @@
         Raises ``ConfigFetchError``.
         """
         deadline_s = self._clock() + timeout_s
-        self._download = _Download()
+        self._download = Download()
         try:
             while (now_s := self._clock()) < deadline_s:
                 self._ask_for_parts(self._download, now_s)
@@ -474,14 +442,12 @@
         entry, waiting = self._spread.publish(kind, key, bytes((value,)), now_s)
         self._wake(waiting, entry.kind, now_s)
 
-    def _add_change(self, change: ConfigChange, now_s: float) -> None:
-        value = msgspec.msgpack.encode(change)
+    def _add_change(self, base: int, version: int, value: bytes, now_s: float) -> None:
         if len(value) > MAX_CHANGE_BYTES:
             value = b""
-        key = f"{change.base}-{change.version}"
-        entry = Entry(Kind.CONFIG, key, change.version, value, now_s)
+        entry = Entry(Kind.CONFIG, f"{base}-{version}", version, value, now_s)
         self._wake(self._spread.add(entry), Kind.CONFIG, now_s)
-        self._keep_change(key)
+        self._keep_change(entry.key)
 
     def _keep_change(self, key: str) -> None:
         dropped = self._config.kept(key)
@@ -490,6 +456,7 @@
 
     def _announce(self, now_s: float) -> None:
         """Disseminate this node's own state in its data centre."""
+        self._announced = True
         own = self._settings
         statement = _Statement(
             own.name,
@@ -506,7 +473,9 @@
         flag = bytes((statement.state != PeerState.LIVE,))
         value = flag + msgspec.msgpack.encode(statement)
         _, waiting = self._spread.publish(Kind.PEER, statement.name, value, now_s)
-        self._wake(waiting, Kind.PEER, now_s)
+        # Statements of live nodes wait for a batch: many nodes may start at once.
+        live = statement.state == PeerState.LIVE
+        self._wake(waiting, Kind.LOAD if live else Kind.PEER, now_s)
 
     def _wake(self, peers: Iterable[str], kind: Kind, now_s: float) -> None:
         for name in peers:
@@ -520,18 +489,21 @@
             # A summary waits for the next heartbeat or batch.
 
     def _wake_urgent(self, link: Link, now_s: float) -> None:
-        allowed = self._bucket.allows(True, now_s)
-        link.wake(0.0 if allowed else MAINTAIN_INTERVAL_S)
+        link.wake(self._bucket.wait_s(True, now_s))
 
     def _next_frame(self, link: Link, now_s: float) -> bytes | None:
         name = link.name
+        allowed = self._bucket.allows(True, now_s)
+        if not allowed and now_s - link.sent_s < link.timing.heartbeat_s:
+            # An empty frame would only deepen the debt.
+            link.wake(self._bucket.wait_s(True, now_s))
+            return None
         if self._greeted.get(name) != link.dials or name in self._hello_due:
             message: Any = self._hello()
             self._greeted[name] = link.dials
             self._hello_due.discard(name)
             taken: list[Entry] = []
             self._control_first(name, message)
-        allowed = self._bucket.allows(True, now_s)
         control = self._control.get(name)
         if control and (allowed or isinstance(control[0], Hello)):
             message, taken = control.popleft(), []
@@ -597,13 +569,15 @@
         else:
             outbox.sent(sequence, taken)
         if outbox.urgent or self._control.get(link.name):
-            link.wake(0.0 if sent and self._bucket.allows(True, now_s) else 0.25)
+            wait_s = self._bucket.wait_s(True, now_s)
+            link.wake(wait_s if sent else max(wait_s, UNSENT_RETRY_S))
         elif outbox.load:
             link.wake(link.timing.batch_s)
 
     # Receiving.
 
-    def _on_frame(self, data: bytes) -> None:
+    def receive(self, data: bytes) -> None:
+        """Handle a frame from any peer."""
         now_s = self._clock()
         self.counters["received_frames"] += 1
         self.counters["received_bytes"] += len(data)
@@ -698,16 +672,28 @@
         self._config.hear(batch.config_version, now_s)
         if batch.config_version < self._config.version:
             self._spread.offer_changes(sender, batch.config_version)
-        if batch.digest == self._spread.digest():
+        own = self._spread.digest()
+        if batch.digest == own:
             self._differing.pop(sender, None)
-        elif now_s - self._differing.setdefault(sender, now_s) > DIGEST_DIFFERS_S:
-            self._differing[sender] = now_s
+            return
+        # While either side still changes, records are on their way.
+        digests = (own, batch.digest)
+        noted, since_s = self._differing.get(sender, (None, now_s))
+        outbox = self._spread.outbox(sender)
+        if noted != digests or outbox is None or not outbox.settled:
+            self._differing[sender] = (digests, now_s)
+        elif now_s - since_s > DIGEST_DIFFERS_S:
+            self._differing[sender] = (digests, now_s)
             self.counters["resent_marks"] += 1
             self._spread.resend_marks(sender)
 
     def _on_entry(self, sender: str, entry: Entry, now_s: float) -> None:
+        if self._is_over(entry, now_s):
+            self.counters["expired_records"] += 1
+            return
         new, waiting = self._spread.merge(entry, sender)
-        self._wake(waiting, entry.kind, now_s)
+        live = entry.kind is Kind.PEER and entry.value[0] == CLEARED
+        self._wake(waiting, Kind.LOAD if live else entry.kind, now_s)
         self.counters["new_records" if new else "known_records"] += 1
         if not new:
             return
@@ -724,11 +710,21 @@
             is_load = entry.kind is Kind.LOAD
             (self._handlers.on_load if is_load else self._handlers.on_summary)(record)
 
+    def _is_over(self, entry: Entry, now_s: float) -> bool:
+        """Return whether a record must not be stored and forwarded again.
+
+        Nodes drop a record at slightly different times; without this check it
+        would return from those that still have it to those that do not.
+        """
+        if entry.kind is Kind.CONFIG and self._spread.get(*entry.id) is None:
+            return entry.version <= self._config.version
+        return is_expired(entry, now_s)
+
     def _on_change(self, entry: Entry, now_s: float) -> None:
         self._keep_change(entry.key)
         self._config.hear(entry.version, now_s)
         if not entry.value:
-            self._report_version(now_s)
+            self._plan_report(now_s)
             return
         try:
             change = msgspec.msgpack.decode(entry.value, type=ConfigChange)
@@ -741,11 +737,25 @@
             self._reported_version = max(self._reported_version, version)
             self._handlers.on_config(version, {n: sections[n] for n in names})
 
+    def _plan_report(self, now_s: float) -> None:
+        """Plan to tell the node about a version whose change it has to read.
+
+        The delay is random, so that not all nodes read the table service at once.
+        """
+        newest = self._config.newest
+        if newest <= max(self._config.version, self._reported_version):
+            return
+        if self._report_due_s is None:
+            self._report_due_s = now_s + self._rng.uniform(0, REPORT_SPREAD_S)
+
     def _report_version(self, now_s: float) -> None:
-        """Tell the node about a version whose change it has to read."""
-        if self._config.newest > max(self._config.version, self._reported_version):
-            self._reported_version = self._config.newest
-            self._handlers.on_config(self._config.newest, None)
+        if self._report_due_s is None or now_s < self._report_due_s:
+            return
+        self._report_due_s = None
+        newest = self._config.newest
+        if newest > max(self._config.version, self._reported_version):
+            self._reported_version = newest
+            self._handlers.on_config(newest, None)
 
     def _on_statement(self, entry: Entry, now_s: float) -> None:
         try:
@@ -779,75 +789,64 @@
 
     # Configuration from peers.
 
-    def _ask_for_parts(self, download: _Download, now_s: float) -> None:
+    def _ask_for_parts(self, download: Download, now_s: float) -> None:
         newest = max(self._peer_versions.values(), default=0)
         for name, version in self._peer_versions.items():
-            due_s = download.asked.get(name, (0, 0.0))[1]
-            if version == 0 or version < newest or due_s > now_s:
-                continue
             link = self._links.get(name)
-            offset = download.missing(now_s)
-            if link is None or offset is None:
+            if version == 0 or version < newest or link is None:
                 continue
-            download.asked[name] = (offset, now_s + CHUNK_TIMEOUT_S)
-            self._control.setdefault(name, collections.deque()).append(
-                ConfigRequest(download.version, offset)
-            )
-            link.wake()
+            request = download.ask(name, now_s)
+            if request is not None:
+                self._control.setdefault(name, collections.deque()).append(request)
+                link.wake()
 
-    def _finish_download(self, download: _Download) -> bool:
-        now_s = self._clock()
+    def _finish_download(self, download: Download) -> bool:
         try:
             sections = download.content()
         except ValueError:
             self.counters["damaged_downloads"] += 1
-            self._download = _Download()
+            self._download = Download()
             return False
-        if download.version > self._config.version:
-            self._config.replace(download.version, sections, now_s)
-            self._reported_version = download.version
+        self._config.replace(download.version, sections, self._clock())
+        self._reported_version = max(self._reported_version, download.version)
         return True
 
     def _on_config_request(
         self, sender: str, request: ConfigRequest, now_s: float
     ) -> None:
-        if self._config.version == 0 or sender not in self._links:
-            return
-        if self._blob is None or self._blob[0] != self._config.version:
-            packed = msgspec.msgpack.encode(self._config.sections)
-            self._blob = (self._config.version, zlib.compress(packed))
-        version, blob = self._blob
-        offset = request.offset if request.version in (0, version) else 0
-        if not 0 <= offset < len(blob):
+        chunk = self._upload.answer(request, *self.config)
+        link = self._links.get(sender)
+        if chunk is None or link is None:
             return
-        chunk = ConfigChunk(
-            version, offset, len(blob), blob[offset : offset + CHUNK_BYTES]
-        )
         waiting = self._control.setdefault(sender, collections.deque())
         # A peer has one request outstanding; an older one has timed out there.
         for old in [m for m in waiting if isinstance(m, ConfigChunk)]:
             waiting.remove(old)
         waiting.append(chunk)
-        self._wake_urgent(self._links[sender], now_s)
+        self._wake_urgent(link, now_s)
 
     def _on_config_chunk(self, sender: str, chunk: ConfigChunk) -> None:
-        if self._download is None or not 0 < chunk.size <= MAX_CONFIG_BYTES:
-            return
-        self._download.asked.pop(sender, None)
-        self._download.add(chunk)
-        self._download.arrived.set()
+        if self._download is not None:
+            self._download.add(sender, chunk)
 
     # Maintenance.
 
     def _run(self) -> None:
         while True:
             try:
-                self._maintain(self._clock())
+                self.maintain(self._clock())
             except Exception:
                 log.exception("maintenance of links failed")
             gevent.sleep(MAINTAIN_INTERVAL_S)
 
-    def _maintain(self, now_s: float) -> None:
+    def maintain(self, now_s: float) -> None:
+        """Review the peers and open and close links; runs in a task twice a second."""
+        if not self._announced:
+            self._announce(now_s)
+        if now_s - self._maintained_s > PAUSE_S:
+            # After a pause the frames of the peers wait to be read.
+            self._resumed_s = now_s
+        self._maintained_s = now_s
         self._suspect_silent(now_s)
         self._start_probe(now_s)
         self._select(now_s)
@@ -858,13 +857,14 @@
         for name in list(self._links):
             if name not in wanted and not self._probing(name):
                 self._close_link(name)
-        for name in self._selected:
+        for name in sorted(self._selected):
             self._open_link(name, now_s)
         self._spread.expire(now_s)
         self._view.forget(now_s)
         overdue_s = now_s - self._config.newest_heard_s
         if overdue_s > CHANGE_OVERDUE_S:
-            self._report_version(now_s)
+            self._plan_report(now_s)
+        self._report_version(now_s)
 
     def _select(self, now_s: float) -> None:
         epoch = int(self._wall_clock() // self._policy.epoch_s)
@@ -881,12 +881,12 @@
         )
 
     def _suspect_silent(self, now_s: float) -> None:
-        for name in self._selected:
+        for name in sorted(self._selected):
             link = self._links.get(name)
             peer = self._view.get(name)
             if link is None or peer is None:
                 continue
-            heard_s = max(link.started_s, peer.heard_s)
+            heard_s = max(link.started_s, peer.heard_s, self._resumed_s)
             if now_s - heard_s <= self._settings.suspect_after_s:
                 continue
             suspect = self._view.suspect(name, now_s)
@@ -899,7 +899,7 @@
             self._probe = None
         if now_s < self._next_probe_s:
             return
-        self._next_probe_s = now_s + PROBE_INTERVAL_S
+        self._next_probe_s = now_s + self._settings.probe_interval_s
         suspects = [
             peer.name
             for peer in self._view.peers()
@@ -924,7 +924,7 @@
             self._close_link(name)
         same = self._in_load_scope(peer)
         self._spread.open(name, same, now_s)
-        link = Link(
+        link = self._make_link(
             name,
             peer.address,
             self._settings.timing,
--- a/papayarelay/nodes/links.py
+++ b/papayarelay/nodes/links.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -36,7 +37,7 @@
     # At least one frame in this time, as a heartbeat.
     heartbeat_s: float = 2.0
     # Load records wait this long to share a frame.
-    batch_s: float = 1.0
+    batch_s: float = 1.25
     # An open link whose frames are not acknowledged for this long is redialled.
     idle_limit_s: float = 5.0
     # Upper limit of the time between two dials of a link that stays silent.
@@ -144,8 +145,9 @@
         self._next_s = clock() + rng.uniform(0, timing.heartbeat_s / 2)
         self._silence_limit_s = timing.idle_limit_s
         self.started_s = clock()
-        self.dialled_s = 0.0
-        self.acknowledged_s: float | None = None
+        self.dialled_s = -math.inf
+        self.sent_s = -math.inf
+        self.acknowledged_s = -math.inf
         self.dials = 0
 
     def start(self) -> None:
@@ -173,7 +175,7 @@
 
     def silent_s(self, now_s: float) -> float:
         """Return for how long nothing has been acknowledged."""
-        return now_s - max(self.dialled_s, self.acknowledged_s or 0.0)
+        return now_s - max(self.dialled_s, self.acknowledged_s)
 
     def _run(self) -> None:
         while True:
@@ -205,6 +207,8 @@
                 pass
             else:
                 sent = self._try_send(frame)
+        if sent:
+            self.sent_s = now_s
         self._settle(self, sent)
 
     def _try_send(self, frame: bytes) -> bool:
