--- a/papayarelay/bench/claims.py
+++ b/papayarelay/bench/claims.py
@@ -13,9 +13,10 @@
 import json
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import asdict, dataclass
+from pathlib import Path
 
 from ..local import MODEL, LocalSystem, api_key
 from .client import Caller
@@ -104,6 +105,9 @@
     parser = argparse.ArgumentParser(description="Measure the store use of claims.")
     parser.add_argument("--rate", type=float, nargs="*", default=RATES_PER_S)
     parser.add_argument("--duration-s", type=float, default=DURATION_S)
+    parser.add_argument(
+        "--output", type=Path, help="write lines as in docs/measurements/README.md"
+    )
     return parser.parse_args(argv)
 
 
@@ -122,9 +126,31 @@
         bench.close()
     finally:
         system.close()
+    if namespace.output is not None:
+        lines = [json.dumps(line) for r in results for line in _measurements(r)]
+        namespace.output.write_text("\n".join(lines) + "\n", encoding="utf-8")
     return int(any(_uses_store(result) for result in results))
 
 
+def _measurements(result: StoreUse) -> Iterator[dict]:
+    """Return the lines of one result for the capacity page, per second."""
+    per_s = {
+        "store_claim_writes": ("writes/s", result.writes_per_request),
+        "store_claim_reads": ("reads/s", result.reads_per_request),
+    }
+    for quantity, (unit, per_request) in per_s.items():
+        name = quantity
+        if result.requests != "non_idempotent":
+            name = f"{quantity}_{result.requests}"
+        yield {
+            "quantity": name,
+            "unit": unit,
+            "variables": {"claims_per_s": result.rate_per_s},
+            "value": round(per_request * result.rate_per_s, 4),
+            "command": "python -m papayarelay.bench.claims",
+        }
+
+
 def _uses_store(result: StoreUse) -> bool:
     used = result.reads_per_request or result.writes_per_request
     return result.requests == "idempotent" and bool(used)
--- a/papayarelay/bench/latency.py
+++ b/papayarelay/bench/latency.py
@@ -54,6 +54,7 @@
     tokens_per_s: float
     requests_per_s: float
     node_cpu: float
+    node_memory_bytes: int
     direct_s: tuple[float, ...]
     through_s: tuple[float, ...]
 
@@ -138,6 +139,7 @@
     direct, through = _probe(system, seconds, seed)
     elapsed_s = time.monotonic() - started_s
     cpu_s = _read_cpu_s(system.nodes[0].pid) - cpu_before_s
+    memory_bytes = read_memory_bytes(str(system.nodes[0].pid))
     results = [json.loads(load.communicate()[0]) for load in loads]
     if any(result["wrong"] for result in results):
         raise RuntimeError(f"wrong answers under load: {results}")
@@ -147,6 +149,7 @@
         tokens + PROBES_PER_S / 2 * PROBE_ANSWER_TOKENS,
         requests + PROBES_PER_S / 2,
         cpu_s / elapsed_s,
+        memory_bytes,
         tuple(direct),
         tuple(through),
     )
@@ -215,6 +218,7 @@
         round(statistics.median(step.direct_s) * 1e3, 3),
     )
     yield "node_data_path_cpu", "core", round(step.node_cpu, 4)
+    yield "node_data_path_memory", "bytes", step.node_memory_bytes
 
 
 def _quantile(values: tuple[float, ...], share: float) -> float:
@@ -222,6 +226,12 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
+def read_memory_bytes(pid: str) -> int:
+    """Return the resident memory of a process; ``self`` for this one."""
+    with open(f"/proc/{pid}/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
 def _read_cpu_s(pid: int) -> float:
     """Return the processor time of a process in seconds."""
     with open(f"/proc/{pid}/stat", encoding="ascii") as file:
