Refuse bad requests with error objects and apply the caller settings

Cause: generated requests found that a header that is not UTF-8 and a body that is nested deeply were answered with status 500, that malformed HTTP was answered without an error object, that a refused body was read without any limit, that the Connection: upgrade header led to reading past the body, and that a caller that left during a refusal ended a task with an error log line. Idle connections ended after the time limit for sending (30 s) instead of caller_idle_timeout_s, and other settings had no effect. Change: headers are decoded by parse.Headers; RecursionError is an invalid body; the connection handler answers with error objects, refuses doubled or malformed Content-Length and other transfer encodings, discards at most 256 KiB in 1 s of a refused body, and follows header_timeout_s, body_timeout_s, body_lowest_bytes_per_s and caller_idle_timeout_s. A malformed request is answered with outcome unknown, because it may repeat an idempotency key. Settings that nothing used are removed: queue_requests_limit, repeat_wait_s, connect_timeout_s, stream_idle_timeout_s, load_poll_interval_s, load_poll_timeout_s, heartbeat_interval_s and link_idle_timeout_s. Conclusion: bad and slow callers are refused within their limits.

--- a/papayarelay/callers/api.py
+++ b/papayarelay/callers/api.py
@@ -17,9 +17,15 @@
 from ..job import JobRunner
 from ..request import Request
 from . import answer
-from .body import BodyMemory, body_size, read_body
+from .body import BodyLimits, BodyMemory, body_size, read_body
 from .gate import Gate
-from .parse import Caller, KeyIndex, parse_engine_request, parse_service_request
+from .parse import (
+    Caller,
+    Headers,
+    KeyIndex,
+    parse_engine_request,
+    parse_service_request,
+)
 from .record import RequestRecorder
 
 JSON_TYPE = "application/json"
@@ -42,7 +48,7 @@
         jobs: JobRunner,
         gate: Gate,
         recorder: RequestRecorder,
-        body_limit_bytes: int,
+        body_limits: BodyLimits,
         body_memory_bytes: int,
         clock: Callable[[], float] = time.monotonic,
     ):
@@ -51,7 +57,7 @@
         self._jobs = jobs
         self._gate = gate
         self._recorder = recorder
-        self._body_limit_bytes = body_limit_bytes
+        self._body_limits = body_limits
         self._clock = clock
         self._config = Config()
         self._keys = KeyIndex(self._config)
@@ -79,7 +85,7 @@
         return bottle.HTTPResponse("not ready\n", 503)
 
     def _authenticate(self) -> Caller:
-        return self._keys.find(bottle.request.get_header("Authorization", ""))
+        return self._keys.find(_headers().get("Authorization", ""))
 
     def _models(self) -> bottle.HTTPResponse:
         try:
@@ -154,12 +160,11 @@
         try:
             caller = self._authenticate()
             stack.enter_context(self._gate.enter())
-            size = body_size(environ, self._body_limit_bytes)
+            size = body_size(environ, self._body_limits.size_bytes)
             stack.enter_context(self.body_memory.reserve(size))
-            body = read_body(environ, size, self._body_limit_bytes)
-            headers = bottle.request.headers
+            body = read_body(environ, self._body_limits)
             now_s = self._clock()
-            request = parse(self._config, caller, name, headers, body, now_s)
+            request = parse(self._config, caller, name, _headers(), body, now_s)
         except RelayError as error:
             if "HTTP_IDEMPOTENCY_KEY" in environ:
                 # An earlier request under the same key may have run.
@@ -253,6 +258,10 @@
     )
 
 
+def _headers() -> Headers:
+    return Headers(bottle.request.environ)
+
+
 def _caller_gone() -> CallerGoneError:
     return CallerGoneError(
         "caller closed the connection",
--- a/papayarelay/callers/body.py
+++ b/papayarelay/callers/body.py
@@ -4,18 +4,35 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 
 import gevent
 
 from ..errors import BodyTooLargeError, OverloadError, RequestError, RequestTimeoutError
 
-READ_BYTES = 256 << 10
-# A body may take this long plus its size at the minimum rate.
-BODY_BASE_S = 5.0
-MINIMUM_RATE_BYTES_PER_S = 64 << 10
+READ_BYTES = 64 << 10
+# Each part of a body may take this long plus its size at the lowest rate.
+RATE_GRACE_S = 5.0
 MEMORY_RETRY_S = 1.0
 
 
+@dataclass(frozen=True)
+class BodyLimits:
+    """Limits on one body.
+
+    It is at most ``size_bytes`` long, arrives within ``timeout_s``, and each part
+    of ``READ_BYTES`` within ``RATE_GRACE_S`` and its time at the lowest rate.
+    """
+
+    size_bytes: int
+    timeout_s: float
+    lowest_bytes_per_s: float
+
+    def part_s(self, size: int) -> float:
+        """Return the time for a part of that many bytes."""
+        return RATE_GRACE_S + size / self.lowest_bytes_per_s
+
+
 class BodyMemory:
     """Bounds the memory of all request bodies that a node holds, in bytes."""
 
@@ -55,21 +72,18 @@
     return size
 
 
-def read_body(environ: dict, size: int, limit_bytes: int) -> bytes:
-    """Read a body of at most ``limit_bytes``.
+def read_body(environ: dict, limits: BodyLimits) -> bytes:
+    """Read a body within its limits.
 
-    Raises ``RequestTimeoutError`` when it arrives below the minimum rate and
-    ``RequestError`` when the caller closes its side early.
+    Raises ``RequestTimeoutError`` when it arrives too slowly, ``RequestError``
+    when the caller closes its side early and ``BodyTooLargeError``.
     """
-    limit_s = BODY_BASE_S + size / MINIMUM_RATE_BYTES_PER_S
     try:
-        with gevent.Timeout(limit_s):
-            return _read_all(environ["wsgi.input"], limit_bytes)
+        with gevent.Timeout(limits.timeout_s):
+            return _read_all(environ["wsgi.input"], limits)
     except gevent.Timeout:
         raise RequestTimeoutError(
-            f"body did not arrive within {limit_s:.0f} s",
-            step="read_body",
-            peer="caller",
+            "body arrived too slowly", step="read_body", peer="caller"
         ) from None
     except OSError as error:
         raise RequestError(
@@ -77,15 +91,21 @@
         ) from error
 
 
-def _read_all(stream, limit_bytes: int) -> bytes:
+def _read_all(stream, limits: BodyLimits) -> bytes:
     parts: list[bytes] = []
     size = 0
-    while data := stream.read(READ_BYTES):
+    part_s = limits.part_s(READ_BYTES)
+    while True:
+        with gevent.Timeout(part_s):
+            data = stream.read(READ_BYTES)
+        if not data:
+            return b"".join(parts)
         size += len(data)
-        if size > limit_bytes:
-            raise _too_large(limit_bytes)
+        if size > limits.size_bytes:
+            raise _too_large(limits.size_bytes)
         parts.append(data)
-    return b"".join(parts)
+        # While data keep arriving, a read does not let other tasks run.
+        gevent.sleep(0)
 
 
 def _too_large(limit_bytes: int) -> BodyTooLargeError:
--- a/papayarelay/callers/handler.py
+++ b/papayarelay/callers/handler.py
@@ -2,59 +2,209 @@
 
 from __future__ import annotations
 
+import contextlib
+import http
 import socket
+import time
+from dataclasses import dataclass
 
 import gevent
 from gevent import pywsgi
 
-KEEP_ALIVE_IDLE_S = 75.0
-HEADER_LIMIT_S = 10.0
+from ..errors import Outcome, RelayError, RequestError, RequestTimeoutError
+from .answer import error_body
+
 # A caller that stops reading must not hold an engine's stream for ever.
 SEND_LIMIT_S = 30.0
+# What is left of a refused body is read up to these limits, so that the caller
+# can read its answer; after that the connection is closed.
+DISCARD_BYTES = 256 << 10
+DISCARD_LIMIT_S = 1.0
+DISCARD_READ_BYTES = 64 << 10
+
+
+@dataclass(frozen=True)
+class ConnectionLimits:
+    """Time limits of a caller's connection, in seconds.
+
+    ``header_timeout_s`` counts from the first byte of a request.
+    """
+
+    idle_timeout_s: float
+    header_timeout_s: float
+
+
+class _HeaderTimeout(gevent.Timeout):
+    """The request line and the headers did not arrive in time."""
+
+
+class _Input(pywsgi.Input):
+    """The body of a request; notes when it was not read to its end."""
 
-_TIMEOUT_RESPONSE = (
-    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
-    b"Content-Type: application/json\r\nContent-Length: 166\r\n\r\n"
-    b'{"error":{"message":"request headers arrived too slowly","type":'
-    b'"request_timeout","code":"request_timeout","step":"read_headers","peer":'
-    b'"caller","outcome":"not_run"}}'
-)
+    __slots__ = ("incomplete",)
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.incomplete = False
+
+    def _discard(self) -> None:
+        """Read the rest of the body within the limits; called by pywsgi."""
+        self.send_100_continue_enabled = False
+        try:
+            with gevent.Timeout(DISCARD_LIMIT_S):
+                self.incomplete = not self._read_rest()
+        except (gevent.Timeout, OSError):
+            self.incomplete = True
+
+    def _read_rest(self) -> bool:
+        """Return whether the end of the body was reached."""
+        if self._chunked_input_error:
+            return False
+        size = 0
+        while data := self.read(DISCARD_READ_BYTES):
+            size += len(data)
+            if size > DISCARD_BYTES:
+                return False
+        return True
 
 
 class CallerHandler(pywsgi.WSGIHandler):
-    """Serves one connection; adds time limits for idle and slow callers."""
+    """Serves one connection; adds limits for idle, slow and malformed callers."""
+
+    _header_end_s = 0.0
 
     def handle(self) -> None:
-        """Serve the requests of one connection."""
-        self.socket.settimeout(SEND_LIMIT_S)
+        """Serve the requests of one connection until it ends."""
         # Without this, a token waits up to 40 ms for the caller's delayed
         # acknowledgement of the one before.
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().handle()
-
-    def read_requestline(self) -> str:
-        """Wait for the next request; an idle connection is closed."""
-        with gevent.Timeout(KEEP_ALIVE_IDLE_S, False):
-            return super().read_requestline()
-        return ""
+        # The caller may close the connection while a refusal is sent.
+        with contextlib.suppress(OSError):
+            super().handle()
 
     def handle_one_request(self):
         """Serve one request; see ``pywsgi.WSGIHandler.handle_one_request``."""
+        if not self._wait_for_request():
+            return None
+        self._header_end_s = time.monotonic() + self.server.limits.header_timeout_s
         try:
-            return super().handle_one_request()
-        except gevent.Timeout:
-            return ("408", _TIMEOUT_RESPONSE)
+            result = super().handle_one_request()
+        except _HeaderTimeout:
+            error = RequestTimeoutError(
+                "request headers arrived too slowly",
+                step="read_headers",
+                peer="caller",
+                outcome=Outcome.UNKNOWN,
+            )
+            return _refusal(error)
+        if isinstance(result, tuple) and result[0] == "414":
+            return _refusal(_malformed("request line is too long"))
+        return result
+
+    def read_requestline(self) -> str:
+        """Read the request line within the time limit of the headers."""
+        with self._header_timeout():
+            return super().read_requestline()
 
     def read_request(self, raw_requestline: str) -> bool:
         """Read the headers within their time limit."""
-        with gevent.Timeout(HEADER_LIMIT_S):
-            return super().read_request(raw_requestline)
+        with self._header_timeout():
+            super().read_request(raw_requestline)
+        self._check_body_length()
+        return True
 
     def get_environ(self) -> dict:
         """Return the WSGI environment with the connection's socket."""
         environ = super().get_environ()
         environ["papayarelay.socket"] = self.socket
+        chunked = self.wsgi_input.chunked_input
+        waiting = self.socket if self.wsgi_input.socket is not None else None
+        self.wsgi_input = _Input(
+            self.rfile, self.content_length, socket=waiting, chunked_input=chunked
+        )
+        # pywsgi gives requests for an upgrade the bare connection instead.
+        environ["wsgi.input"] = self.wsgi_input
         return environ
 
+    def handle_one_response(self) -> None:
+        """Answer one request; a body that was not read ends the connection."""
+        super().handle_one_response()
+        if self.wsgi_input.incomplete:
+            self.close_connection = True
+
+    def handle_error(self, kind, error, traceback) -> None:
+        """End the connection of a caller that is gone or has stopped reading."""
+        if isinstance(error, OSError):
+            self.close_connection = True
+            return
+        super().handle_error(kind, error, traceback)
+
     def log_request(self) -> None:
         """Leave request logging to the application."""
+
+    def _wait_for_request(self) -> bool:
+        """Wait for the first byte of a request; an idle connection is closed."""
+        # The time limit of the socket is for sending.
+        self.socket.settimeout(None)
+        try:
+            with gevent.Timeout(self.server.limits.idle_timeout_s, False):
+                return bool(self.rfile.peek(1))
+        except OSError:
+            return False
+        finally:
+            self.socket.settimeout(SEND_LIMIT_S)
+        return False
+
+    def _header_timeout(self) -> _HeaderTimeout:
+        return _HeaderTimeout(max(0.001, self._header_end_s - time.monotonic()))
+
+    def _check_body_length(self) -> None:
+        """Refuse requests of which another server may see another length."""
+        lengths = self.headers.get_all("Content-Length", [])
+        if len(lengths) > 1 or not all(_is_number(text) for text in lengths):
+            raise ValueError("Content-Length is not one number")
+        encodings = self.headers.get_all("Transfer-Encoding", [])
+        if encodings and [text.lower() for text in encodings] != ["chunked"]:
+            raise ValueError("transfer encoding is not supported")
+
+    def _handle_client_error(self, error: Exception):
+        """Return the answer to a request that is not valid HTTP."""
+        if isinstance(error, OSError):
+            # The connection ended within the headers.
+            return None
+        return _refusal(_malformed("request is not valid HTTP"))
+
+    def _send_error_response_if_possible(self, status: int) -> None:
+        """Answer with an error object unless an answer has begun."""
+        self.close_connection = True
+        if self.headers_sent:
+            return
+        error = _malformed("request is not valid HTTP")
+        if status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            error = RelayError(
+                "internal error", step="serve", peer="node", outcome=Outcome.UNKNOWN
+            )
+        self.headers_sent = True
+        self._sendall(_refusal(error)[1])
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit()
+
+
+def _malformed(message: str) -> RequestError:
+    # The headers may have an idempotency key under which an earlier request ran.
+    return RequestError(
+        message, step="read_headers", peer="caller", outcome=Outcome.UNKNOWN
+    )
+
+
+def _refusal(error: RelayError) -> tuple[str, bytes]:
+    """Return the status and a whole answer that ends the connection."""
+    body = error_body(error)
+    status = http.HTTPStatus(error.status)
+    head = (
+        f"HTTP/1.1 {status.value} {status.phrase}\r\nConnection: close\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return str(status.value), head.encode() + body
--- a/papayarelay/callers/parse.py
+++ b/papayarelay/callers/parse.py
@@ -51,6 +51,26 @@
 _FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
+class Headers:
+    """The headers of a request.
+
+    Reading one that is not UTF-8 raises ``RequestError``.
+    """
+
+    def __init__(self, environ: Mapping[str, object]):
+        self._environ = environ
+
+    def get(self, name: str, default: str | None = None) -> str | None:
+        """Return the value of a header."""
+        value = self._environ.get("HTTP_" + name.upper().replace("-", "_"))
+        if value is None:
+            return default
+        try:
+            return value.encode("latin-1").decode()
+        except UnicodeDecodeError:
+            raise _invalid(f"header {name} is not UTF-8") from None
+
+
 @dataclass(frozen=True)
 class Caller:
     """The member and organisation to which an API key belongs."""
@@ -89,7 +109,7 @@
     config: Config,
     caller: Caller,
     path: str,
-    headers: Mapping[str, str],
+    headers: Headers,
     body: bytes,
     now_s: float,
 ) -> Request:
@@ -98,6 +118,8 @@
         fields = _BODIES[path].decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise _invalid(str(error)) from error
+    except RecursionError:
+        raise _invalid("the body is nested too deeply") from None
     if fields.model not in config.models:
         raise UnknownResourceError(
             f"model {fields.model[:100]!r} does not exist", step="parse", peer="caller"
@@ -137,7 +159,7 @@
     config: Config,
     caller: Caller,
     kind_name: str,
-    headers: Mapping[str, str],
+    headers: Headers,
     body: bytes,
     now_s: float,
 ) -> Request:
@@ -190,7 +212,7 @@
     return msgspec.json.encode(fields)
 
 
-def _find_kind(config: Config, headers: Mapping[str, str], target: str) -> RequestKind:
+def _find_kind(config: Config, headers: Headers, target: str) -> RequestKind:
     name = headers.get("X-Request-Kind")
     if name is None:
         return config.kinds.get(DEFAULT_KIND.name, DEFAULT_KIND)
@@ -204,7 +226,7 @@
     return kind
 
 
-def _allowed_s(kind: RequestKind, headers: Mapping[str, str]) -> float:
+def _allowed_s(kind: RequestKind, headers: Headers) -> float:
     text = headers.get("X-Deadline-Ms")
     if text is None:
         return kind.deadline_s
@@ -216,7 +238,7 @@
     return allowed_s
 
 
-def _idempotency_key(kind: RequestKind, headers: Mapping[str, str]) -> str | None:
+def _idempotency_key(kind: RequestKind, headers: Headers) -> str | None:
     if kind.idempotent:
         return None
     key = headers.get("Idempotency-Key")
--- a/papayarelay/callers/server.py
+++ b/papayarelay/callers/server.py
@@ -7,17 +7,31 @@
 from gevent import pywsgi
 from gevent.pool import Pool
 
-from .handler import CallerHandler
+from .handler import CallerHandler, ConnectionLimits
 
 BACKLOG = 1024
 
 
+class _Server(pywsgi.WSGIServer):
+    """Gives its handlers the limits of a connection."""
+
+    def __init__(self, *arguments, limits: ConnectionLimits, **options):
+        super().__init__(*arguments, **options)
+        self.limits = limits
+
+
 class CallerServer:
     """Serves a WSGI application on one address, with a bound on connections."""
 
-    def __init__(self, address: str, app: Callable, connection_limit: int):
+    def __init__(
+        self,
+        address: str,
+        app: Callable,
+        connection_limit: int,
+        limits: ConnectionLimits,
+    ):
         host, _, port = address.rpartition(":")
-        self._server = pywsgi.WSGIServer(
+        self._server = _Server(
             (host, int(port)),
             app,
             handler_class=CallerHandler,
@@ -25,6 +39,7 @@
             spawn=Pool(connection_limit),
             log=None,
             error_log=None,
+            limits=limits,
         )
 
     @property
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -19,8 +19,9 @@
 from .backends.table import BackendTable
 from .backends.watcher import Watcher
 from .callers.api import CallerApi
-from .callers.body import BodyMemory
+from .callers.body import BodyLimits, BodyMemory
 from .callers.gate import Gate
+from .callers.handler import ConnectionLimits
 from .callers.record import RequestRecorder
 from .callers.server import CallerServer
 from .claim import Claims
@@ -87,7 +88,11 @@
             JobRunner(self.claims, clock),
             self.gate,
             RequestRecorder(self.metrics, clock),
-            settings.body_limit_bytes,
+            BodyLimits(
+                settings.body_limit_bytes,
+                settings.body_timeout_s,
+                settings.body_lowest_bytes_per_s,
+            ),
             settings.body_memory_bytes,
             clock,
         )
@@ -95,6 +100,7 @@
             settings.caller_address,
             self._api.create_app(),
             settings.caller_connections_limit,
+            ConnectionLimits(settings.caller_idle_timeout_s, settings.header_timeout_s),
         )
         self._operator_server = self._create_operator_server(operator_token)
         self._observe()
--- a/papayarelay/operators/api.py
+++ b/papayarelay/operators/api.py
@@ -102,5 +102,5 @@
     body = bottle.request.environ["wsgi.input"].read(BODY_LIMIT_BYTES)
     try:
         return msgspec.json.decode(body, type=_Target).name
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise RequestError(str(error), step="parse", peer="operator") from error
--- a/papayarelay/settings.py
+++ b/papayarelay/settings.py
@@ -31,17 +31,9 @@
     "body_lowest_bytes_per_s": 16_384,
     "caller_idle_timeout_s": 75.0,
     "caller_connections_limit": 4_096,
-    "queue_requests_limit": 2_048,
-    "repeat_wait_s": 10.0,
-    "connect_timeout_s": 1.0,
-    "stream_idle_timeout_s": 5.0,
-    "load_poll_interval_s": 1.0,
-    "load_poll_timeout_s": 1.0,
     "store_timeout_s": 2.0,
     "config_poll_interval_s": 2.0,
     "vms_poll_interval_s": 5.0,
-    "heartbeat_interval_s": 1.0,
-    "link_idle_timeout_s": 5.0,
     "link_send_bytes_per_s": 3_000,
     "drain_grace_s": 5.0,
 }
@@ -91,17 +83,9 @@
     body_lowest_bytes_per_s: int = DEFAULTS["body_lowest_bytes_per_s"]
     caller_idle_timeout_s: float = DEFAULTS["caller_idle_timeout_s"]
     caller_connections_limit: int = DEFAULTS["caller_connections_limit"]
-    queue_requests_limit: int = DEFAULTS["queue_requests_limit"]
-    repeat_wait_s: float = DEFAULTS["repeat_wait_s"]
-    connect_timeout_s: float = DEFAULTS["connect_timeout_s"]
-    stream_idle_timeout_s: float = DEFAULTS["stream_idle_timeout_s"]
-    load_poll_interval_s: float = DEFAULTS["load_poll_interval_s"]
-    load_poll_timeout_s: float = DEFAULTS["load_poll_timeout_s"]
     store_timeout_s: float = DEFAULTS["store_timeout_s"]
     config_poll_interval_s: float = DEFAULTS["config_poll_interval_s"]
     vms_poll_interval_s: float = DEFAULTS["vms_poll_interval_s"]
-    heartbeat_interval_s: float = DEFAULTS["heartbeat_interval_s"]
-    link_idle_timeout_s: float = DEFAULTS["link_idle_timeout_s"]
     link_send_bytes_per_s: int = DEFAULTS["link_send_bytes_per_s"]
     drain_grace_s: float = DEFAULTS["drain_grace_s"]
 
