Add model check of the core protocol and replay traces of claims

Cause: the at-most-once claims, configuration versions and engine orders were checked by tests with random schedules only, which do not cover all orders of steps. Change: papayarelay/model specifies the three protocols and visits all states breadth-first; make model runs it. Traces that are recorded from Claims in the random schedules of test_claim.py are replayed against the specification.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test format binary clean
+.PHONY: demo test model format binary clean
 
 $(STAMP): requirements.lock requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +19,9 @@
 	$(BIN)/ruff check papayarelay
 	$(BIN)/python -m papayarelay.tests
 
+model: $(STAMP)
+	$(BIN)/python -m papayarelay.model
+
 binary: $(STAMP)
 	$(BIN)/python packaging/build.py dist/papayarelay
 	$(BIN)/python packaging/selftest.py dist/papayarelay
--- /dev/null
+++ b/papayarelay/model/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the model check: ``python -m papayarelay.model``."""
+
+import sys
+
+from .program import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/papayarelay/model/checker.py
@@ -0,0 +1,114 @@
+"""Explicit-state checker: breadth-first search over all states of a specification.
+
+States are hashable values.  Breadth-first order makes each counterexample one of
+the shortest.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Iterable, Iterator
+from dataclasses import dataclass
+from typing import NamedTuple, Protocol
+
+
+class Step(NamedTuple):
+    """A step of a specification, with the part that takes it."""
+
+    name: str
+    actor: int | str
+    detail: str = ""
+
+    def __str__(self) -> str:
+        return " ".join(filter(None, (str(self.actor), self.name, self.detail)))
+
+
+class Specification(Protocol):
+    """Initial state, steps and safety properties of a protocol."""
+
+    def initial(self) -> Hashable:
+        """Return the initial state."""
+
+    def steps(self, state: Hashable) -> Iterator[tuple[Step, Hashable]]:
+        """Yield each step that is allowed in a state and the state after it."""
+
+    def violation(self, state: Hashable) -> str | None:
+        """Return which property a state violates, or None."""
+
+
+@dataclass(frozen=True)
+class Result:
+    """Size of a search and the counterexample that it found, if any.
+
+    ``complete`` is False when the search stopped at its limit of states.
+    """
+
+    states: int
+    steps: int
+    depth: int
+    complete: bool
+    violation: str | None = None
+    counterexample: tuple[Step, ...] = ()
+
+
+class ForbiddenStepError(Exception):
+    """A trace contains a step that the specification does not allow."""
+
+    def __init__(self, index: int, step: Step, state: Hashable):
+        super().__init__(f"step {index} ({step}) is not allowed in {state}")
+        self.index = index
+        self.step = step
+
+
+class ViolationError(Exception):
+    """A trace reaches a state that violates a property."""
+
+
+def explore(specification: Specification, max_states: int = 10_000_000) -> Result:
+    """Visit all reachable states, up to a limit or the first violation."""
+    first = specification.initial()
+    parents: dict[Hashable, tuple[Hashable, Step] | None] = {first: None}
+    frontier = [first]
+    steps = depth = 0
+    while frontier:
+        following = []
+        for state in frontier:
+            for step, after in specification.steps(state):
+                steps += 1
+                if after in parents:
+                    continue
+                parents[after] = (state, step)
+                found = specification.violation(after)
+                if found is not None:
+                    path = _path(parents, after)
+                    return Result(len(parents), steps, depth + 1, True, found, path)
+                following.append(after)
+        if len(parents) > max_states:
+            return Result(len(parents), steps, depth, False)
+        depth += bool(following)
+        frontier = following
+    return Result(len(parents), steps, depth, True)
+
+
+def replay(specification: Specification, trace: Iterable[Step]) -> Hashable:
+    """Follow a recorded trace and return the last state.
+
+    Raises ForbiddenStepError and ViolationError.
+    """
+    state = specification.initial()
+    for index, step in enumerate(trace):
+        after = dict(specification.steps(state)).get(step)
+        if after is None:
+            raise ForbiddenStepError(index, step, state)
+        state = after
+        found = specification.violation(state)
+        if found is not None:
+            raise ViolationError(f"step {index} ({step}): {found}")
+    return state
+
+
+def _path(parents: dict, state: Hashable) -> tuple[Step, ...]:
+    path = []
+    while parents[state] is not None:
+        state, step = parents[state]
+        path.append(step)
+    return tuple(reversed(path))
--- /dev/null
+++ b/papayarelay/model/claims.py
@@ -0,0 +1,320 @@
+"""Specification of the claim of one key (design section 3.1, ``claim.py``).
+
+Several attempts, each one call of ``Claims`` on some node, share the key's row.
+Each step may be delayed without limit, so a pause of a node needs no step of its
+own.  A write that was sent may take effect at any later time while its check
+holds, whether or not its answer was lost.  A crash ends an attempt like the
+answer ``unknown`` does: nothing that it sent is called back.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from .checker import Step
+
+CLAIMED = "claimed"
+COMPLETED = "completed"
+REFUSED = "refused"
+NOT_RUN = "not_run"
+UNKNOWN = "unknown"
+
+INSERT = "insert"
+REFUSE = "refuse"
+REFUSE_OWN = "refuse own"
+RECORD = "record"
+TAKE_OVER = "take over"
+
+
+class Place(enum.IntEnum):
+    """What an attempt does at present."""
+
+    IDLE = 0
+    INSERTING = 1
+    POLLING = 2
+    TAKING_OVER = 3
+    OWNER = 4
+    DISPATCHING = 5
+    SENT = 6
+    RECORDING = 7
+    REFUSING = 8
+    REFUSING_OWN = 9
+    ENDED = 10
+
+
+class ClaimFault(enum.Enum):
+    """Seeded faults, each a mistake that the design excludes."""
+
+    DISPATCH_UNCONFIRMED = "dispatch before the claim is confirmed"
+    NOT_RUN_UNCONFIRMED = "not_run without a confirmed row"
+    TAKEOVER = "takeover of a claim"
+    RESEND = "retry after an unknown outcome"
+
+
+class Row(NamedTuple):
+    """The row of the key; version 0 means that it is absent."""
+
+    state: str = ""
+    owner: int = -1
+    version: int = 0
+
+
+class Write(NamedTuple):
+    """A conditional write that an attempt has sent."""
+
+    name: str
+    check: int
+    state: str
+    applied: bool = False
+
+
+class Attempt(NamedTuple):
+    """One attempt; ``version`` is that of the row that it owns.
+
+    ``in_flight`` counts dispatches that the server has not executed.
+    """
+
+    place: Place = Place.IDLE
+    version: int = 0
+    writes: tuple[Write, ...] = ()
+    in_flight: int = 0
+    runs: int = 0
+    answer: str = ""
+
+
+class State(NamedTuple):
+    """The row and the attempts."""
+
+    row: Row
+    attempts: tuple[Attempt, ...]
+
+
+class ClaimSpecification:
+    """Claims of one key by a number of attempts."""
+
+    def __init__(self, attempts: int, fault: ClaimFault | None = None):
+        self._attempts = attempts
+        self._fault = fault
+
+    def initial(self) -> State:
+        """Return the state without a row."""
+        return State(Row(), (Attempt(),) * self._attempts)
+
+    def steps(self, state: State) -> Iterator[tuple[Step, State]]:
+        """Yield the allowed steps."""
+        for index, attempt in enumerate(state.attempts):
+            for write in attempt.writes:
+                if not write.applied and write.check == state.row.version:
+                    yield Step("apply", index, write.name), _apply(state, index, write)
+            if attempt.in_flight:
+                ran = attempt._replace(
+                    in_flight=attempt.in_flight - 1, runs=attempt.runs + 1
+                )
+                yield Step("execute", index), _with(state, index, ran)
+            yield from self._attempt_steps(state, index, attempt)
+
+    def violation(self, state: State) -> str | None:
+        """Return which of the properties a state violates."""
+        runs = sum(attempt.runs for attempt in state.attempts)
+        in_flight = sum(attempt.in_flight for attempt in state.attempts)
+        if runs > 1:
+            return f"the key ran {runs} times"
+        for attempt in state.attempts:
+            if attempt.answer == NOT_RUN and runs + in_flight:
+                return "not_run was answered and the key runs"
+            if attempt.answer == COMPLETED and not runs:
+                return "completed was answered and the key did not run"
+        if state.row.state == REFUSED and runs + in_flight:
+            return "the row is refused and the key runs"
+        return None
+
+    def _attempt_steps(
+        self, state: State, index: int, attempt: Attempt
+    ) -> Iterator[tuple[Step, State]]:
+        # The answer ``unknown`` is allowed at any time, also in place of another.
+        ended = attempt._replace(place=Place.ENDED)
+        yield Step("answer", index, UNKNOWN), _with(state, index, ended)
+        if attempt.answer:
+            yield Step("answer", index, attempt.answer), _with(state, index, ended)
+        if attempt.place is Place.ENDED:
+            return
+        for step, after in _PLACES[attempt.place](self, state.row, index, attempt):
+            yield step, _with(state, index, after)
+
+    def _idle(self, row: Row, index: int, attempt: Attempt):
+        yield _send(index, attempt, Place.INSERTING, INSERT, 0, CLAIMED)
+        yield _send(index, attempt, Place.REFUSING, REFUSE, 0, REFUSED)
+
+    def _inserting(self, row: Row, index: int, attempt: Attempt):
+        owner = attempt._replace(place=Place.OWNER, version=row.version)
+        yield from _results(row, index, attempt, INSERT, owner)
+        yield _send(index, attempt, Place.INSERTING, INSERT, 0, CLAIMED)
+        yield _send(index, attempt, Place.REFUSING, REFUSE, 0, REFUSED)
+        if row.state == CLAIMED and row.owner == index:
+            yield _read(row, index), owner
+        elif row.state == CLAIMED:
+            yield _read(row, index), attempt._replace(place=Place.POLLING)
+        elif row.version:
+            yield _read(row, index), _recorded(row, attempt)
+        if self._fault is ClaimFault.DISPATCH_UNCONFIRMED:
+            yield Step("assume the claim", index), owner
+
+    def _polling(self, row: Row, index: int, attempt: Attempt):
+        polling = row.state == CLAIMED
+        yield _read(row, index), attempt if polling else _recorded(row, attempt)
+        yield Step("no answer", index), attempt
+        if self._fault is ClaimFault.TAKEOVER and polling:
+            taking = attempt._replace(version=row.version)
+            yield _send(
+                index, taking, Place.TAKING_OVER, TAKE_OVER, row.version, CLAIMED
+            )
+
+    def _taking_over(self, row: Row, index: int, attempt: Attempt):
+        owner = attempt._replace(place=Place.OWNER, version=row.version)
+        yield from _results(row, index, attempt, TAKE_OVER, owner)
+
+    def _owner(self, row: Row, index: int, attempt: Attempt):
+        yield Step("begin", index), attempt._replace(place=Place.DISPATCHING)
+        yield _send_refuse_own(index, attempt)
+
+    def _dispatching(self, row: Row, index: int, attempt: Attempt):
+        sent = attempt._replace(place=Place.SENT, in_flight=attempt.in_flight + 1)
+        yield Step("dispatch", index), sent
+        yield Step("connection refused", index), attempt._replace(place=Place.OWNER)
+
+    def _sent(self, row: Row, index: int, attempt: Attempt):
+        if attempt.runs:
+            answered = attempt._replace(answer=COMPLETED)
+            yield _send_record(index, answered)
+        if self._fault is ClaimFault.RESEND and attempt.runs + attempt.in_flight < 2:
+            again = attempt._replace(in_flight=attempt.in_flight + 1)
+            yield Step("dispatch again", index), again
+
+    def _recording(self, row: Row, index: int, attempt: Attempt):
+        yield from _results(row, index, attempt, RECORD, attempt)
+        yield _read(row, index), attempt
+        yield _send_record(index, attempt)
+
+    def _refusing(self, row: Row, index: int, attempt: Attempt):
+        refused = attempt._replace(place=Place.ENDED, answer=NOT_RUN)
+        yield from _results(row, index, attempt, REFUSE, refused)
+        yield _send(index, attempt, Place.REFUSING, REFUSE, 0, REFUSED)
+        if row.state == REFUSED:
+            yield _read(row, index), refused
+        elif row.state == CLAIMED and row.owner == index:
+            own = attempt._replace(place=Place.REFUSING_OWN, version=row.version)
+            yield _read(row, index), own
+        elif row.version:
+            yield _read(row, index), attempt._replace(place=Place.ENDED)
+        if self._fault is ClaimFault.NOT_RUN_UNCONFIRMED:
+            yield Step("assume the refusal", index), refused
+
+    def _refusing_own(self, row: Row, index: int, attempt: Attempt):
+        refused = attempt._replace(place=Place.ENDED, answer=NOT_RUN)
+        yield from _results(row, index, attempt, REFUSE_OWN, refused)
+        yield _send_refuse_own(index, attempt)
+        if row.version != attempt.version:
+            ended = attempt._replace(place=Place.ENDED)
+            yield _read(row, index), refused if row.state == REFUSED else ended
+
+
+_PLACES = {
+    Place.IDLE: ClaimSpecification._idle,
+    Place.INSERTING: ClaimSpecification._inserting,
+    Place.POLLING: ClaimSpecification._polling,
+    Place.TAKING_OVER: ClaimSpecification._taking_over,
+    Place.OWNER: ClaimSpecification._owner,
+    Place.DISPATCHING: ClaimSpecification._dispatching,
+    Place.SENT: ClaimSpecification._sent,
+    Place.RECORDING: ClaimSpecification._recording,
+    Place.REFUSING: ClaimSpecification._refusing,
+    Place.REFUSING_OWN: ClaimSpecification._refusing_own,
+}
+
+
+class TwoKeys:
+    """Two keys whose steps interleave, with the properties of each."""
+
+    def __init__(self, first: ClaimSpecification, second: ClaimSpecification):
+        self._parts = (first, second)
+
+    def initial(self) -> tuple[State, State]:
+        """Return the state without rows."""
+        first, second = self._parts
+        return first.initial(), second.initial()
+
+    def steps(self, state: tuple[State, State]) -> Iterator[tuple[Step, tuple]]:
+        """Yield the steps of both keys."""
+        for step, after in self._parts[0].steps(state[0]):
+            yield step._replace(actor=f"key 0, {step.actor}"), (after, state[1])
+        for step, after in self._parts[1].steps(state[1]):
+            yield step._replace(actor=f"key 1, {step.actor}"), (state[0], after)
+
+    def violation(self, state: tuple[State, State]) -> str | None:
+        """Return which property one of the keys violates."""
+        first, second = self._parts
+        return first.violation(state[0]) or second.violation(state[1])
+
+
+def _with(state: State, index: int, attempt: Attempt) -> State:
+    attempts = state.attempts
+    return State(state.row, (*attempts[:index], attempt, *attempts[index + 1 :]))
+
+
+def _apply(state: State, index: int, write: Write) -> State:
+    attempt = state.attempts[index]
+    # A takeover changes the owner; all other writes keep or set their own attempt.
+    row = Row(write.state, index, write.check + 1)
+    writes = tuple(
+        w._replace(applied=True) if w == write else w for w in attempt.writes
+    )
+    return _with(state._replace(row=row), index, attempt._replace(writes=writes))
+
+
+def _send(
+    index: int, attempt: Attempt, place: Place, name: str, check: int, value: str
+) -> tuple[Step, Attempt]:
+    """Send a write; a repetition of a write is the same message again."""
+    writes = attempt.writes
+    if all(write.name != name for write in writes):
+        writes = (*writes, Write(name, check, value))
+    return Step("send", index, name), attempt._replace(place=place, writes=writes)
+
+
+def _send_refuse_own(index: int, attempt: Attempt) -> tuple[Step, Attempt]:
+    version = attempt.version
+    place = Place.REFUSING_OWN
+    return _send(index, attempt, place, REFUSE_OWN, version, REFUSED)
+
+
+def _send_record(index: int, attempt: Attempt) -> tuple[Step, Attempt]:
+    version = attempt.version
+    return _send(index, attempt, Place.RECORDING, RECORD, version, COMPLETED)
+
+
+def _results(
+    row: Row, index: int, attempt: Attempt, name: str, confirmed: Attempt
+) -> Iterator[tuple[Step, Attempt]]:
+    """Yield the answers that a sent write may get.
+
+    A failed check stays failed, because no version comes back.
+    """
+    write = next((w for w in attempt.writes if w.name == name), None)
+    if write is None:
+        return
+    yield Step("no answer", index), attempt
+    if write.applied:
+        yield Step("confirmed", index, name), confirmed
+    if row.version != write.check:
+        yield Step("check failed", index, name), attempt
+
+
+def _read(row: Row, index: int) -> Step:
+    return Step("read", index, f"{row.state} {row.owner}")
+
+
+def _recorded(row: Row, attempt: Attempt) -> Attempt:
+    answer = {REFUSED: NOT_RUN, COMPLETED: COMPLETED}.get(row.state, "")
+    return attempt._replace(place=Place.ENDED, answer=answer)
