Tell callers when and with which key to retry

Cause: failures of engines and deadlines carried no time for a retry, and a refused key cannot be used again, which no field said. Change: each error that a retry can mend has retry_after_s, errors of keyed requests have retry_key.

--- a/papayarelay/callers/answer.py
+++ b/papayarelay/callers/answer.py
@@ -6,14 +6,18 @@
 
 import msgspec
 
-from ..errors import RelayError
+from ..errors import Outcome, RelayError
 from ..request import Request
 
 DONE_EVENT = b"data: [DONE]\n\n"
 
 
-def error_body(error: RelayError) -> bytes:
-    """Return the protocol's error object with step, peer and outcome."""
+def error_body(error: RelayError, keyed: bool = False) -> bytes:
+    """Return the protocol's error object with step, peer and outcome.
+
+    For a request with an idempotency key (``keyed``) it also says which key a
+    retry needs: a refused key stays refused, any other may be sent again.
+    """
     fields = {
         "message": error.message,
         "type": error.code,
@@ -25,6 +29,9 @@
     }
     if error.retry_after_s is not None:
         fields["retry_after_s"] = error.retry_after_s
+    if keyed:
+        refused = error.outcome is Outcome.NOT_RUN
+        fields["retry_key"] = "new" if refused else "same"
     return msgspec.json.encode({"error": fields})
 
 
--- a/papayarelay/callers/api.py
+++ b/papayarelay/callers/api.py
@@ -29,6 +29,7 @@
 from .record import RequestRecorder
 
 JSON_TYPE = "application/json"
+KEY_HEADER = "HTTP_IDEMPOTENCY_KEY"
 KEEP_ALIVE_EVENT = b": keep-alive\n\n"
 STREAM_TYPE = "text/event-stream; charset=utf-8"
 
@@ -121,7 +122,7 @@
                 self._recorder.rejected(error)
             else:
                 self._recorder.failed(request, error)
-            return _error_response(error)
+            return _error_response(error, KEY_HEADER in environ)
         except BaseException:
             stack.close()
             raise
@@ -166,7 +167,7 @@
             now_s = self._clock()
             request = parse(self._config, caller, name, _headers(), body, now_s)
         except RelayError as error:
-            if "HTTP_IDEMPOTENCY_KEY" in environ:
+            if KEY_HEADER in environ:
                 # An earlier request under the same key may have run.
                 error.outcome = Outcome.UNKNOWN
             raise
@@ -271,11 +272,11 @@
     )
 
 
-def _error_response(error: RelayError) -> bottle.HTTPResponse:
+def _error_response(error: RelayError, keyed: bool = False) -> bottle.HTTPResponse:
     headers = {"Content-Type": JSON_TYPE, **answer.error_headers(error)}
     if isinstance(error, OverloadError) or error.step == "read_body":
         headers["Connection"] = "close"
-    return bottle.HTTPResponse(answer.error_body(error), error.status, headers)
+    return bottle.HTTPResponse(answer.error_body(error, keyed), error.status, headers)
 
 
 def _bottle_error(error: bottle.HTTPError) -> bytes:
--- a/papayarelay/errors.py
+++ b/papayarelay/errors.py
@@ -22,11 +22,13 @@
 
     ``step`` names the part of the work, ``peer`` the other side (a backend
     server id, ``caller``, ``store`` or a node name).  ``retry_after_s`` is the
-    time in seconds after which the caller may retry, or None.
+    time in seconds after which the caller may retry, or None where a retry
+    cannot succeed.
     """
 
     status = 500
     code = "internal_error"
+    default_retry_after_s: float | None = None
 
     def __init__(
         self,
@@ -42,12 +44,16 @@
         self.step = step
         self.peer = peer
         self.outcome = outcome
-        self.retry_after_s = retry_after_s
+        self.retry_after_s = retry_after_s or self.default_retry_after_s
 
     def __str__(self) -> str:
         return f"{self.message} (step {self.step}, peer {self.peer})"
 
 
+# A failed attempt is worth repeating after this time unless more is known.
+RETRY_AFTER_S = 1.0
+
+
 class RequestError(RelayError):
     """The request is malformed."""
 
@@ -95,6 +101,7 @@
 
     status = 503
     code = "overloaded"
+    default_retry_after_s = RETRY_AFTER_S
 
 
 class BackendError(RelayError):
@@ -102,6 +109,7 @@
 
     status = 502
     code = "backend_error"
+    default_retry_after_s = RETRY_AFTER_S
 
 
 class DeadlineError(RelayError):
@@ -109,6 +117,7 @@
 
     status = 504
     code = "deadline_exceeded"
+    default_retry_after_s = RETRY_AFTER_S
 
 
 class StoreError(RelayError):
@@ -116,6 +125,7 @@
 
     status = 503
     code = "store_unavailable"
+    default_retry_after_s = RETRY_AFTER_S
 
 
 class StoreUnavailableError(StoreError):
