End the cold-start ramp only with answers worth the full share

Cause: the starting bound counted towards the end of the ramp, so a watcher reported an engine warm 4,096 tokens early.

Change: the share of full_tokens is counted in answered tokens. A test guards against it.

--- a/papayarelay/bench/program.py
+++ b/papayarelay/bench/program.py
@@ -38,6 +38,7 @@
         "--policy", action="append", choices=sorted(POLICIES), default=None
     )
     parser.add_argument("--seeds", type=int, default=DEFAULT_SEEDS)
+    parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument(
         "--load", type=float, default=None, help="fraction of the capacity"
     )
@@ -87,7 +88,8 @@
         for scenario in scenarios:
             load = namespace.load or DEFAULT_LOADS[scenario]
             for policy in policies:
-                for seed in range(1, namespace.seeds + 1):
+                for index in range(namespace.seeds):
+                    seed = namespace.first_seed + index
                     bar.set_description(f"{scenario} {policy}")
                     setup = _setup(namespace, policy, load, seed, recorded)
                     figures = SCENARIOS[scenario](setup)
--- a/papayarelay/tests/test_warmup.py
+++ b/papayarelay/tests/test_warmup.py
@@ -50,6 +50,15 @@
         self.assertFalse(ramp.cold)
         self.assertIsNone(ramp.bound_tokens)
 
+    def test_the_ramp_ends_only_with_answers_worth_the_full_share(self):
+        """Guards against full load on a server that is just short of warm."""
+        ramp = cold_ramp()
+        share = FULL_TOKENS // WATCHERS
+        ramp.record_success(share - 1, True, 1.0)
+        self.assertTrue(ramp.cold)
+        ramp.record_success(1, True, 2.0)
+        self.assertFalse(ramp.cold)
+
     def test_turning_cold_again_starts_from_the_bound(self):
         ramp = WarmUp(COLD_TOKENS, FULL_TOKENS)
         self.assertIsNone(ramp.bound_tokens)
--- a/papayarelay/warmup.py
+++ b/papayarelay/warmup.py
@@ -15,8 +15,9 @@
     uses an equal part of it.  The part grows by the tokens of each answer that
     is completed in time, so the parts of all watchers together never exceed
     the server's bound plus the tokens it has answered since it became cold.
-    Time does not raise it.  Once a part exceeds the share of ``full_tokens``,
-    the server counts as warm.  Source: slow start of RFC 5681, in tokens.
+    Time does not raise it.  Once the answers of a watcher are worth its share
+    of ``full_tokens``, the server counts as warm.  Source: slow start of RFC
+    5681, counted in tokens.
     """
 
     def __init__(
@@ -28,7 +29,8 @@
         cold: bool = False,
     ):
         self._start_tokens = max(1, cold_bound_tokens // watchers)
-        self._full_tokens = max(self._start_tokens + 1, full_tokens // watchers)
+        # The start is not proven by answers, so it does not count for the end.
+        self._full_tokens = self._start_tokens + max(1, full_tokens // watchers)
         self._bound_tokens: int | None = self._start_tokens if cold else None
         self._failures = 0
         self._rate = 0.0
