--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -39,6 +39,7 @@
 from .routing import POLICIES
 from .scheduler import Scheduler
 from .settings import Settings
+from .stalls import StallMeter
 from .store.client import TableClient
 
 START_RETRY_S = 0.5
@@ -61,6 +62,7 @@
         self._rng = random.Random(seed)
         self.gate = Gate()
         self.metrics = Metrics()
+        self._stalls = StallMeter()
         self.store = TableClient(settings.store_url, settings.store_timeout_s)
         self.backends = BackendTable(self._rng)
         policy = POLICIES[settings.routing_policy]()
@@ -123,6 +125,7 @@
 
     def start(self) -> None:
         """Start all parts; the node is ready once it has a configuration."""
+        self._stalls.start()
         self.store.start()
         self._operator_server.start()
         self._server.start()
@@ -175,6 +178,7 @@
         self._operator_server.stop(timeout=0)
         self.backends.close()
         self.store.close()
+        self._stalls.close()
 
     def status(self) -> dict:
         """Return the state of the node for operators."""
@@ -253,6 +257,11 @@
             "Configuration version in force",
             lambda: self.feed.config.version,
         )
+        observe(
+            "event_loop_stall_seconds",
+            "Longest time without a poll for events since the last scrape",
+            self._stalls.take_longest_s,
+        )
         self.metrics.observe_counter(
             "chunks_dropped",
             "Chunks that were not passed on to a caller",
--- /dev/null
+++ b/papayarelay/stalls.py
@@ -0,0 +1,51 @@
+"""Measures how long a node's event loop does not poll for events."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+
+# libev runs watchers of a higher priority first.
+FIRST = 2
+LAST = -2
+
+
+class StallMeter:
+    """Measures the longest pass of the event loop of this thread.
+
+    A pass lasts from the end of one poll for events to the start of the next; in
+    that time no other task notices anything.
+    """
+
+    def __init__(self):
+        self._longest_s = 0.0
+        self._polled_s: float | None = None
+        loop = gevent.get_hub().loop
+        self._watchers = {
+            loop.check(ref=False, priority=FIRST): self._end_poll,
+            loop.prepare(ref=False, priority=LAST): self._start_poll,
+        }
+
+    def start(self) -> None:
+        """Begin to measure."""
+        for watcher, callback in self._watchers.items():
+            watcher.start(callback)
+
+    def close(self) -> None:
+        """Stop measuring."""
+        for watcher in self._watchers:
+            watcher.close()
+
+    def take_longest_s(self) -> float:
+        """Return the longest pass since the last call, in seconds."""
+        longest_s, self._longest_s = self._longest_s, 0.0
+        return longest_s
+
+    def _end_poll(self) -> None:
+        self._polled_s = time.perf_counter()
+
+    def _start_poll(self) -> None:
+        if self._polled_s is not None:
+            passed_s = time.perf_counter() - self._polled_s
+            self._longest_s = max(passed_s, self._longest_s)
