Keep the event loop polling while a long prompt arrives

Cause: reading and parsing a body went on without a poll for events. A sleep of 0 does not help: gevent runs up to ten callbacks before it polls again. Change: after each 64 KiB of a body and between the passes over a body of 512 KiB or more, the task sleeps for a microsecond, which returns after a poll.

--- a/papayarelay/callers/body.py
+++ b/papayarelay/callers/body.py
@@ -14,6 +14,10 @@
 # Each part of a body may take this long plus its size at the lowest rate.
 RATE_GRACE_S = 5.0
 MEMORY_RETRY_S = 1.0
+LONG_BYTES = 512 << 10
+# A sleep of 0 returns up to ten times before gevent polls for events again; any
+# longer one returns after the next poll.
+POLL_S = 1e-6
 
 
 @dataclass(frozen=True)
@@ -99,13 +103,27 @@
         with gevent.Timeout(part_s):
             data = stream.read(READ_BYTES)
         if not data:
-            return b"".join(parts)
+            break
         size += len(data)
         if size > limits.size_bytes:
             raise _too_large(limits.size_bytes)
         parts.append(data)
-        # While data keep arriving, a read does not let other tasks run.
-        gevent.sleep(0)
+        if len(data) == READ_BYTES:
+            # While data keep arriving, a read does not wait and nothing else runs.
+            gevent.sleep(POLL_S)
+    body = b"".join(parts)
+    let_others_run(body)
+    return body
+
+
+def let_others_run(body: bytes) -> None:
+    """Let other tasks run between two passes over a long body.
+
+    One pass over 8 MB takes up to 10 ms, and all passes together would exceed
+    the 20 ms for which the event loop may stall.
+    """
+    if len(body) >= LONG_BYTES:
+        gevent.sleep(POLL_S)
 
 
 def _too_large(limit_bytes: int) -> BodyTooLargeError:
--- a/papayarelay/callers/parse.py
+++ b/papayarelay/callers/parse.py
@@ -13,6 +13,7 @@
 from ..cost import DEFAULT_MAX_TOKENS, estimate_tokens
 from ..errors import AuthenticationError, RequestError, UnknownResourceError
 from ..request import Request, RequestKind
+from .body import let_others_run
 
 MAX_DEADLINE_S = 3600.0
 MAX_KEY_CHARACTERS = 256
@@ -207,7 +208,9 @@
     Every answer is read from the engine as a stream, so that silent and broken
     connections are noticed early and answers can be resumed.
     """
+    let_others_run(body)
     fields = _FIELDS.decode(body)
+    let_others_run(body)
     fields["stream"] = msgspec.Raw(b"true")
     return msgspec.json.encode(fields)
 
