--- a/papayarelay/tests/test_replay.py
+++ b/papayarelay/tests/test_replay.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 
 from ..bench import program, traces
-from ..bench.capacity import measure_requests_per_s
 from ..bench.engine import BENCH_SETTINGS
+from ..bench.engine_capacity import measure_requests_per_s
 from ..bench.experiments import Setup
 from ..bench.replay import Fault, Replay, engine_names
 from ..bench.report import Result, StatedOutcome, format_outcomes, read_outcomes
@@ -115,7 +115,7 @@
         # At this load a cold engine falls over at once, so the nodes know.
         for name in cold:
             self.assertEqual(result.engines[name].model.falls, 1)
-            self.assertEqual(result.engines[name].max_over_bound_tokens, 0)
+            self.assertEqual(result.engines[name].max_over_bound(), 0)
         late = {
             name for each in result.records for at_s, name in each.sent if at_s > 20
         }
