Show a second holder in the counterexample of a plain lease

Cause: the shortest counterexample of the seeded fault "lease without fencing" had one holder with two of its own orders, not a pause and a second holder. Change: under this fault a holder waits for its own open order and does not take its own lease again. Conclusion: the printed counterexample is the case that fencing is for.

--- a/papayarelay/model/leases.py
+++ b/papayarelay/model/leases.py
@@ -118,7 +118,8 @@
         self._bounds = bounds or Bounds()
         self._fault = fault
         self._margin = 0 if fault is LeaseFault.NO_MARGIN else MARGIN
-        # Without fencing the engine ignores the numbers and nobody waits.
+        # A plain lease: the engine ignores the numbers and a new holder does not
+        # wait for the orders of the old one.
         self._waits = not checks_fencing and fault is not LeaseFault.NO_FENCING
 
     def initial(self) -> State:
@@ -180,7 +181,8 @@
         yield "send the release", _release(holder, free)
         later = following._replace(end=clock + LEASE)
         yield "send the renewal", _write(holder, HolderPlace.ACQUIRING, later)
-        blocked = self._waits and row.order_end > NONE and clock <= row.order_end
+        own_waits = not self._checks_fencing
+        blocked = own_waits and row.order_end > NONE and clock <= row.order_end
         if not blocked:
             shared = self._fault is LeaseFault.SHARED_NUMBER
             ordering = following._replace(
@@ -248,7 +250,9 @@
     def _is_free(self, row: Row, index: int, clock: int) -> bool:
         if self._waits and row.order_end > NONE and clock <= self._late(row.order_end):
             return False
-        return row.owner in (NONE, index) or clock > self._late(row.end)
+        # A holder of a plain lease does not take its own lease again.
+        again = self._fault is not LeaseFault.NO_FENCING and row.owner == index
+        return again or row.owner == NONE or clock > self._late(row.end)
 
     def _late(self, end: int) -> int:
         """Return the time by which ``end`` has passed on the clock that set it.
