Check that fencing needs a number kept across engine restarts

Cause: engines crash at any moment, and an engine that checks fencing numbers and forgets the highest one accepts an old order after a restart. The specification had no engine restart, and docs/model.md did not say so. Change: seeded fault "engine that loses its highest fencing number on a restart"; docs/model.md states the requirement. Conclusion: engines that do not keep the number must be configured with checks_fencing false.

--- a/papayarelay/model/leases.py
+++ b/papayarelay/model/leases.py
@@ -5,9 +5,9 @@
 a small integer; each holder's clock has a fixed offset from it of at most
 ``MARGIN``.  A pause is time that passes between two steps of a holder.
 
-An engine that checks fencing numbers needs no assumption about time.  For one that
-ignores them an order takes effect before its end time by the sender's clock or
-never (``Assumption.BOUNDED_EFFECT``).
+An engine that checks fencing numbers needs no assumption about time, but it must
+keep the highest number when it restarts.  For one that ignores them an order takes
+effect before its end time by the sender's clock or never.
 """
 
 from __future__ import annotations
@@ -44,6 +44,7 @@
     NO_FENCING = "lease without fencing"
     NO_MARGIN = "lease without a margin for clock offsets"
     SHARED_NUMBER = "one fencing number for several orders"
+    NUMBER_LOST = "engine that loses its highest fencing number on a restart"
     UNBOUNDED_EFFECT = "order without an end time at an engine that ignores numbers"
     NO_END_CHECK = "order sent without a check of its end time"
 
@@ -138,6 +139,8 @@
                     yield Step("apply", index), _apply(state, row)
             for name, after in self._holder_steps(state, index, holder):
                 yield Step(name, index), after
+        if self._fault is LeaseFault.NUMBER_LOST and state.highest_number:
+            yield Step("restarts", "engine"), state._replace(highest_number=0)
         for order in state.orders:
             yield from self._engine_steps(state, order)
 
@@ -218,6 +221,8 @@
             yield "send the order", self._without_lost_orders(after)
 
     def _engine_steps(self, state: State, order: Order) -> Iterator[tuple[Step, State]]:
+        if self._checks_fencing and order.number < state.highest_number:
+            return
         fault = ""
         if order.rank < state.last_rank:
             fault = f"an old order took effect after order {state.last_rank}"
@@ -239,6 +244,8 @@
         return state._replace(orders=orders)
 
     def _may_take_effect(self, state: State, order: Order) -> bool:
+        if self._fault is LeaseFault.NUMBER_LOST:
+            return True
         if self._checks_fencing:
             return order.number >= state.highest_number
         unbounded = (LeaseFault.UNBOUNDED_EFFECT, LeaseFault.NO_END_CHECK)
--- a/papayarelay/model/program.py
+++ b/papayarelay/model/program.py
@@ -151,8 +151,8 @@
 
 
 def _lease_with(fault: LeaseFault) -> LeaseSpecification:
-    # Shared numbers matter only to an engine that checks them.
-    checks = fault is LeaseFault.SHARED_NUMBER
+    # These faults matter only to an engine that checks numbers.
+    checks = fault in (LeaseFault.SHARED_NUMBER, LeaseFault.NUMBER_LOST)
     return LeaseSpecification(checks, Bounds(horizon=2, writes=4), fault)
 
 
