--- a/papayarelay/model/leases.py
+++ b/papayarelay/model/leases.py
@@ -5,9 +5,9 @@
 a small integer; each holder's clock has a fixed offset from it of at most
 ``MARGIN``.  A pause is time that passes between two steps of a holder.
 
-An engine that checks fencing numbers needs no assumption about time.  For one that
-ignores them an order takes effect before its end time by the sender's clock or
-never (``Assumption.BOUNDED_EFFECT``).
+An engine that checks fencing numbers needs no assumption about time, but it must
+keep the highest number when it restarts.  For one that ignores them an order takes
+effect before its end time by the sender's clock or never.
 """
 
 from __future__ import annotations
@@ -44,6 +44,7 @@
     NO_FENCING = "lease without fencing"
     NO_MARGIN = "lease without a margin for clock offsets"
     SHARED_NUMBER = "one fencing number for several orders"
+    NUMBER_LOST = "engine that loses its highest fencing number on a restart"
     UNBOUNDED_EFFECT = "order without an end time at an engine that ignores numbers"
     NO_END_CHECK = "order sent without a check of its end time"
 
@@ -118,7 +119,8 @@
         self._bounds = bounds or Bounds()
         self._fault = fault
         self._margin = 0 if fault is LeaseFault.NO_MARGIN else MARGIN
-        # Without fencing the engine ignores the numbers and nobody waits.
+        # A plain lease: the engine ignores the numbers and a new holder does not
+        # wait for the orders of the old one.
         self._waits = not checks_fencing and fault is not LeaseFault.NO_FENCING
 
     def initial(self) -> State:
@@ -137,6 +139,8 @@
                     yield Step("apply", index), _apply(state, row)
             for name, after in self._holder_steps(state, index, holder):
                 yield Step(name, index), after
+        if self._fault is LeaseFault.NUMBER_LOST and state.highest_number:
+            yield Step("restarts", "engine"), state._replace(highest_number=0)
         for order in state.orders:
             yield from self._engine_steps(state, order)
 
@@ -180,7 +184,8 @@
         yield "send the release", _release(holder, free)
         later = following._replace(end=clock + LEASE)
         yield "send the renewal", _write(holder, HolderPlace.ACQUIRING, later)
-        blocked = self._waits and row.order_end > NONE and clock <= row.order_end
+        own_waits = not self._checks_fencing
+        blocked = own_waits and row.order_end > NONE and clock <= row.order_end
         if not blocked:
             shared = self._fault is LeaseFault.SHARED_NUMBER
             ordering = following._replace(
@@ -216,6 +221,8 @@
             yield "send the order", self._without_lost_orders(after)
 
     def _engine_steps(self, state: State, order: Order) -> Iterator[tuple[Step, State]]:
+        if self._checks_fencing and order.number < state.highest_number:
+            return
         fault = ""
         if order.rank < state.last_rank:
             fault = f"an old order took effect after order {state.last_rank}"
@@ -237,6 +244,8 @@
         return state._replace(orders=orders)
 
     def _may_take_effect(self, state: State, order: Order) -> bool:
+        if self._fault is LeaseFault.NUMBER_LOST:
+            return True
         if self._checks_fencing:
             return order.number >= state.highest_number
         unbounded = (LeaseFault.UNBOUNDED_EFFECT, LeaseFault.NO_END_CHECK)
@@ -248,7 +257,9 @@
     def _is_free(self, row: Row, index: int, clock: int) -> bool:
         if self._waits and row.order_end > NONE and clock <= self._late(row.order_end):
             return False
-        return row.owner in (NONE, index) or clock > self._late(row.end)
+        # A holder of a plain lease does not take its own lease again.
+        again = self._fault is not LeaseFault.NO_FENCING and row.owner == index
+        return again or row.owner == NONE or clock > self._late(row.end)
 
     def _late(self, end: int) -> int:
         """Return the time by which ``end`` has passed on the clock that set it.
