Give the running node the measured policy

Change: the node sends engine_priority, tells the policy the number of nodes, its home engines and its own prefill by size; a retry beyond the budget waits up to 2 s.

--- a/papayarelay/backends/engine.py
+++ b/papayarelay/backends/engine.py
@@ -10,6 +10,7 @@
 
 from ..errors import BackendError, Outcome, OverloadError, RequestError
 from ..request import Request
+from ..routing import engine_priority
 from .monitor import StreamMonitor
 from .pool import STREAM_IDLE_LIMIT_S, BackendPool
 from .stream import EngineStream, StreamCounters
@@ -19,10 +20,11 @@
 
 
 def _headers(request: Request, offset: int, now_s: float) -> dict[str, str]:
+    priority = engine_priority(request.kind.priority, request.prompt_tokens)
     headers = {
         "Content-Type": "application/json",
         "X-Request-Id": request.id,
-        "X-Priority": str(request.kind.priority),
+        "X-Priority": str(priority),
         "X-Deadline-Ms": str(int(request.time_left_s(now_s) * 1000)),
     }
     if offset:
--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from ..circuit import Circuit
 from ..config import Backend, Config
 from ..cost import Cost
-from ..routing import BackendView
+from ..routing import BackendView, assign_homes, size_class
 from ..warmup import WarmUp
 from .load import LoadReport
 from .pool import BackendPool
@@ -24,6 +24,12 @@
     def __init__(self, cost: Cost, sent_s: float):
         self.cost = cost
         self.sent_s = sent_s
+        self.prefilled = False
+
+    @property
+    def prefill_tokens(self) -> int:
+        """Return the prompt tokens that the server may still have to compute."""
+        return 0 if self.prefilled else self.cost.prefill_tokens
 
 
 @dataclass
@@ -54,6 +60,7 @@
         self._marks: dict[str, bool] = {}
         self._cold: set[str] = set()
         self._watched: frozenset[str] = frozenset()
+        self._homes: frozenset[str] = frozenset()
 
     @property
     def entries(self) -> list[BackendEntry]:
@@ -115,6 +122,16 @@
         """Set the servers that this node watches; a cold engine serves no other."""
         self._watched = frozenset(backend_ids)
 
+    def set_homes(self, node: str, nodes: Collection[str]) -> None:
+        """Divide the engines in service among the nodes that prefer them."""
+        engines = [
+            entry.id
+            for entry in self._entries.values()
+            if entry.config.target == "engine" and not self._is_drained(entry.config)
+        ]
+        homes = assign_homes(engines, nodes)
+        self._homes = frozenset(e for e, names in homes.items() if node in names)
+
     def record_load(self, backend_id: str, load: LoadReport, now_s: float) -> bool:
         """Keep a load report; return whether it shows that the server is cold."""
         entry = self._entries.get(backend_id)
@@ -200,7 +217,7 @@
 
     def _view(self, entry: BackendEntry) -> BackendView:
         load = entry.load
-        unseen = [w.cost for w in entry.work if w.sent_s >= entry.reported_s]
+        unseen = [work for work in entry.work if work.sent_s > entry.reported_s]
         return BackendView(
             id=entry.id,
             data_centre=entry.config.data_centre,
@@ -214,9 +231,18 @@
             prefill_tokens_per_s=load.prefill_tokens_per_s,
             reported_s=entry.reported_s,
             own_inflight=len(entry.work),
-            own_prefill_tokens=sum(w.cost.prefill_tokens for w in entry.work),
+            own_prefill_tokens=sum(work.prefill_tokens for work in entry.work),
             bound=self._bound(entry),
-            own_tokens=sum(w.cost.kv_tokens for w in entry.work),
-            sent_prefill_tokens=sum(cost.prefill_tokens for cost in unseen),
-            sent_kv_tokens=sum(cost.kv_tokens for cost in unseen),
+            own_tokens=sum(work.cost.kv_tokens for work in entry.work),
+            sent_prefill_tokens=sum(work.prefill_tokens for work in unseen),
+            sent_kv_tokens=sum(work.cost.kv_tokens for work in unseen),
+            own_prefill_by_size=_prefill_by_size(entry.work),
+            home=entry.id in self._homes,
         )
+
+
+def _prefill_by_size(work: Iterable[Work]) -> tuple[int, int, int]:
+    sizes = [0, 0, 0]
+    for each in work:
+        sizes[size_class(each.cost.prefill_tokens)] += each.prefill_tokens
+    return (sizes[0], sizes[1], sizes[2])
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+import gevent
+
 from .backends import engine, service
 from .backends.monitor import StreamMonitor
 from .backends.stream import KEEP_ALIVE, Chunk, StreamCounters
@@ -16,10 +18,14 @@
 from .logs import log
 from .request import Request
 from .retry import RetryBudget
-from .scheduler import Scheduler, Ticket
+from .scheduler import Grant, Scheduler, Ticket
 
 # While a request is queued, its caller's connection is checked this often.
 QUEUE_TICK_S = 1.0
+# A retry beyond the budget waits this long, so that a burst of failures is
+# spread; after that the caller learns of the failure.
+RETRY_WAIT_S = 2.0
+RETRY_TICK_S = 0.1
 
 
 class DispatchGuard(Protocol):
@@ -94,12 +100,13 @@
                 try:
                     while (grant := ticket.wait(QUEUE_TICK_S)) is None:
                         yield KEEP_ALIVE
-                    yield from self._attempt(grant.entry, request, progress, guard)
+                    yield from self._attempt(grant, request, progress, guard)
                     return
                 except (BackendError, OverloadError) as error:
-                    self._check_retry(request, error, grant.entry, progress)
+                    failure = error
                 finally:
                     self._scheduler.end(ticket)
+                yield from self._wait_for_retry(request, failure, grant, progress)
         except RelayError as error:
             progress.correct(error)
             raise
@@ -122,9 +129,11 @@
                         pass
                     return self._call_once(grant.entry, request, guard)
                 except BackendError as error:
-                    self._check_retry(request, error, grant.entry, progress)
+                    failure = error
                 finally:
                     self._scheduler.end(ticket)
+                for _ in self._wait_for_retry(request, failure, grant, progress):
+                    pass
         except RelayError as error:
             progress.correct(error)
             raise
@@ -138,12 +147,13 @@
 
     def _attempt(
         self,
-        entry: BackendEntry,
+        grant: Grant,
         request: Request,
         progress: _Progress,
         guard: DispatchGuard,
     ) -> Iterator[Chunk]:
         """Yield the rest of the answer from one engine."""
+        entry = grant.entry
         guard.begin()
         try:
             with engine.open_stream(
@@ -155,6 +165,8 @@
                 self._clock,
             ) as stream:
                 for chunk in stream:
+                    if chunk.event:
+                        grant.work.prefilled = True
                     progress.received = stream.offset
                     yield chunk
         except RelayError as error:
@@ -197,26 +209,36 @@
                 outcome=Outcome.UNKNOWN,
             )
 
-    def _check_retry(
-        self,
-        request: Request,
-        error: RelayError,
-        entry: BackendEntry,
-        progress: _Progress,
-    ) -> None:
-        """Raise the error when the request must not be sent again."""
-        first = entry.id not in progress.tried
-        progress.tried.add(entry.id)
+    def _wait_for_retry(
+        self, request: Request, error: RelayError, grant: Grant, progress: _Progress
+    ) -> Iterator[Chunk]:
+        """Return when the request may be sent again, with keep-alives until then.
+
+        Raises the error when that is not safe, or when the retry budget leaves
+        no room for ``RETRY_WAIT_S``.
+        """
+        first = grant.entry.id not in progress.tried
+        progress.tried.add(grant.entry.id)
         progress.may_have_run |= error.outcome is not Outcome.NOT_RUN
         if progress.may_have_run and not request.kind.idempotent:
             raise error
         # A refused connection costs the server nothing, and each is tried once.
         refused = isinstance(error, BackendError) and error.outcome is Outcome.NOT_RUN
-        if not (first and refused) and not self._budget.allow(self._clock()):
-            raise error
+        allowed = first and refused
+        end_s = min(self._clock() + RETRY_WAIT_S, request.deadline_s)
+        while not allowed and not self._budget.allow(self._clock()):
+            if self._clock() >= end_s:
+                raise error
+            yield KEEP_ALIVE
+            gevent.sleep(RETRY_TICK_S)
         self.retries += 1
         if progress.received:
-            log(Event.STREAM_RESUMED, request=request.id, backend=entry.id, error=error)
+            log(
+                Event.STREAM_RESUMED,
+                request=request.id,
+                backend=grant.entry.id,
+                error=error,
+            )
 
 
 def _cost_of(request: Request) -> Cost:
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -314,6 +314,9 @@
         watched = self.peering.watched(self.feed.config)
         self._watcher.watch(watched)
         self.backends.set_watched(watched)
+        name = self.settings.name
+        self.backends.set_homes(name, [name, *self.peering.live_names])
+        self.scheduler.set_node_count(self.peering.node_count)
         self._share_limits(self.feed.config)
 
     def _share_limits(self, config: Config) -> None:
--- a/papayarelay/nodes/peering.py
+++ b/papayarelay/nodes/peering.py
@@ -35,8 +35,8 @@
 class Peering:
     """Owns the exchange with other nodes and the polling of the VM list.
 
-    ``on_change`` is called when the set of live nodes changes, so that work
-    that is divided among the nodes can be divided again.
+    ``on_change`` is called when the live nodes or the servers in service
+    change, so that what is divided among the nodes can be divided again.
     """
 
     def __init__(
@@ -51,6 +51,7 @@
         self._settings = settings
         self._backends = backends
         self._feed = feed
+        self._on_change = on_change
         self._rng = rng
         self._clock = clock
         self._vms = VmListClient(settings.vms_url)
@@ -210,6 +211,7 @@
         self._backends.mark_drained(target, mark)
         event = Event.DRAIN_APPLIED if mark else Event.RETURN_APPLIED
         log(event, target=target)
+        self._on_change()
 
     def _take_config(self, version: int, sections: Mapping[str, object] | None) -> None:
         if sections is None:
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import gevent
 from gevent.event import AsyncResult, Event
@@ -14,7 +14,7 @@
 from .cost import Cost
 from .errors import DeadlineError, OverloadError
 from .request import Request
-from .routing import choose
+from .routing import CostAware, choose
 
 # Estimates of waiting times change with time alone, so queued requests are
 # tried again even when nothing was reported.
@@ -69,6 +69,11 @@
         self._wake = Event()
         self._task: gevent.Greenlet | None = None
 
+    def set_node_count(self, nodes: int) -> None:
+        """Set how many nodes send like traffic to the same engines."""
+        if isinstance(self._policy, CostAware):
+            self._policy = replace(self._policy, nodes=nodes)
+
     def start(self) -> None:
         """Begin to give out queued requests."""
         self._task = gevent.spawn(self._run)
