--- a/papayarelay/bench/experiments.py
+++ b/papayarelay/bench/experiments.py
@@ -10,8 +10,8 @@
 
 from ..standins.model import EngineSettings
 from . import traces
-from .capacity import measure_requests_per_s, measure_warm_up_s
 from .engine import BENCH_SETTINGS, work_s
+from .engine_capacity import measure_requests_per_s, measure_warm_up_s
 from .replay import Fault, Record, Replay, ReplayResult, engine_names
 from .traces import Deployment, TraceRequest
 
--- /dev/null
+++ b/papayarelay/callers/answer.py
@@ -0,0 +1,95 @@
+"""Answers and errors in the caller protocol."""
+
+from __future__ import annotations
+
+import socket
+
+import msgspec
+
+from ..errors import Outcome, RelayError
+from ..request import Request
+
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+def error_body(error: RelayError, keyed: bool = False) -> bytes:
+    """Return the protocol's error object with step, peer and outcome.
+
+    For a request with an idempotency key (``keyed``) it also says which key a
+    retry needs: a refused key stays refused, any other may be sent again.
+    """
+    fields = {
+        "message": error.message,
+        "type": error.code,
+        "param": None,
+        "code": error.code,
+        "step": error.step,
+        "peer": error.peer,
+        "outcome": error.outcome.value,
+    }
+    if error.retry_after_s is not None:
+        fields["retry_after_s"] = error.retry_after_s
+    if keyed:
+        refused = error.outcome is Outcome.NOT_RUN
+        fields["retry_key"] = "new" if refused else "same"
+    return msgspec.json.encode({"error": fields})
+
+
+def error_headers(error: RelayError) -> dict[str, str]:
+    """Return the headers of an error answer."""
+    if error.retry_after_s is None:
+        return {}
+    return {
+        "Retry-After": str(max(1, round(error.retry_after_s))),
+        "retry-after-ms": str(round(error.retry_after_s * 1000)),
+    }
+
+
+def error_event(error: RelayError) -> bytes:
+    """Return an error as the last event of a stream that has begun."""
+    return b"data: " + error_body(error) + b"\n\n"
+
+
+def whole_answer(
+    request: Request, text: str, tokens: int, reason: str | None, now_s: int
+) -> bytes:
+    """Return the answer to a request that is not streamed.
+
+    ``tokens`` is the length of the answer, ``reason`` why it ended and
+    ``now_s`` the Unix time.
+    """
+    choice: dict = {"index": 0, "finish_reason": reason or "stop"}
+    chat = request.path == "/v1/chat/completions"
+    if chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    usage = {
+        "prompt_tokens": request.prompt_tokens,
+        "completion_tokens": tokens,
+        "total_tokens": request.prompt_tokens + tokens,
+    }
+    return msgspec.json.encode(
+        {
+            "id": request.id,
+            "object": "chat.completion" if chat else "text_completion",
+            "created": now_s,
+            "model": request.model,
+            "choices": [choice],
+            "usage": usage,
+        }
+    )
+
+
+def is_gone(sock: socket.socket) -> bool:
+    """Return whether the caller has closed its connection."""
+    limit_s = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        return sock.recv(1, socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        sock.settimeout(limit_s)
--- /dev/null
+++ b/papayarelay/callers/api.py
@@ -0,0 +1,292 @@
+"""The HTTP interface for callers, compatible with the OpenAI protocol."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
+from functools import partial
+
+import bottle
+
+from ..backends.service import ServiceAnswer
+from ..backends.stream import Chunk
+from ..config import Config
+from ..dispatch import NO_GUARD, Dispatcher, DispatchGuard
+from ..errors import BackendError, Outcome, OverloadError, RelayError
+from ..job import JobRunner
+from ..request import Request
+from . import answer
+from .body import BodyLimits, BodyMemory, body_size, read_body
+from .gate import Gate
+from .parse import (
+    Caller,
+    Headers,
+    KeyIndex,
+    parse_engine_request,
+    parse_service_request,
+)
+from .record import RequestRecorder
+
+JSON_TYPE = "application/json"
+KEY_HEADER = "HTTP_IDEMPOTENCY_KEY"
+KEEP_ALIVE_EVENT = b": keep-alive\n\n"
+STREAM_TYPE = "text/event-stream; charset=utf-8"
+
+
+class CallerGoneError(BackendError):
+    """The caller closed its connection before the answer was complete."""
+
+    code = "caller_gone"
+
+
+class CallerApi:
+    """Turns caller requests into dispatched requests and their answers."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        jobs: JobRunner,
+        gate: Gate,
+        recorder: RequestRecorder,
+        body_limits: BodyLimits,
+        body_memory_bytes: int,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.body_memory = BodyMemory(body_memory_bytes)
+        self._dispatcher = dispatcher
+        self._jobs = jobs
+        self._gate = gate
+        self._recorder = recorder
+        self._body_limits = body_limits
+        self._clock = clock
+        self._config = Config()
+        self._keys = KeyIndex(self._config)
+
+    def apply(self, config: Config) -> None:
+        """Follow a new configuration."""
+        self._config = config
+        self._keys = KeyIndex(config)
+
+    def create_app(self) -> bottle.Bottle:
+        """Return the WSGI application."""
+        app = bottle.Bottle()
+        app.route("/v1/models", "GET", self._models)
+        for path in ("/v1/chat/completions", "/v1/completions"):
+            app.route(path, "POST", self._serve_engine)
+        app.route("/v1/services/<kind>", "POST", self._serve_service)
+        app.route("/healthz", "GET", lambda: "ok\n")
+        app.route("/readyz", "GET", self._ready)
+        app.default_error_handler = _bottle_error
+        return app
+
+    def _ready(self) -> bottle.HTTPResponse:
+        if self._gate.ready:
+            return bottle.HTTPResponse("ready\n")
+        return bottle.HTTPResponse("not ready\n", 503)
+
+    def _authenticate(self) -> Caller:
+        return self._keys.find(_headers().get("Authorization", ""))
+
+    def _models(self) -> bottle.HTTPResponse:
+        try:
+            self._authenticate()
+        except RelayError as error:
+            return _error_response(error)
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "papayarelay"}
+            for name in self._config.models
+        ]
+        return bottle.HTTPResponse({"object": "list", "data": models})
+
+    def _serve_engine(self):
+        """Answer one request to an engine."""
+        path = bottle.request.environ["PATH_INFO"]
+        return self._serve(parse_engine_request, path, self._answer_engine)
+
+    def _serve_service(self, kind: str):
+        """Answer one request to a plain service."""
+        return self._serve(parse_service_request, kind, self._answer_service)
+
+    def _serve(self, parse: Callable, name: str, respond: Callable):
+        """Admit a request and answer it; errors become answers too."""
+        environ = bottle.request.environ
+        stack = ExitStack()
+        request = None
+        try:
+            request = self._admit(stack, environ, parse, name)
+            return respond(stack, request, environ)
+        except RelayError as error:
+            stack.close()
+            if request is None:
+                self._recorder.rejected(error)
+            else:
+                self._recorder.failed(request, error)
+            return _error_response(error, KEY_HEADER in environ)
+        except BaseException:
+            stack.close()
+            raise
+
+    def _answer_engine(self, stack: ExitStack, request: Request, environ: dict):
+        if request.stream:
+            return self._stream_response(stack, request, environ)
+        collect = partial(self._collect, environ["papayarelay.socket"])
+        return self._whole_response(stack, request, collect)
+
+    def _answer_service(self, stack: ExitStack, request: Request, environ: dict):
+        return self._whole_response(stack, request, self._dispatcher.call)
+
+    def _whole_response(
+        self, stack: ExitStack, request: Request, execute: Callable
+    ) -> bottle.HTTPResponse:
+        reply = self._execute(request, execute)
+        self._recorder.finished(request)
+        stack.close()
+        headers = {"Content-Type": reply.content_type, "X-Request-Id": request.id}
+        return bottle.HTTPResponse(reply.body, reply.status, headers)
+
+    def _execute(self, request: Request, execute: Callable) -> ServiceAnswer:
+        """Run a request, under a claim unless its kind is idempotent."""
+        if request.kind.idempotent:
+            return execute(request, NO_GUARD)
+        return self._jobs.run(request, execute)
+
+    def _admit(
+        self, stack: ExitStack, environ: dict, parse: Callable, name: str
+    ) -> Request:
+        """Authenticate, read and validate a request.
+
+        What the request holds is given back when ``stack`` is closed.
+        """
+        try:
+            caller = self._authenticate()
+            stack.enter_context(self._gate.enter())
+            size = body_size(environ, self._body_limits.size_bytes)
+            stack.enter_context(self.body_memory.reserve(size))
+            body = read_body(environ, self._body_limits)
+            now_s = self._clock()
+            request = parse(self._config, caller, name, _headers(), body, now_s)
+        except RelayError as error:
+            if KEY_HEADER in environ:
+                # An earlier request under the same key may have run.
+                error.outcome = Outcome.UNKNOWN
+            raise
+        self._recorder.admitted(request)
+        return request
+
+    def _collect(self, sock, request: Request, guard: DispatchGuard) -> ServiceAnswer:
+        """Return the whole answer of an engine."""
+        parts: list[str] = []
+        reason = None
+        received = 0
+        chunks = self._recorder.watch(request, self._dispatcher.stream(request, guard))
+        for chunk in chunks:
+            if chunk.event:
+                parts.append(chunk.content)
+                reason = chunk.finish_reason or reason
+                received = chunk.offset
+            elif request.kind.idempotent and answer.is_gone(sock):
+                raise _caller_gone()
+        text = "".join(parts)
+        body = answer.whole_answer(request, text, received, reason, int(time.time()))
+        return ServiceAnswer(200, JSON_TYPE, body)
+
+    def _stream_response(
+        self, stack: ExitStack, request: Request, environ: dict
+    ) -> bottle.HTTPResponse:
+        """Wait for the first chunk, so that a failure before it has a status."""
+        sock = environ["papayarelay.socket"]
+        source = self._dispatcher.stream(request)
+        stack.callback(source.close)
+        chunks = self._recorder.watch(request, source)
+        first = _wait_for_first(chunks, sock)
+        headers = {
+            "Content-Type": STREAM_TYPE,
+            "Cache-Control": "no-cache",
+            "X-Request-Id": request.id,
+        }
+        events = _EventBody(self._events(request, first, chunks), stack)
+        return bottle.HTTPResponse(events, 200, headers)
+
+    def _events(
+        self, request: Request, first: Chunk, chunks: Iterator[Chunk]
+    ) -> Iterator[bytes]:
+        """Yield the events for the caller, the last one an error if need be."""
+        try:
+            yield first.event
+            for chunk in chunks:
+                # The engine's comment is passed on, so that a caller that has
+                # gone is noticed while no token arrives.
+                yield chunk.event or KEEP_ALIVE_EVENT
+        except RelayError as error:
+            self._recorder.failed(request, error)
+            yield answer.error_event(error)
+        except GeneratorExit:
+            self._recorder.failed(request, _caller_gone())
+            raise
+        else:
+            self._recorder.finished(request)
+            yield answer.DONE_EVENT
+
+
+class _EventBody:
+    """The events of an answer; releases what the request holds at the end."""
+
+    def __init__(self, events: Iterator[bytes], stack: ExitStack):
+        self._events = events
+        self._stack = stack
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._events
+
+    def close(self) -> None:
+        """Give back what the request holds; called by the WSGI server."""
+        self._events.close()
+        self._stack.close()
+
+
+def _wait_for_first(chunks: Iterator[Chunk], sock) -> Chunk:
+    for chunk in chunks:
+        if chunk.event:
+            return chunk
+        if answer.is_gone(sock):
+            raise _caller_gone()
+    raise BackendError(
+        "engine sent an empty answer",
+        step="stream",
+        peer="backends",
+        outcome=Outcome.UNKNOWN,
+    )
+
+
+def _headers() -> Headers:
+    return Headers(bottle.request.environ)
+
+
+def _caller_gone() -> CallerGoneError:
+    return CallerGoneError(
+        "caller closed the connection",
+        step="wait",
+        peer="caller",
+        outcome=Outcome.UNKNOWN,
+    )
+
+
+def _error_response(error: RelayError, keyed: bool = False) -> bottle.HTTPResponse:
+    headers = {"Content-Type": JSON_TYPE, **answer.error_headers(error)}
+    if isinstance(error, OverloadError) or error.step == "read_body":
+        headers["Connection"] = "close"
+    return bottle.HTTPResponse(answer.error_body(error, keyed), error.status, headers)
+
+
+def _bottle_error(error: bottle.HTTPError) -> bytes:
+    """Return errors of the routing layer in the protocol's format."""
+    failure = RelayError(
+        str(error.body or "request failed"), step="parse", peer="caller"
+    )
+    failure.code = "not_found" if error.status_code == 404 else "invalid_request"
+    if error.status_code >= 500:
+        failure.code = "internal_error"
+        failure.outcome = Outcome.UNKNOWN
+    error.content_type = JSON_TYPE
+    return answer.error_body(failure)
--- /dev/null
+++ b/papayarelay/config_feed.py
@@ -0,0 +1,89 @@
+"""Brings new versions of the shared configuration into force on a node."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+
+import gevent
+
+from .config import Config, parse_sections
+from .errors import RelayError
+from .events import Event
+from .logs import log
+from .store.client import TableClient
+from .store.sections import VERSION_KEY, read_sections
+
+
+class ConfigFeed:
+    """Follows the configuration in the table service and from other nodes.
+
+    ``apply`` is called with each newer configuration, and ``publish`` with its
+    version and section texts when it came from the table service.  A lower
+    version never replaces a higher one.
+    """
+
+    def __init__(
+        self,
+        client: TableClient,
+        apply: Callable[[Config], None],
+        publish: Callable[[int, Mapping[str, str]], None],
+        interval_s: float,
+        rng: random.Random,
+    ):
+        self.config = Config()
+        self.sections: dict[str, str] = {}
+        self.error: str | None = None
+        self.answered = True
+        self._client = client
+        self._apply = apply
+        self._publish = publish
+        self._interval_s = interval_s
+        self._rng = rng
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to poll the version in the table service."""
+        self._task = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """End the polling task."""
+        if self._task is not None:
+            self._task.kill()
+
+    def poll(self) -> bool:
+        """Read a newer version from the table service; return whether it answered."""
+        try:
+            row = self._client.get(VERSION_KEY)
+            if row is not None and int(row.value) > self.config.version:
+                sections, version = read_sections(self._client)
+                if self.offer(version, sections):
+                    self._publish(version, sections)
+        except (RelayError, ValueError) as error:
+            self.error = str(error)
+            self.answered = False
+            return False
+        self.answered = True
+        return True
+
+    def offer(self, version: int, sections: Mapping[str, str]) -> bool:
+        """Put a version into force if it is newer and valid; return whether it is."""
+        if version <= self.config.version:
+            return False
+        try:
+            config = parse_sections(sections, version)
+        except ExceptionGroup as group:
+            self.error = f"version {version} is not valid: {group.exceptions[0]}"
+            log(Event.CONFIG_REJECTED, version=version, error=group.exceptions[0])
+            return False
+        self.error = None
+        self.config = config
+        self.sections = dict(sections)
+        self._apply(config)
+        return True
+
+    def _run(self) -> None:
+        while True:
+            # A random interval keeps the nodes from reading in step.
+            gevent.sleep(self._interval_s * self._rng.uniform(0.7, 1.0))
+            self.poll()
--- a/papayarelay/errors.py
+++ b/papayarelay/errors.py
@@ -4,6 +4,10 @@
 
 import enum
 
+SHOWN_VALUE_LIMIT = 80
+# The value of a required key that is missing.
+ABSENT = "<absent>"
+
 
 class Outcome(enum.Enum):
     """What is certain about the execution of a request that failed."""
@@ -18,11 +22,13 @@
 
     ``step`` names the part of the work, ``peer`` the other side (a backend
     server id, ``caller``, ``store`` or a node name).  ``retry_after_s`` is the
-    time in seconds after which the caller may retry, or None.
+    time in seconds after which the caller may retry, or None where a retry
+    cannot succeed.
     """
 
     status = 500
     code = "internal_error"
+    default_retry_after_s: float | None = None
 
     def __init__(
         self,
@@ -38,12 +44,16 @@
         self.step = step
         self.peer = peer
         self.outcome = outcome
-        self.retry_after_s = retry_after_s
+        self.retry_after_s = retry_after_s or self.default_retry_after_s
 
     def __str__(self) -> str:
         return f"{self.message} (step {self.step}, peer {self.peer})"
 
 
+# A failed attempt is worth repeating after this time unless more is known.
+RETRY_AFTER_S = 1.0
+
+
 class RequestError(RelayError):
     """The request is malformed."""
 
@@ -91,6 +101,7 @@
 
     status = 503
     code = "overloaded"
+    default_retry_after_s = RETRY_AFTER_S
 
 
 class BackendError(RelayError):
@@ -98,6 +109,7 @@
 
     status = 502
     code = "backend_error"
+    default_retry_after_s = RETRY_AFTER_S
 
 
 class DeadlineError(RelayError):
@@ -105,6 +117,7 @@
 
     status = 504
     code = "deadline_exceeded"
+    default_retry_after_s = RETRY_AFTER_S
 
 
 class StoreError(RelayError):
@@ -112,6 +125,7 @@
 
     status = 503
     code = "store_unavailable"
+    default_retry_after_s = RETRY_AFTER_S
 
 
 class StoreUnavailableError(StoreError):
@@ -127,3 +141,39 @@
 
     status = 409
     code = "check_failed"
+
+
+class SettingsError(RelayError):
+    """A value in the settings or the configuration document is not allowed.
+
+    ``path`` is its place in the document (``backends.engine-1.url``), ``value``
+    what was found there and ``allowed`` what is accepted instead.  All mistakes
+    of a document are raised together in one exception group.
+    """
+
+    status = 400
+    code = "invalid_settings"
+
+    def __init__(self, path: str, value: object, allowed: str, hint: str = ""):
+        shown = value if value is ABSENT else ascii(value)
+        if len(shown) > SHOWN_VALUE_LIMIT:
+            shown = f"{shown[:SHOWN_VALUE_LIMIT]}..."
+        # Names in a bad document may contain anything, also terminal controls.
+        self.path = _escape(path)
+        self.value = value
+        self.allowed = _escape(allowed)
+        self.hint = _escape(hint)
+        message = f"{self.path or 'document'}: found {shown}, expected {self.allowed}"
+        if hint:
+            message = f"{message}; {self.hint}"
+        super().__init__(message, step="settings", peer="operator")
+
+    def __str__(self) -> str:
+        return self.message
+
+
+def _escape(text: str) -> str:
+    """Return the text in printable ASCII."""
+    if text.isascii() and text.isprintable():
+        return text
+    return ascii(text)[1:-1]
--- /dev/null
+++ b/papayarelay/nodes/spread.py
@@ -0,0 +1,463 @@
+"""The state that nodes disseminate, and what is still to be sent on each link.
+
+Every record has a key and a version.  A node forwards a record on its links
+when the version is new to it and not yet known to the peer of the link.
+"""
+
+from __future__ import annotations
+
+import enum
+import struct
+import zlib
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from .codec import Batch, Record
+
+# A change that encodes to more than this travels as its version only; nodes
+# then read the section from the table service or from a peer.
+MAX_CHANGE_BYTES = 900
+MAX_VALUE_BYTES = 1_000
+# Room for records in one frame, beside header, tag and acknowledgements.
+MAX_RECORDS_BYTES = 1_100
+RECORD_OVERHEAD_BYTES = 17
+# TCP and IP headers with timestamps, the length prefix of nng and the pure
+# acknowledgement that the peer returns for a frame.
+WIRE_OVERHEAD_BYTES = 52 + 8 + 52
+# Counts a frame with its acknowledgement.  Each is sent by one node and
+# received by another, so half of the budget of 3 KB/s is spent on sending.
+BYTES_PER_S = 1_400.0
+BURST_BYTES = 2_800.0
+# Urgent records may use this much of the following seconds' budget.
+DEBT_BYTES = 9_000.0
+# Changes older than this are offered only to a peer that lacks their version.
+FRESH_CHANGE_S = 10.0
+# Records are dropped this long after their publication; every node uses the
+# age of the record, so all drop it at about the same time.
+KEEP_LOAD_S = 60.0
+KEEP_LIVE_PEER_S = 60.0
+# The peer view keeps the state; the record only has to reach all nodes.
+KEEP_OTHER_PEER_S = 600.0
+KEEP_CLEARED_MARK_S = 600.0
+KEEP_COLD_MARK_S = 3_600.0
+# A value whose publication is later than a conflicting one by more than this
+# is published again above it.
+CONFLICT_MARGIN_S = 1.0
+
+
+class Kind(enum.IntEnum):
+    """Kinds of records in order of priority."""
+
+    CONFIG = 0
+    DRAIN = 1
+    COLD = 2
+    PEER = 3
+    SUMMARY = 4
+    LOAD = 5
+
+
+URGENT = (Kind.CONFIG, Kind.DRAIN, Kind.COLD, Kind.PEER)
+# Kinds for which a frame is sent at once.
+IMMEDIATE = (Kind.CONFIG, Kind.DRAIN, Kind.COLD)
+# Kinds that stay within one data centre.
+LOCAL = (Kind.PEER, Kind.LOAD)
+MARKS = (Kind.DRAIN, Kind.COLD)
+# First byte of the value of a mark that no longer has an effect.
+CLEARED = 0
+
+_PACKED = struct.Struct(">IIBBBBBB")
+PACKED_BYTES = _PACKED.size
+_AGE_STEP_S = 0.1
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One record; ``made_s`` is its publication on the local clock."""
+
+    kind: Kind
+    key: str | int
+    version: int
+    value: bytes
+    made_s: float
+
+    @property
+    def id(self) -> tuple[Kind, str | int]:
+        """Key of the record among all kinds."""
+        return (self.kind, self.key)
+
+    @property
+    def order(self) -> tuple[int, bytes]:
+        """What decides between two records of one key: version, then value."""
+        return (self.version, self.value)
+
+    @property
+    def size_bytes(self) -> int:
+        """Size in a frame."""
+        if self.kind in URGENT:
+            return RECORD_OVERHEAD_BYTES + len(self.key) + len(self.value)
+        return PACKED_BYTES
+
+
+class Bucket:
+    """Token bucket that counts bytes; urgent traffic may go into debt."""
+
+    def __init__(self, bytes_per_s: float, burst: float, debt: float, now_s: float):
+        self._bytes_per_s = bytes_per_s
+        self._burst = burst
+        self._debt = debt
+        self._level = burst
+        self._filled_s = now_s
+
+    def level(self, now_s: float) -> float:
+        """Return the bytes that are available; negative in debt."""
+        elapsed_s = max(0.0, now_s - self._filled_s)
+        self._level = min(self._burst, self._level + elapsed_s * self._bytes_per_s)
+        self._filled_s = now_s
+        return self._level
+
+    def allows(self, urgent: bool, now_s: float) -> bool:
+        """Return whether a frame may be sent."""
+        return self.level(now_s) > (-self._debt if urgent else 0.0)
+
+    def wait_s(self, urgent: bool, now_s: float) -> float:
+        """Return the time until a frame may be sent."""
+        floor = -self._debt if urgent else 0.0
+        lacking = floor - self.level(now_s)
+        # One byte more, because the level must be above the floor.
+        return (lacking + 1) / self._bytes_per_s if lacking >= 0 else 0.0
+
+    def take(self, size: int, now_s: float) -> None:
+        """Count a frame that was sent."""
+        self.level(now_s)
+        self._level -= size
+
+
+class Outbox:
+    """The records that one peer does not know yet."""
+
+    def __init__(self, peer: str, same_data_centre: bool):
+        self.peer = peer
+        self.same_data_centre = same_data_centre
+        self._pending: dict[Kind, dict[tuple, None]] = {kind: {} for kind in Kind}
+        self._known: dict[tuple, tuple[int, bytes]] = {}
+        self._unacknowledged: dict[int, list[Entry]] = {}
+
+    @property
+    def urgent(self) -> bool:
+        """Whether an urgent record is waiting."""
+        return any(self._pending[kind] for kind in IMMEDIATE)
+
+    @property
+    def settled(self) -> bool:
+        """Whether the peer has acknowledged all marks."""
+        return not self._unacknowledged and not self.urgent
+
+    @property
+    def load(self) -> bool:
+        """Whether a peer or load record is waiting, for which a batch is sent."""
+        return bool(self._pending[Kind.LOAD] or self._pending[Kind.PEER])
+
+    @property
+    def waiting(self) -> int:
+        """Number of records that are waiting."""
+        return sum(len(pending) for pending in self._pending.values())
+
+    def offer(self, entry: Entry) -> bool:
+        """Queue a record unless the peer knows it; return whether it is queued."""
+        if entry.kind in LOCAL and not self.same_data_centre:
+            return False
+        if self._knows(entry):
+            return False
+        self._pending[entry.kind][entry.id] = None
+        return True
+
+    def known(self, entry: Entry) -> None:
+        """Note that the peer has a record."""
+        if not self._knows(entry):
+            self._known[entry.id] = entry.order
+
+    def reset(self, entries: Iterable[Entry]) -> None:
+        """Start again with a peer that knows nothing."""
+        self._known.clear()
+        self._unacknowledged.clear()
+        for entry in entries:
+            self.offer(entry)
+
+    def forget(self, entry_id: tuple) -> None:
+        """Drop a record that has been removed."""
+        self._known.pop(entry_id, None)
+        self._pending[entry_id[0]].pop(entry_id, None)
+
+    def take(
+        self, entries: Mapping[tuple, Entry], with_load: bool, limit: int
+    ) -> list[Entry]:
+        """Remove and return the next records, at most ``limit`` bytes."""
+        taken: list[Entry] = []
+        room = limit
+        for kind in Kind:
+            if kind not in URGENT and not with_load:
+                break
+            pending = self._pending[kind]
+            for entry_id in list(pending):
+                entry = entries.get(entry_id)
+                if entry is None or self._knows(entry):
+                    del pending[entry_id]
+                    continue
+                if entry.size_bytes > room:
+                    return taken
+                room -= entry.size_bytes
+                del pending[entry_id]
+                taken.append(entry)
+        return taken
+
+    def sent(self, sequence: int, taken: Iterable[Entry]) -> None:
+        """Note the records of a frame that waits for its acknowledgement."""
+        noted = list(taken)
+        for entry in noted:
+            self.known(entry)
+        if noted:
+            self._unacknowledged[sequence] = noted
+
+    def acknowledge(self, highest: int, missed: Iterable[int]) -> None:
+        """Settle the frames up to ``highest``; ``missed`` ones are sent again."""
+        lost = set(missed)
+        for sequence in [s for s in self._unacknowledged if s <= highest]:
+            noted = self._unacknowledged.pop(sequence)
+            if sequence in lost:
+                self._return(noted)
+
+    def lose_all(self) -> None:
+        """Queue the records of all unacknowledged frames again."""
+        for noted in self._unacknowledged.values():
+            self._return(noted)
+        self._unacknowledged.clear()
+
+    def _knows(self, entry: Entry) -> bool:
+        known = self._known.get(entry.id)
+        return known is not None and known >= entry.order
+
+    def _return(self, noted: Iterable[Entry]) -> None:
+        for entry in noted:
+            if self._known.get(entry.id) == entry.order:
+                del self._known[entry.id]
+                self._pending[entry.kind][entry.id] = None
+
+
+class Spread:
+    """The records that a node holds, with one outbox per link."""
+
+    def __init__(self):
+        self._entries: dict[tuple, Entry] = {}
+        self._own: dict[tuple, Entry] = {}
+        self._outboxes: dict[str, Outbox] = {}
+        self._digest: int | None = None
+
+    def get(self, kind: Kind, key: str | int) -> Entry | None:
+        """Return a record."""
+        return self._entries.get((kind, key))
+
+    def entries(self, *kinds: Kind) -> list[Entry]:
+        """Return the records, of the given kinds or all."""
+        return [
+            entry
+            for entry in self._entries.values()
+            if not kinds or entry.kind in kinds
+        ]
+
+    def outbox(self, peer: str) -> Outbox | None:
+        """Return the outbox of a link."""
+        return self._outboxes.get(peer)
+
+    def open(self, peer: str, same_data_centre: bool, now_s: float) -> Outbox:
+        """Add a link; marks, peer records and fresh changes are queued on it.
+
+        Load records are not: each is published again within seconds.
+        """
+        outbox = Outbox(peer, same_data_centre)
+        self._outboxes[peer] = outbox
+        self.reset(peer, now_s)
+        return outbox
+
+    def reset(self, peer: str, now_s: float) -> None:
+        """Start again with a peer that knows nothing."""
+        outbox = self._outboxes.get(peer)
+        if outbox is not None:
+            marks = self.entries(*MARKS, Kind.PEER)
+            changes = self.entries(Kind.CONFIG)
+            fresh = [e for e in changes if now_s - e.made_s < FRESH_CHANGE_S]
+            outbox.reset([*marks, *fresh])
+
+    def close(self, peer: str) -> None:
+        """Remove a link."""
+        self._outboxes.pop(peer, None)
+
+    def offer_changes(self, peer: str, version: int) -> None:
+        """Queue the kept changes above the version that a peer has."""
+        outbox = self._outboxes.get(peer)
+        if outbox is None:
+            return
+        for entry in self.entries(Kind.CONFIG):
+            if entry.version > version:
+                outbox.offer(entry)
+
+    def expire(self, now_s: float) -> None:
+        """Drop records whose time has passed."""
+        for entry in list(self._entries.values()):
+            if is_expired(entry, now_s):
+                self.remove(entry.id)
+
+    def publish(
+        self, kind: Kind, key: str | int, value: bytes, now_s: float
+    ) -> tuple[Entry, list[str]]:
+        """Add a record of this node above any known version.
+
+        Returns it with the peers on whose links it waits.  Raises
+        ``ValueError`` when the value is too long for a message.
+        """
+        if len(value) > MAX_VALUE_BYTES:
+            raise ValueError(f"{len(value)} bytes in a value of {key}")
+        old = self._entries.get((kind, key))
+        version = old.version + 1 if old else 1
+        entry = Entry(kind, key, version, value, now_s)
+        self._own[entry.id] = entry
+        return entry, self._store(entry, source=None)
+
+    def add(self, entry: Entry) -> list[str]:
+        """Add a record with a version from elsewhere, unless it is known."""
+        if entry.id in self._entries:
+            return []
+        return self._store(entry, source=None)
+
+    def is_own(self, entry_id: tuple) -> bool:
+        """Return whether this node has published the present record."""
+        return self._own.get(entry_id) == self._entries.get(entry_id)
+
+    def remove(self, entry_id: tuple) -> None:
+        """Drop a record without telling the peers."""
+        self._entries.pop(entry_id, None)
+        self._own.pop(entry_id, None)
+        self._digest = None
+        for outbox in self._outboxes.values():
+            outbox.forget(entry_id)
+
+    def merge(self, entry: Entry, source: str) -> tuple[bool, list[str]]:
+        """Merge a record from a peer.
+
+        Returns whether it was new and the peers on whose links a record waits.
+        Of two values with one version, the greater byte string is kept.
+        """
+        old = self._entries.get(entry.id)
+        outbox = self._outboxes.get(source)
+        if outbox is not None:
+            outbox.known(entry)
+        if old is not None and old.order >= entry.order:
+            if outbox is not None and outbox.offer(old):
+                return False, [source]
+            return False, []
+        own = self._own.pop(entry.id, None)
+        if own is not None and self._overrides(own, entry):
+            self._entries[entry.id] = entry
+            _, waiting = self.publish(own.kind, own.key, own.value, own.made_s)
+            return False, waiting
+        return True, self._store(entry, source)
+
+    def digest(self) -> int:
+        """Return a checksum over the active drain and cold-start marks."""
+        if self._digest is None:
+            marks = sorted(
+                (entry.kind, entry.key, entry.version, entry.value)
+                for entry in self._entries.values()
+                if entry.kind in MARKS and entry.value[0] != CLEARED
+            )
+            self._digest = zlib.crc32(msgspec.msgpack.encode(marks))
+        return self._digest
+
+    def resend_marks(self, peer: str) -> None:
+        """Queue all urgent records for a peer whose digest differs."""
+        outbox = self._outboxes.get(peer)
+        if outbox is None:
+            return
+        for entry in self.entries(*MARKS):
+            outbox.forget(entry.id)
+            outbox.offer(entry)
+
+    def batch(
+        self, outbox: Outbox, with_load: bool, now_s: float
+    ) -> tuple[list[Entry], list[Record], bytes, bytes]:
+        """Take the next records of a link in the form of a message."""
+        taken = outbox.take(self._entries, with_load, MAX_RECORDS_BYTES)
+        records = [
+            Record(
+                entry.kind,
+                entry.key,
+                entry.version,
+                max(0, round((now_s - entry.made_s) * 1000)),
+                entry.value,
+            )
+            for entry in taken
+            if entry.kind in URGENT
+        ]
+        loads = b"".join(_pack(e, now_s) for e in taken if e.kind is Kind.LOAD)
+        summaries = b"".join(_pack(e, now_s) for e in taken if e.kind is Kind.SUMMARY)
+        return taken, records, loads, summaries
+
+    def _overrides(self, own: Entry, other: Entry) -> bool:
+        later = own.made_s > other.made_s + CONFLICT_MARGIN_S
+        return own.kind in MARKS and later and own.value != other.value
+
+    def _store(self, entry: Entry, source: str | None) -> list[str]:
+        self._entries[entry.id] = entry
+        if entry.kind in MARKS:
+            self._digest = None
+        return [
+            peer
+            for peer, outbox in self._outboxes.items()
+            if peer != source and outbox.offer(entry)
+        ]
+
+
+def is_expired(entry: Entry, now_s: float) -> bool:
+    """Return whether the time of a record has passed."""
+    keep_s = _keep_s(entry)
+    return keep_s is not None and now_s - entry.made_s > keep_s
+
+
+def _keep_s(entry: Entry) -> float | None:
+    cleared = entry.kind in (*MARKS, Kind.PEER) and entry.value[0] == CLEARED
+    if entry.kind in (Kind.LOAD, Kind.SUMMARY):
+        return KEEP_LOAD_S
+    if entry.kind is Kind.PEER:
+        return KEEP_LIVE_PEER_S if cleared else KEEP_OTHER_PEER_S
+    if cleared:
+        return KEEP_CLEARED_MARK_S
+    return KEEP_COLD_MARK_S if entry.kind is Kind.COLD else None
+
+
+def _pack(entry: Entry, now_s: float) -> bytes:
+    age = min(255, max(0, round((now_s - entry.made_s) / _AGE_STEP_S)))
+    return _PACKED.pack(entry.key, entry.version & 0xFFFFFFFF, *entry.value, age)
+
+
+def received_entries(batch: Batch, now_s: float) -> list[Entry]:
+    """Return the records of a message; ages become local times.
+
+    Raises ``ValueError`` for a record that no node sends.
+    """
+    entries = []
+    for record in batch.records:
+        kind = Kind(record.kind)
+        if kind not in URGENT or record.age_ms < 0:
+            raise ValueError(f"record of kind {kind.name} with age {record.age_ms} ms")
+        if kind is not Kind.CONFIG and not record.value:
+            raise ValueError(f"empty value of {record.key!r}")
+        made_s = now_s - record.age_ms / 1000
+        entries.append(Entry(kind, record.key, record.version, record.value, made_s))
+    for kind, packed in ((Kind.LOAD, batch.loads), (Kind.SUMMARY, batch.summaries)):
+        if len(packed) % PACKED_BYTES:
+            raise ValueError(f"{len(packed)} bytes of packed records")
+        for key, version, *value, age in _PACKED.iter_unpack(packed):
+            made_s = now_s - age * _AGE_STEP_S
+            entries.append(Entry(kind, key, version, bytes(value), made_s))
+    return entries
--- /dev/null
+++ b/papayarelay/tests/test_model.py
@@ -0,0 +1,206 @@
+"""Tests of the model check, and of the code against its specifications."""
+
+import contextlib
+import io
+import random
+import unittest
+from collections import Counter
+
+from ..model.checker import ForbiddenStepError, Step, ViolationError, replay
+from ..model.claims import ClaimSpecification
+from ..model.program import SMALL_CHECKS, fault_checks, run_check, run_faults
+from ..model.versions import VersionSpecification
+from ..nodes.spread import ConfigState
+from .claim_traces import record
+from .test_claim import (
+    ForeignRefusalClaims,
+    TakeoverClaims,
+    UnconfirmedDispatchClaims,
+    UnconfirmedRefusalClaims,
+)
+
+TRACES = 500
+VARIANT_SEEDS = 300
+VERSION_SEEDS = 100
+EDITOR_SECTIONS = (0, 1, 0, 0, 1, 0)
+EDIT_STEPS = ("read", "prepare", "send", "commit", "confirmed")
+
+
+def traces_of(seeds, claims_class=None):
+    """Yield the traces of schedules as pairs of number of attempts and steps."""
+    for seed in seeds:
+        options = {} if claims_class is None else {"claims_class": claims_class}
+        traces, _ = record(seed, **options)
+        for attempts, trace in traces:
+            yield seed, attempts, trace
+
+
+def is_refused(attempts, trace):
+    """Return whether the specification refuses a trace."""
+    try:
+        replay(ClaimSpecification(attempts), trace)
+    except (ForbiddenStepError, ViolationError):
+        return True
+    return False
+
+
+class SearchTest(unittest.TestCase):
+    def test_small_bounds(self):
+        """Guards against a specification that violates its properties."""
+        with contextlib.redirect_stdout(io.StringIO()):
+            results = [run_check(check) for check in SMALL_CHECKS]
+        for check, result in zip(SMALL_CHECKS, results, strict=True):
+            with self.subTest(check=check.name):
+                self.assertTrue(result.complete)
+                self.assertIsNone(result.violation)
+
+    def test_seeded_faults(self):
+        """Guards against properties that hold whatever the protocol does."""
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            self.assertTrue(run_faults())
+        for check in fault_checks():
+            self.assertRegex(output.getvalue(), f"{check.name}: .*\\n     1\\. ")
+
+
+class TraceTest(unittest.TestCase):
+    def test_claims_follow_the_specification(self):
+        """Guards against code and specification that drift apart."""
+        names = Counter()
+        replayed = seed = 0
+        while replayed < TRACES:
+            for _, attempts, trace in traces_of([seed]):
+                with self.subTest(seed=seed):
+                    replay(ClaimSpecification(attempts), trace)
+                names.update(f"{step.name} {step.detail}" for step in trace)
+                replayed += 1
+            seed += 1
+        for name in ("apply refuse own", "apply record", "answer not_run", "execute "):
+            self.assertGreater(names[name], 10, name)
+
+    def test_forbidden_steps_are_refused(self):
+        """Guards against a replay that accepts any trace."""
+        trace = [
+            Step("send", 0, "insert"),
+            Step("apply", 0, "insert"),
+            Step("confirmed", 0, "insert"),
+            Step("begin", 0),
+            Step("dispatch", 0),
+            Step("execute", 0),
+            Step("send", 0, "record"),
+            Step("answer", 0, "completed"),
+        ]
+        replay(ClaimSpecification(1), trace)
+        for index in range(len(trace) - 1):
+            with self.subTest(left_out=str(trace[index])):
+                without = trace[:index] + trace[index + 1 :]
+                self.assertTrue(is_refused(1, without))
+        for again in (Step("begin", 0), Step("dispatch", 0), Step("execute", 0)):
+            with self.subTest(again=str(again)), self.assertRaises(ForbiddenStepError):
+                replay(ClaimSpecification(1), [*trace, again])
+
+    def test_traces_of_faulty_claims_are_refused(self):
+        """Guards against traces that leave out the steps that matter."""
+        for variant in (
+            UnconfirmedDispatchClaims,
+            UnconfirmedRefusalClaims,
+            TakeoverClaims,
+            ForeignRefusalClaims,
+        ):
+            with self.subTest(variant=variant.__name__):
+                traces = traces_of(range(VARIANT_SEEDS), variant)
+                self.assertTrue(any(is_refused(n, trace) for _, n, trace in traces))
+
+
+class ConfigTrace:
+    """Random delivery of versions and changes to nodes, with a trace of it."""
+
+    def __init__(self, seed, state_class=ConfigState):
+        self.rng = random.Random(seed)
+        self.state_class = state_class
+        self.texts = [{}]
+        self.nodes = [state_class(), state_class()]
+        self.restarts = 0
+        self.trace = []
+
+    def run(self):
+        """Return the specification, the trace and the contents of the nodes."""
+        for _ in range(60):
+            action = self.rng.choice([self.edit, self.take, self.change, self.change])
+            action()
+            if self.rng.random() < 0.05:
+                self.restart()
+        specification = VersionSpecification(EDITOR_SECTIONS, 2, self.restarts)
+        return specification, self.trace, [self.content(n) for n in self.nodes]
+
+    def edit(self):
+        editor = len(self.texts) - 1
+        if editor < len(EDITOR_SECTIONS):
+            self.trace += [Step(name, f"editor {editor}") for name in EDIT_STEPS]
+            section = {f"s{EDITOR_SECTIONS[editor]}": {"last": editor}}
+            self.texts.append({**self.texts[-1], **section})
+
+    def take(self):
+        index, version = self.rng.randrange(2), self.rng.randrange(len(self.texts))
+        node = self.nodes[index]
+        before = node.version
+        node.replace(version, self.texts[version], 0.0)
+        if node.version != before:
+            self.trace.append(Step("take version", f"node {index}", str(version)))
+
+    def change(self):
+        versions = range(1, len(self.texts))
+        if len(versions) < 2:
+            return
+        base, version = sorted(self.rng.sample(versions, 2))
+        sender = ConfigState()
+        sender.replace(base, self.texts[base], 0.0)
+        change = sender.replace(version, self.texts[version], 0.0)
+        index = self.rng.randrange(2)
+        node = self.nodes[index]
+        before = node.version
+        node.apply(change, 0.0)
+        if node.version != before:
+            # Changes that waited for this one are applied with it.
+            detail = f"from {before} to {node.version}"
+            self.trace.append(Step("apply the change", f"node {index}", detail))
+
+    def restart(self):
+        index = self.rng.randrange(2)
+        if self.nodes[index].version:
+            self.nodes[index] = self.state_class()
+            self.restarts += 1
+            self.trace.append(Step("restart", f"node {index}"))
+
+    def content(self, node):
+        texts = [node.sections.get(f"s{section}", {}) for section in range(2)]
+        return tuple(text.get("last", -1) for text in texts)
+
+
+class LastSentState(ConfigState):
+    """Seeded fault: the version that arrives last is taken."""
+
+    def replace(self, version, sections, now_s):
+        if 0 < version < self.version:
+            self.version = 0
+        return super().replace(version, sections, now_s)
+
+
+class ConfigTraceTest(unittest.TestCase):
+    def test_config_state_follows_the_specification(self):
+        """Guards against code and specification of versions that drift apart."""
+        names = Counter()
+        for seed in range(VERSION_SEEDS):
+            with self.subTest(seed=seed):
+                specification, trace, contents = ConfigTrace(seed).run()
+                names.update(step.name for step in trace)
+                state = replay(specification, trace)
+                self.assertEqual([node.content for node in state.nodes], contents)
+        for name in ("take version", "apply the change", "restart"):
+            self.assertGreater(names[name], VERSION_SEEDS // 2, name)
+
+    def test_version_that_goes_back_is_refused(self):
+        """Guards against a replay that accepts any order of versions."""
+        specification, trace, _ = ConfigTrace(1, LastSentState).run()
+        with self.assertRaises(ForbiddenStepError):
+            replay(specification, trace)
--- a/papayarelay/tests/test_replay.py
+++ b/papayarelay/tests/test_replay.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 
 from ..bench import program, traces
-from ..bench.capacity import measure_requests_per_s
 from ..bench.engine import BENCH_SETTINGS
+from ..bench.engine_capacity import measure_requests_per_s
 from ..bench.experiments import Setup
 from ..bench.replay import Fault, Replay, engine_names
 from ..bench.report import Result, StatedOutcome, format_outcomes, read_outcomes
