--- a/papayarelay/bench/capacity.py
+++ b/papayarelay/bench/capacity.py
@@ -153,6 +153,8 @@
     # For a value that follows from the target size and from constants.
     calculated: float | None = None
     formula: str = ""
+    # For a value that is the sum of other rows, by their quantities.
+    parts: tuple[str, ...] = ()
     # What would carry the row if it is over its budget.
     relief: str = ""
 
@@ -333,6 +335,15 @@
         budget=0.012,
         relief="a poll interval that grows with the number of engines",
     ),
+    Row(
+        _WATCHER_ROLE,
+        "processor, with node control work",
+        "core",
+        "sum of both roles of one process; its idle time is counted twice",
+        parts=("control_cpu", "watcher_cpu"),
+        budget=0.012,
+        relief="a poll interval that grows with the number of engines",
+    ),
     Row(
         _WATCHER_ROLE,
         "memory",
@@ -448,6 +459,8 @@
     if row.calculated is not None:
         state = _judge(row, row.calculated, 0.0, "calculated")
         return Result(row, row.calculated, None, state, row.formula)
+    if row.parts:
+        return _add(row, lines)
     used = [line for line in lines if line.quantity == row.quantity]
     used = [n for n in used if _matches(n, row)]
     if not used:
@@ -461,6 +474,17 @@
     return Result(row, value, error, state, command, fitted)
 
 
+def _add(row: Row, lines: Sequence[Line]) -> Result:
+    """Return the sum of other rows; it is not measured when one of them is not."""
+    results = [evaluate(r, lines) for r in ROWS if r.quantity in row.parts]
+    if any(result.value is None or result.error is None for result in results):
+        return Result(row)
+    value = sum(result.value for result in results)
+    error = sum(result.error**2 for result in results) ** 0.5
+    state = _judge(row, value, error, "within budget" if row.budget else "measured")
+    return Result(row, value, error, state, " + ".join(row.parts))
+
+
 def _matches(line: Line, row: Row) -> bool:
     has_variables = all(name in line.variables for name in row.variables)
     chosen = all(line.variables.get(k) == v for k, v in row.only.items())
@@ -520,7 +544,8 @@
 TCP and IP headers and acknowledgements (52 bytes each); the measurement counts
 sent and received bytes together. Processor times of `bench.spread` include the
 exchange and random loads, but not the polls of watched engines, which the
-watcher's row holds; both share the budget of 0.012 cores.
+watcher's row holds; both share the budget of 0.012 cores, see "processor, with
+node control work".
 """
 
 _SLOPES = """The fits behind the projections: the intercept and each slope with its
--- a/papayarelay/tests/test_capacity.py
+++ b/papayarelay/tests/test_capacity.py
@@ -72,6 +72,33 @@
         self.assertTrue(result.state.startswith("OVER BUDGET at nodes 20"))
 
 
+class SumTest(unittest.TestCase):
+    def test_shared_budget(self):
+        """Guards against two rows that only together exceed a budget."""
+        row = next(r for r in capacity.ROWS if r.parts)
+        self.assertEqual(evaluate(row, []).state, "not measured")
+        lines = []
+        for number in range(6):
+            places = {
+                "nodes": 48 + 31 * number * number,
+                "links": 4 + number,
+                "changes_per_s": number % 2,
+                "marks_per_s": number // 3,
+                "policy": "fixed_overlay",
+                "killed": 0,
+                "engines": 600,
+                "polls_per_s": number,
+            }
+            for name in row.parts:
+                lines.append(Line(name, "core", places, 0.007, "run"))
+        for name in row.parts:
+            part = next(r for r in capacity.ROWS if r.quantity == name)
+            self.assertEqual(evaluate(part, lines).state, "within budget")
+        result = evaluate(row, lines)
+        self.assertAlmostEqual(result.value, 0.014)
+        self.assertTrue(result.state.startswith("OVER BUDGET"))
+
+
 class PageTest(unittest.TestCase):
     def run_command(self, text):
         parser = argparse.ArgumentParser()
