Take prompts of up to 8 bytes a token

Cause: the length of a prompt was estimated at 4 bytes a token and compared with the context of the model, so a prompt of 1,000,000 tokens of 6 or 8 MB was refused as too long, although 4 to 8 MB is the stated size. Change: only a prompt that is too long at 8 bytes a token is refused; the estimate used for routing and admission is limited to the context. Conclusion: the node no longer refuses such prompts.

--- a/papayarelay/callers/parse.py
+++ b/papayarelay/callers/parse.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ..config import Config
-from ..cost import DEFAULT_MAX_TOKENS, estimate_tokens
+from ..cost import DEFAULT_MAX_TOKENS, estimate_tokens, fewest_tokens
 from ..errors import AuthenticationError, RequestError, UnknownResourceError
 from ..request import Request, RequestKind
 from .body import let_others_run
@@ -128,14 +128,9 @@
     if fields.n not in (None, 1):
         raise _invalid("n must be 1")
     kind = _find_kind(config, headers, "engine")
-    prompt_tokens = estimate_tokens(_prompt_bytes(fields))
     max_tokens = _max_tokens(fields)
     context_tokens = config.models[fields.model].context_tokens
-    if prompt_tokens + max_tokens > context_tokens:
-        raise _invalid(
-            f"prompt and answer need about {prompt_tokens + max_tokens} tokens, "
-            f"the model has {context_tokens}"
-        )
+    prompt_tokens = _prompt_tokens(fields, context_tokens - max_tokens)
     key = _idempotency_key(kind, headers)
     if key is not None and fields.stream:
         raise _invalid(f"kind {kind.name!r} is not idempotent and cannot be streamed")
@@ -195,6 +190,21 @@
     return sum(len(memoryview(message.content)) for message in fields.messages)
 
 
+def _prompt_tokens(fields: _ChatBody | _CompletionBody, limit: int) -> int:
+    """Return the estimated length of the prompt, at most ``limit``.
+
+    Only a prompt that is certainly longer is refused; the engine counts exactly.
+    """
+    prompt_bytes = _prompt_bytes(fields)
+    fewest = fewest_tokens(prompt_bytes)
+    if fewest > limit:
+        raise _invalid(
+            f"the prompt has at least {fewest} tokens, the model has room for {limit} "
+            "beside the answer"
+        )
+    return min(estimate_tokens(prompt_bytes), limit)
+
+
 def _max_tokens(fields: _ChatBody | _CompletionBody) -> int:
     limit = fields.max_completion_tokens or fields.max_tokens or DEFAULT_MAX_TOKENS
     if not 1 <= limit <= MAX_ANSWER_TOKENS:
--- a/papayarelay/cost.py
+++ b/papayarelay/cost.py
@@ -7,6 +7,8 @@
 from .request import Request
 
 BYTES_PER_TOKEN = 4
+# A prompt of 1,000,000 tokens is 4 to 8 MB long.
+MOST_BYTES_PER_TOKEN = 8
 DEFAULT_MAX_TOKENS = 256
 
 
@@ -28,6 +30,11 @@
     return max(1, prompt_bytes // BYTES_PER_TOKEN)
 
 
+def fewest_tokens(prompt_bytes: int) -> int:
+    """Return the number of tokens that a prompt has at least."""
+    return max(1, prompt_bytes // MOST_BYTES_PER_TOKEN)
+
+
 def estimate_cost(request: Request) -> Cost:
     """Return the cost of a request without any cached prefix."""
     return Cost(request.prompt_tokens, request.max_tokens)
