--- a/papayarelay/tests/test_model.py
+++ b/papayarelay/tests/test_model.py
@@ -10,7 +10,7 @@
 from ..model.claims import ClaimSpecification
 from ..model.program import SMALL_CHECKS, fault_checks, run_check, run_faults
 from ..model.versions import VersionSpecification
-from ..nodes.spread import ConfigState
+from ..nodes.config_state import ConfigState
 from .claim_traces import record
 from .test_claim import (
     ForeignRefusalClaims,
