Let a return end only its own drain mark

Cause: the mark of a return overruled the configuration, so a data centre that was returned once stayed in service when a later configuration drained it. Change: a mark can only drain; a return ends the mark. A node sends 1,400 bytes/s at most, because sent and received bytes share the 3 KB/s.

--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -75,7 +75,7 @@
         return sorted(
             target
             for target, item in states.items()
-            if self._marks.get(target, item.state != "active")
+            if self._marks.get(target) or item.state != "active"
         )
 
     def get(self, backend_id: str) -> BackendEntry | None:
@@ -96,15 +96,13 @@
                 entry.pool.close()
             self._entries[backend_id] = self._create(backend_id, backend)
 
-    def mark_drained(self, target: str, drained: bool | None) -> None:
-        """Overrule the configuration's state of a target; None ends this.
+    def mark_drained(self, target: str, drained: bool) -> None:
+        """Drain a target besides those that the configuration drains.
 
-        ``target`` is ``data_centre/<name>`` or ``backend/<id>``.
+        ``target`` is ``data_centre/<name>`` or ``backend/<id>``.  A return ends
+        the mark only: a target that the configuration drains stays drained.
         """
-        if drained is None:
-            self._marks.pop(target, None)
-        else:
-            self._marks[target] = drained
+        self._marks[target] = drained
 
     def adopt_drain(self, target: str) -> None:
         """Drain a target unless a mark has said otherwise since."""
@@ -205,7 +203,7 @@
             (f"backend/{backend.id}", backend.state),
         )
         return any(
-            self._marks.get(target, state != "active") for target, state in targets
+            self._marks.get(target) or state != "active" for target, state in targets
         )
 
     def _bound(self, entry: BackendEntry) -> int | None:
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -239,6 +239,7 @@
             "target": target,
             "drained": drained,
             "stored": target not in self.drains.unsaved,
+            "in_service": target not in self.backends.drained,
         }
 
     def look_up_job(self, member: str, kind: str, key: str) -> dict | None:
--- a/papayarelay/nodes/peering.py
+++ b/papayarelay/nodes/peering.py
@@ -207,9 +207,9 @@
         self._backends.record_load(record.id, load, record.reported_s)
 
     def _take_drain(self, target: str, state: DrainState) -> None:
-        mark = {DrainState.DRAINED: True, DrainState.RETURNED: False}.get(state)
-        self._backends.mark_drained(target, mark)
-        event = Event.DRAIN_APPLIED if mark else Event.RETURN_APPLIED
+        drained = state is DrainState.DRAINED
+        self._backends.mark_drained(target, drained)
+        event = Event.DRAIN_APPLIED if drained else Event.RETURN_APPLIED
         log(event, target=target)
         self._on_change()
 
--- a/papayarelay/settings.py
+++ b/papayarelay/settings.py
@@ -34,7 +34,7 @@
     "store_timeout_s": 2.0,
     "config_poll_interval_s": 2.0,
     "vms_poll_interval_s": 5.0,
-    "link_send_bytes_per_s": 3_000,
+    "link_send_bytes_per_s": 1_400,
     "drain_grace_s": 5.0,
 }
 
--- /dev/null
+++ b/papayarelay/tests/test_table.py
@@ -0,0 +1,86 @@
+"""Tests of what a node knows about backend servers."""
+
+import random
+import unittest
+
+from ..backends.load import LoadReport
+from ..backends.table import BackendTable
+from ..config import Backend, Config, DataCentre, Model
+from ..cost import Cost
+
+NOW_S = 100.0
+
+
+def make_config(**states: str) -> Config:
+    """Return a configuration with two engines in data centres of given states."""
+    centres = {name: DataCentre(name, "r1", state) for name, state in states.items()}
+    backends = {
+        f"engine-{name}": Backend(
+            f"engine-{name}", "engine", name, f"http://127.0.0.1:{9000 + n}", ("m",)
+        )
+        for n, name in enumerate(centres)
+    }
+    return Config(1, {}, {}, centres, backends, {"m": Model("m", 1000)})
+
+
+class BackendTableTest(unittest.TestCase):
+    """Guards against work for servers that are out of service or too full."""
+
+    def setUp(self):
+        self.table = BackendTable(random.Random(1))
+        self.addCleanup(self.table.close)
+        self.table.apply(make_config(a="active", b="active"))
+
+    def _ids(self) -> list[str]:
+        return [view.id for view in self.table.views("engine", "m", NOW_S)]
+
+    def test_mark(self):
+        """A drained data centre would get new work until its configuration changes."""
+        self.table.mark_drained("data_centre/a", True)
+        self.assertEqual(self._ids(), ["engine-b"])
+        self.table.mark_drained("data_centre/a", False)
+        self.assertEqual(self._ids(), ["engine-a", "engine-b"])
+
+    def test_return_does_not_overrule_configuration(self):
+        """An old return would bring back what a later configuration drains."""
+        self.table.mark_drained("data_centre/a", False)
+        self.table.apply(make_config(a="drained", b="active"))
+        self.assertEqual(self._ids(), ["engine-b"])
+        self.assertEqual(self.table.drained, ["data_centre/a"])
+
+    def test_adopted_drain(self):
+        """A drain row read late would undo a return that came from a peer."""
+        self.table.mark_drained("backend/engine-a", False)
+        self.table.adopt_drain("backend/engine-a")
+        self.assertEqual(self._ids(), ["engine-a", "engine-b"])
+
+    def test_own_work(self):
+        """Work sent since the report would be invisible and sent again and again."""
+        entry = self.table.get("engine-a")
+        self.table.record_load("engine-a", LoadReport(boot_id="1"), NOW_S)
+        before = self.table.hold(entry, Cost(100, 10), NOW_S - 1)
+        after = self.table.hold(entry, Cost(5000, 10), NOW_S + 1)
+        view, _ = self.table.views("engine", "m", NOW_S)
+        self.assertEqual(view.own_inflight, 2)
+        self.assertEqual(view.sent_prefill_tokens, 5000)
+        self.assertEqual(view.own_prefill_by_size, (100, 5000, 0))
+        before.prefilled = True
+        self.table.release(entry, after)
+        view, _ = self.table.views("engine", "m", NOW_S)
+        self.assertEqual(view.own_prefill_by_size, (0, 0, 0))
+        self.assertEqual(view.own_tokens, 110)
+
+    def test_restart_is_cold(self):
+        """A restarted engine would get as much work as a warm one."""
+        self.table.set_watched(["engine-a"])
+        first = LoadReport(boot_id="1")
+        self.assertFalse(self.table.record_load("engine-a", first, NOW_S))
+        second = replace_boot(first, "2")
+        self.assertTrue(self.table.record_load("engine-a", second, NOW_S + 1))
+        view, _ = self.table.views("engine", "m", NOW_S)
+        self.assertEqual(view.bound, 4096)
+
+
+def replace_boot(report: LoadReport, boot_id: str) -> LoadReport:
+    """Return the report of the same engine after a restart."""
+    return LoadReport(boot_id, report.state, report.kv_capacity_tokens)
