Read the load report at once when an answer fails

Cause: after a broken stream the watcher noticed a cold restart only at its next poll, up to 1 s later, and other nodes went on sending work. Change: the dispatcher tells the watcher of each failed attempt; one read at a time, only for watched servers. Result: papayarelay.tests.test_watcher, 2 passed. The effect on a running fleet was not measured.

--- a/papayarelay/backends/watcher.py
+++ b/papayarelay/backends/watcher.py
@@ -32,6 +32,7 @@
         self._rng = rng
         self._clock = clock
         self._tasks: dict[str, gevent.Greenlet] = {}
+        self._reading: set[str] = set()
 
     def watch(self, backend_ids: Iterable[str]) -> None:
         """Watch exactly these servers from now on."""
@@ -41,6 +42,19 @@
         for backend_id in wanted - set(self._tasks):
             self._tasks[backend_id] = gevent.spawn(self._poll, backend_id)
 
+    def read_soon(self, backend_id: str) -> None:
+        """Read a watched server's report now, after one of its answers failed.
+
+        It may have restarted cold, and waiting for the next poll would let the
+        other nodes send it work in the meantime.
+        """
+        entry = self._table.get(backend_id)
+        if entry is None or backend_id not in self._tasks:
+            return
+        if backend_id not in self._reading:
+            self._reading.add(backend_id)
+            gevent.spawn(self._read_once, entry)
+
     def close(self) -> None:
         """End all polling tasks."""
         self.watch(())
@@ -54,6 +68,12 @@
                 self._read(entry)
             gevent.sleep(POLL_INTERVAL_S)
 
+    def _read_once(self, entry) -> None:
+        try:
+            self._read(entry)
+        finally:
+            self._reading.discard(entry.id)
+
     def _read(self, entry) -> None:
         try:
             load = read_load(entry.pool)
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -66,13 +66,17 @@
 
 
 class Dispatcher:
-    """Runs requests on the backend servers of a table."""
+    """Runs requests on backend servers.
+
+    ``on_failure`` is called with the id of a server that failed an attempt.
+    """
 
     def __init__(
         self,
         scheduler: Scheduler,
         monitor: StreamMonitor,
         budget: RetryBudget,
+        on_failure: Callable[[str], None],
         clock: Callable[[], float],
     ):
         self.counters = StreamCounters()
@@ -80,6 +84,7 @@
         self._scheduler = scheduler
         self._monitor = monitor
         self._budget = budget
+        self._on_failure = on_failure
         self._clock = clock
 
     def stream(
@@ -199,6 +204,7 @@
         now_s = self._clock()
         entry.circuit.record_failure(now_s)
         entry.warm_up.record_failure(now_s)
+        self._on_failure(entry.id)
 
     def _check_deadline(self, request: Request, peer: str) -> None:
         if request.time_left_s(self._clock()) <= 0:
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -71,8 +71,13 @@
             self.backends, policy, AdmissionQueue(), self._rng, clock
         )
         self._monitor = StreamMonitor(clock)
+        self._watcher = Watcher(self.backends, self._record_load, self._rng, clock)
         self.dispatcher = Dispatcher(
-            self.scheduler, self._monitor, RetryBudget(), clock
+            self.scheduler,
+            self._monitor,
+            RetryBudget(),
+            self._watcher.read_soon,
+            clock,
         )
         self.feed = ConfigFeed(
             self.store,
@@ -84,7 +89,6 @@
         self.peering = Peering(
             settings, self.backends, self.feed, self._divide_work, self._rng, clock
         )
-        self._watcher = Watcher(self.backends, self._record_load, self._rng, clock)
         self.claims = Claims(self.store, scopes=self._claim_scopes, clock=clock)
         self.drains = Drains(
             self.store, self.peering.publish_drain, self.backends.adopt_drain
--- /dev/null
+++ b/papayarelay/tests/test_watcher.py
@@ -0,0 +1,60 @@
+"""Tests of the polling of load reports."""
+
+import random
+import unittest
+from unittest import mock
+
+import gevent
+from gevent.event import Event
+
+from ..backends import watcher
+from ..backends.load import LoadReport
+from ..backends.table import BackendTable
+from ..local import wait_for
+from .test_table import NOW_S, make_config
+
+LIMIT_S = 5.0
+
+
+class ReadSoonTest(unittest.TestCase):
+    """Guards against late or needless reads after a failed answer."""
+
+    def setUp(self):
+        table = BackendTable(random.Random(1))
+        self.addCleanup(table.close)
+        table.apply(make_config(a="active", b="active"))
+        self.reports: list[str] = []
+        self.answer = Event()
+        self.read = self.enterContext(
+            mock.patch.object(watcher, "read_load", side_effect=self._read_load)
+        )
+        self.enterContext(mock.patch.object(watcher, "POLL_INTERVAL_S", 3600.0))
+        self.watcher = watcher.Watcher(
+            table, self._report, random.Random(1), lambda: NOW_S
+        )
+        self.addCleanup(self.watcher.close)
+        self.watcher.watch(["engine-a"])
+
+    def _read_load(self, pool) -> LoadReport:
+        self.answer.wait(LIMIT_S)
+        return LoadReport()
+
+    def _report(self, backend_id: str, load: LoadReport, now_s: float) -> None:
+        self.reports.append(backend_id)
+
+    def test_watched(self):
+        """Many failures at once would each send a request for the load report."""
+        for _ in range(10):
+            self.watcher.read_soon("engine-a")
+        gevent.idle()
+        self.answer.set()
+        wait_for(lambda: self.reports, LIMIT_S, "report")
+        self.assertEqual(self.reports, ["engine-a"])
+        self.assertEqual(self.read.call_count, 1)
+
+    def test_not_watched(self):
+        """All nodes would ask a server that failed, not only its watchers."""
+        self.watcher.read_soon("engine-b")
+        self.watcher.read_soon("unknown")
+        gevent.idle()
+        self.assertEqual(self.read.call_count, 0)
