Keep cold marks and old load reports from starving a queue

Reading the code for what can hold it: a node that becomes the watcher of a cold engine did not ramp it up, so its mark stayed for up to 30 min and other nodes sent nothing; a report of a full engine stayed in force when no report followed. Change: a new watcher and the second watcher of a cold engine ramp as well; the queue of a report older than 20 s no longer counts. Result: papayarelay.tests.test_table, 8 passed, its three new tests fail without the change.

--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -16,6 +16,9 @@
 
 # An engine counts as warm once it has answered this many times its cold bound.
 FULL_COLD_BOUNDS = 16
+# A report of a full engine must not keep work away for ever when no further
+# report arrives; records of other nodes are up to 8 s old in normal operation.
+LOAD_VALID_S = 20.0
 
 
 class Work:
@@ -139,13 +142,22 @@
         """Return whether this node watches a server."""
         return backend_id in self._watched
 
-    def mark_cold(self, backend_id: str, cold: bool) -> None:
-        """Note what a watcher says of an engine."""
+    def mark_cold(self, backend_id: str, cold: bool, now_s: float) -> None:
+        """Note what a watcher says of an engine; a second watcher ramps as well."""
         (self._cold.add if cold else self._cold.discard)(backend_id)
+        if cold and backend_id in self._watched:
+            self._turn_cold(backend_id, now_s)
 
-    def set_watched(self, backend_ids: Iterable[str]) -> None:
-        """Set the servers that this node watches; a cold engine serves no other."""
-        self._watched = frozenset(backend_ids)
+    def set_watched(self, backend_ids: Iterable[str], now_s: float) -> None:
+        """Set the servers that this node watches; a cold engine serves no other.
+
+        A new watcher of a cold engine begins a ramp of its own.  Without it, the
+        engine would get work without a bound, and its mark would stay.
+        """
+        watched = frozenset(backend_ids)
+        for backend_id in (watched - self._watched) & self._cold:
+            self._turn_cold(backend_id, now_s)
+        self._watched = watched
 
     def set_homes(self, node: str, nodes: Collection[str]) -> None:
         """Divide the engines in service among the nodes that prefer them."""
@@ -179,6 +191,11 @@
         if entry is not None and entry.config.target == "engine":
             entry.warm_up.record_rate(prefill_tokens_per_s, now_s)
 
+    def _turn_cold(self, backend_id: str, now_s: float) -> None:
+        entry = self._entries.get(backend_id)
+        if entry is not None and not entry.warm_up.cold:
+            entry.warm_up.turn_cold(now_s)
+
     def serves(self, target: str, name: str, now_s: float) -> bool:
         """Return whether any server may take new work; see ``views``."""
         return any(
@@ -193,7 +210,7 @@
         ``service``.
         """
         return [
-            self._view(entry)
+            self._view(entry, now_s)
             for entry in self._entries.values()
             if self._serves(entry.config, target, name)
             and entry.circuit.is_ready(now_s)
@@ -256,8 +273,10 @@
         cold = entry.id in self._cold or entry.load.state == "cold"
         return 0 if cold else None
 
-    def _view(self, entry: BackendEntry) -> BackendView:
+    def _view(self, entry: BackendEntry, now_s: float) -> BackendView:
         load = entry.load
+        if now_s - entry.reported_s > LOAD_VALID_S:
+            load = _without_queue(load)
         figures = entry.figures
         return BackendView(
             id=entry.id,
@@ -282,6 +301,16 @@
         )
 
 
+def _without_queue(load: LoadReport) -> LoadReport:
+    """Return what an old report still says: capacity, speed and state."""
+    return LoadReport(
+        boot_id=load.boot_id,
+        state=load.state,
+        kv_capacity_tokens=load.kv_capacity_tokens,
+        prefill_tokens_per_s=load.prefill_tokens_per_s,
+    )
+
+
 def _sum_up(work: Collection[Work], reported_s: float) -> WorkFigures:
     unseen = [each for each in work if each.sent_s > reported_s]
     sizes = [0, 0, 0]
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -318,7 +318,7 @@
         """Take this node's part of what is divided among the live nodes."""
         watched = self.peering.watched(self.feed.config)
         self._watcher.watch(watched)
-        self.backends.set_watched(watched)
+        self.backends.set_watched(watched, self._clock())
         name = self.settings.name
         self.backends.set_homes(name, [name, *self.peering.live_names])
         self.scheduler.set_node_count(self.peering.node_count)
--- a/papayarelay/nodes/peering.py
+++ b/papayarelay/nodes/peering.py
@@ -58,7 +58,7 @@
         self._tasks: list[gevent.Greenlet] = []
         handlers = Handlers(
             on_load=self._take_load,
-            on_cold=backends.mark_cold,
+            on_cold=self._take_cold,
             on_drain=self._take_drain,
             on_config=self._take_config,
             on_peers=on_change,
@@ -206,6 +206,9 @@
         )
         self._backends.record_load(record.id, load, record.reported_s)
 
+    def _take_cold(self, backend_id: str, cold: bool) -> None:
+        self._backends.mark_cold(backend_id, cold, self._clock())
+
     def _take_drain(self, target: str, state: DrainState) -> None:
         drained = state is DrainState.DRAINED
         self._backends.mark_drained(target, drained)
--- a/papayarelay/tests/test_failures.py
+++ b/papayarelay/tests/test_failures.py
@@ -92,7 +92,8 @@
     tasks = list(tasks)
     gevent.joinall(tasks, timeout=limit_s, raise_error=True)
     if not all(task.ready() for task in tasks):
-        raise TimeoutError(f"requests did not end within {limit_s:g} s")
+        status = system.get(system.operator_addresses[-1], "/operator/status")
+        raise TimeoutError(f"requests did not end within {limit_s:g} s: {status}")
     return [task.value for task in tasks]
 
 
--- a/papayarelay/tests/test_node.py
+++ b/papayarelay/tests/test_node.py
@@ -280,6 +280,32 @@
 
         wait_for(warm, LIMIT_S, "end of the cold mark")
 
+    def test_stop_with_cold_engines(self):
+        """Queued requests of a stopping node would wait for ever on cold engines."""
+        node = self.system.nodes[0]
+        for engine in self.system.engines:
+            engine.model.turn_cold(self.system.now_s())
+        wait_for(
+            lambda: all(entry.load.state == "cold" for entry in node.backends.entries),
+            LIMIT_S,
+            "cold reports",
+        )
+        rng = random.Random(SEED)
+        prompts = [make_prompt(500, rng) for _ in range(40)]
+        tasks = [
+            gevent.spawn(self.callers[0].complete, MODEL, prompt, TOKENS)
+            for prompt in prompts
+        ]
+        wait_for(lambda: node.gate.inflight == 40, LIMIT_S, "requests")
+        stopper = gevent.spawn(node.stop)
+        gevent.joinall([stopper, *tasks], timeout=LIMIT_S, raise_error=True)
+        answers = [task.value for task in tasks]
+        right = [
+            answer is not None and answer.is_own(prompt, TOKENS)
+            for answer, prompt in zip(answers, prompts, strict=True)
+        ]
+        self.assertEqual(right, [True] * len(prompts))
+
     def test_drain_is_kept(self):
         """A drain would be lost for a node that starts later."""
         self.system.nodes[0].set_drained("dc1", True)
--- a/papayarelay/tests/test_table.py
+++ b/papayarelay/tests/test_table.py
@@ -72,7 +72,7 @@
 
     def test_restart_is_cold(self):
         """A restarted engine would get as much work as a warm one."""
-        self.table.set_watched(["engine-a"])
+        self.table.set_watched(["engine-a"], NOW_S)
         first = LoadReport(boot_id="1")
         self.assertFalse(self.table.record_load("engine-a", first, NOW_S))
         second = replace_boot(first, "2")
@@ -80,6 +80,30 @@
         view, _ = self.table.views("engine", "m", NOW_S)
         self.assertEqual(view.bound, 4096)
 
+    def test_new_watcher_of_cold_engine(self):
+        """A new watcher would send without a bound and leave the mark for good."""
+        self.table.mark_cold("engine-a", True, NOW_S)
+        view, _ = self.table.views("engine", "m", NOW_S)
+        self.assertEqual(view.bound, 0)
+        self.table.set_watched(["engine-a"], NOW_S)
+        view, _ = self.table.views("engine", "m", NOW_S)
+        self.assertEqual(view.bound, 4096)
+
+    def test_mark_from_other_watcher(self):
+        """The second watcher would go on as if the engine were warm."""
+        self.table.set_watched(["engine-a"], NOW_S)
+        self.table.mark_cold("engine-a", True, NOW_S)
+        self.assertTrue(self.table.get("engine-a").warm_up.cold)
+
+    def test_old_report(self):
+        """An old report of a full engine would keep work away for ever."""
+        full = LoadReport("1", "warm", 1000, 1000, queued_prefill_tokens=10**6)
+        self.table.record_load("engine-a", full, NOW_S)
+        view, _ = self.table.views("engine", "m", NOW_S + 1)
+        self.assertEqual(view.kv_used_tokens, 1000)
+        view, _ = self.table.views("engine", "m", NOW_S + 60)
+        self.assertEqual((view.kv_used_tokens, view.queued_prefill_tokens), (0, 0))
+
 
 def replace_boot(report: LoadReport, boot_id: str) -> LoadReport:
     """Return the report of the same engine after a restart."""
