--- a/papayarelay/callers/record.py
+++ b/papayarelay/callers/record.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 
 from ..backends.stream import Chunk
-from ..errors import Outcome, OverloadError, RelayError
+from ..errors import Outcome, OverloadError, RelayError, StoreError
 from ..events import Event
 from ..logs import log
 from ..metrics import Metrics
@@ -48,6 +48,8 @@
         member, kind = request.member, request.kind.name
         if isinstance(error, OverloadError):
             self._metrics.record_refused(member, kind, error.code)
+        if isinstance(error, StoreError):
+            self._metrics.record_store_error(error.step, error.code)
         self._metrics.record_finished(member, kind, error.outcome, error.code)
         log(
             _failure_event(request, error),
