--- a/papayarelay/backends/monitor.py
+++ b/papayarelay/backends/monitor.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from ..guard import run_step
 from .stream import EngineStream
 
 # A deadline is exceeded by at most this much.
@@ -52,4 +53,4 @@
     def _run(self) -> None:
         while True:
             gevent.sleep(CHECK_INTERVAL_S)
-            self.check(self._clock())
+            run_step(self.check, self._clock())
--- a/papayarelay/backends/stream.py
+++ b/papayarelay/backends/stream.py
@@ -171,6 +171,10 @@
                 raise self._fault from None
             raise self._error(f"stream broke: {type(error).__name__}") from error
         self._read_s = self._clock()
+        if self._fault is None and self._read_s >= self._deadline_s:
+            # After a pause of the process, data may be read before the monitor
+            # runs.
+            self._fault = self.find_fault(self._read_s)
         if self._fault is not None:
             raise self._fault
         if not data:
--- a/papayarelay/backends/watcher.py
+++ b/papayarelay/backends/watcher.py
@@ -8,6 +8,7 @@
 import gevent
 
 from ..errors import BackendError
+from ..guard import run_step
 from .load import LoadReport, read_load
 from .table import BackendTable
 
@@ -65,7 +66,7 @@
         while True:
             entry = self._table.get(backend_id)
             if entry is not None:
-                self._read(entry)
+                run_step(self._read, entry)
             gevent.sleep(POLL_INTERVAL_S)
 
     def _read_once(self, entry) -> None:
--- a/papayarelay/config_feed.py
+++ b/papayarelay/config_feed.py
@@ -10,6 +10,7 @@
 from .config import Config, parse_sections
 from .errors import RelayError
 from .events import Event
+from .guard import run_step
 from .logs import log
 from .store.client import TableClient
 from .store.sections import VERSION_KEY, read_sections
@@ -86,4 +87,4 @@
         while True:
             # A random interval keeps the nodes from reading in step.
             gevent.sleep(self._interval_s * self._rng.uniform(0.7, 1.0))
-            self.poll()
+            run_step(self.poll)
--- a/papayarelay/housekeeping.py
+++ b/papayarelay/housekeeping.py
@@ -14,6 +14,7 @@
 from .drain import Drains
 from .errors import StoreError
 from .events import Event
+from .guard import run_step
 from .logs import log
 from .nodes.peering import Peering
 from .scheduler import Scheduler
@@ -100,7 +101,7 @@
             if pause_s > PAUSE_LIMIT_S:
                 log(Event.CLOCK_JUMPED, pause_s=round(pause_s, 3))
             last_s = now_s
-            self.check(now_s)
+            run_step(self.check, now_s)
 
     def _check_circuit(self, entry: BackendEntry) -> None:
         state = entry.circuit.state
--- a/papayarelay/nodes/peering.py
+++ b/papayarelay/nodes/peering.py
@@ -15,6 +15,7 @@
 from ..config import Config
 from ..config_feed import ConfigFeed
 from ..events import Event
+from ..guard import run_step
 from ..logs import log
 from ..settings import Settings
 from ..vms.client import VmListClient, VmListError
@@ -225,7 +226,7 @@
     def _run(self) -> None:
         while True:
             gevent.sleep(self._settings.vms_poll_interval_s * self._rng.uniform(0.7, 1))
-            self._poll_vms()
+            run_step(self._poll_vms)
 
     def _poll_vms(self) -> None:
         try:
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -13,6 +13,7 @@
 from .backends.table import BackendEntry, BackendTable, Work
 from .cost import Cost
 from .errors import DeadlineError, OverloadError
+from .guard import run_step
 from .request import Request
 from .routing import CostAware, choose
 
@@ -127,8 +128,8 @@
         while True:
             self._wake.wait(RETRY_INTERVAL_S if self._tickets else None)
             self._wake.clear()
-            self._expire()
-            self._grant_all()
+            run_step(self._expire)
+            run_step(self._grant_all)
 
     def _grant_all(self) -> None:
         while self._grant_next():
