--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test model format binary clean
+.PHONY: bench demo test model format binary clean
 
 $(STAMP): requirements.lock requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +22,9 @@
 model: $(STAMP)
 	$(BIN)/python -m papayarelay.model
 
+bench: $(STAMP)
+	$(BIN)/python -m papayarelay bench --plots --outcomes papayarelay/bench/outcomes.json
+
 binary: $(STAMP)
 	$(BIN)/python packaging/build.py dist/papayarelay
 	$(BIN)/python packaging/selftest.py dist/papayarelay
