Share the service state rules and stop building status every second

Housekeeping built the full status of the exchange twice a second, with an entry per peer, for two numbers; the rule for what is out of service and the choice of available servers each stood twice in the backend table. Change: the exchange has both numbers as properties; one predicate and one generator serve the table; an old report is replaced field by field no more. Behaviour is unchanged.

--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 
+import msgspec
+
 from ..circuit import Circuit
 from ..config import Backend, Config
 from ..cost import Cost
@@ -100,12 +102,12 @@
     @property
     def drained(self) -> list[str]:
         """Return the data centres and backend servers that get no new work."""
-        states = {f"data_centre/{n}": d for n, d in self._config.data_centres.items()}
-        states |= {f"backend/{n}": b for n, b in self._config.backends.items()}
+        items = {f"data_centre/{n}": d for n, d in self._config.data_centres.items()}
+        items |= {f"backend/{n}": b for n, b in self._config.backends.items()}
         return sorted(
             target
-            for target, item in states.items()
-            if self._marks.get(target) or item.state != "active"
+            for target, item in items.items()
+            if self._is_out_of_service(target, item.state)
         )
 
     def get(self, backend_id: str) -> BackendEntry | None:
@@ -198,10 +200,7 @@
 
     def serves(self, target: str, name: str, now_s: float) -> bool:
         """Return whether any server may take new work; see ``views``."""
-        return any(
-            self._serves(entry.config, target, name) and entry.circuit.is_ready(now_s)
-            for entry in self._entries.values()
-        )
+        return any(self._available(target, name, now_s))
 
     def views(self, target: str, name: str, now_s: float) -> list[BackendView]:
         """Return the servers that may take new work.
@@ -210,10 +209,7 @@
         ``service``.
         """
         return [
-            self._view(entry, now_s)
-            for entry in self._entries.values()
-            if self._serves(entry.config, target, name)
-            and entry.circuit.is_ready(now_s)
+            self._view(entry, now_s) for entry in self._available(target, name, now_s)
         ]
 
     def hold(self, entry: BackendEntry, cost: Cost, now_s: float) -> Work:
@@ -249,6 +245,16 @@
         circuit = Circuit(random.Random(self._rng.random()))
         return BackendEntry(backend_id, backend, pool, warm_up, circuit)
 
+    def _available(
+        self, target: str, name: str, now_s: float
+    ) -> Iterator[BackendEntry]:
+        return (
+            entry
+            for entry in self._entries.values()
+            if self._serves(entry.config, target, name)
+            and entry.circuit.is_ready(now_s)
+        )
+
     def _serves(self, backend: Backend, target: str, name: str) -> bool:
         if backend.target != target:
             return False
@@ -258,13 +264,12 @@
 
     def _is_drained(self, backend: Backend) -> bool:
         data_centre = self._config.data_centres[backend.data_centre]
-        targets = (
-            (f"data_centre/{data_centre.name}", data_centre.state),
-            (f"backend/{backend.id}", backend.state),
-        )
-        return any(
-            self._marks.get(target) or state != "active" for target, state in targets
-        )
+        return self._is_out_of_service(
+            f"data_centre/{data_centre.name}", data_centre.state
+        ) or self._is_out_of_service(f"backend/{backend.id}", backend.state)
+
+    def _is_out_of_service(self, target: str, state: str) -> bool:
+        return self._marks.get(target, False) or state != "active"
 
     def _bound(self, entry: BackendEntry) -> int | None:
         """Return how many tokens in flight this node may have on a server."""
@@ -303,11 +308,8 @@
 
 def _without_queue(load: LoadReport) -> LoadReport:
     """Return what an old report still says: capacity, speed and state."""
-    return LoadReport(
-        boot_id=load.boot_id,
-        state=load.state,
-        kv_capacity_tokens=load.kv_capacity_tokens,
-        prefill_tokens_per_s=load.prefill_tokens_per_s,
+    return msgspec.structs.replace(
+        load, kv_used_tokens=0, queued_prefill_tokens=0, running=0
     )
 
 
--- a/papayarelay/nodes/exchange.py
+++ b/papayarelay/nodes/exchange.py
@@ -214,6 +214,16 @@
         """The version and the sections of the configuration in force."""
         return self._config.version, self._config.sections
 
+    @property
+    def newest_version(self) -> int:
+        """The newest configuration version that is known to exist."""
+        return self._config.newest
+
+    @property
+    def refused(self) -> Mapping[str, int]:
+        """The numbers of refused frames by reason."""
+        return self._codec.refused
+
     def start(self) -> None:
         """Listen and link to the peers from now on."""
         self._listener.start()
@@ -390,7 +400,7 @@
             "address": self.address,
             "incarnation": self._codec.incarnation,
             "config_version": self._config.version,
-            "config_newest": self._config.newest,
+            "config_newest": self.newest_version,
             "bucket_bytes": round(self._bucket.level(now_s)),
             "peers": [
                 {
@@ -407,7 +417,7 @@
             "drains": {k: v.name.lower() for k, v in self.drains().items()},
             "cold": [e.key for e in self._spread.entries(Kind.COLD) if e.value[0]],
             "records": len(self._spread.entries()),
-            "refused": dict(self._codec.refused),
+            "refused": dict(self.refused),
             "counters": dict(self.counters),
         }
 
--- a/papayarelay/nodes/peering.py
+++ b/papayarelay/nodes/peering.py
@@ -107,7 +107,7 @@
     @property
     def newest_version(self) -> int:
         """Return the newest configuration version that a peer has mentioned."""
-        return self._exchange.status(self._clock())["config_newest"]
+        return self._exchange.newest_version
 
     @property
     def counters(self) -> Mapping[str, int]:
@@ -117,7 +117,7 @@
     @property
     def refused_count(self) -> int:
         """Return the number of refused messages."""
-        return sum(self._exchange.status(self._clock())["refused"].values())
+        return sum(self._exchange.refused.values())
 
     def start(self) -> None:
         """Link to the other nodes."""
