Keep the requests of the stop test in flight at once

Cause: test_stop_with_cold_engines waits until 40 requests are in flight, polled every 20 ms. The test's own assumption was wrong, not the node. Change: the answers have 300 tokens instead of 8, so that all requests are in flight together; the checks and bounds are unchanged.

--- a/papayarelay/tests/test_node.py
+++ b/papayarelay/tests/test_node.py
@@ -15,6 +15,8 @@
 from ..standins.tables import Faults
 from .system import MODEL, System, wait_for
 
+# Answers long enough that all requests of a test are in flight at once.
+QUEUED_TOKENS = 300
 TOKENS = 8
 SEED = 5
 LIMIT_S = 30.0
@@ -293,7 +295,7 @@
         rng = random.Random(SEED)
         prompts = [make_prompt(500, rng) for _ in range(40)]
         tasks = [
-            gevent.spawn(self.callers[0].complete, MODEL, prompt, TOKENS)
+            gevent.spawn(self.callers[0].complete, MODEL, prompt, QUEUED_TOKENS)
             for prompt in prompts
         ]
         wait_for(lambda: node.gate.inflight == 40, LIMIT_S, "requests")
@@ -301,7 +303,7 @@
         gevent.joinall([stopper, *tasks], timeout=LIMIT_S, raise_error=True)
         answers = [task.value for task in tasks]
         right = [
-            answer is not None and answer.is_own(prompt, TOKENS)
+            answer is not None and answer.is_own(prompt, QUEUED_TOKENS)
             for answer, prompt in zip(answers, prompts, strict=True)
         ]
         self.assertEqual(right, [True] * len(prompts))
