--- a/packaging/running.py
+++ b/packaging/running.py
@@ -13,8 +13,8 @@
 from pathlib import Path
 
 LIMIT_S = 60.0
-# A RAM-backed directory, as on the VMs, which have no disks.
-RAM_DIRECTORY = "/dev/shm"
+# Set TMPDIR to a RAM-backed directory for figures as on VMs without disks.
+WORK_DIRECTORY = tempfile.gettempdir()
 SETTINGS = {
     "name": "selftest",
     "data_centre": "dc1",
@@ -91,7 +91,7 @@
 @contextlib.contextmanager
 def install(command: tuple[str, ...]) -> Iterator[Installed]:
     """Yield a program with an empty directory in RAM, removed at the end."""
-    with tempfile.TemporaryDirectory(dir=RAM_DIRECTORY) as directory:
+    with tempfile.TemporaryDirectory(dir=WORK_DIRECTORY) as directory:
         installed = Installed(command, Path(directory))
         installed.settings_file.write_text(json.dumps(SETTINGS))
         (installed.directory / "cluster.key").write_text("0123456789abcdef" * 4)
--- /dev/null
+++ b/papayarelay/backends/connection.py
@@ -0,0 +1,260 @@
+"""HTTP/1.1 connections to backend servers.
+
+Requests are sent and answers read byte for byte with h11; urllib3 would change
+paths and hides bytes that follow an answer (docs/decisions.md).
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import gevent.select
+import h11
+
+from ..errors import BackendError, Outcome
+from ..request import Headers
+
+RECEIVE_BYTES = 64 << 10
+HEADER_LIMIT_BYTES = 64 << 10
+# An established connection whose data are not acknowledged for this long is dead.
+UNACKNOWLEDGED_LIMIT_MS = 1000
+# Answers to earlier requests that may come before the one that is waited for.
+STRAY_LIMIT = 4
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """The first part of a request as it is sent."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The first part of an answer."""
+
+    status: int
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the value of a header; ``name`` is in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+def connect(host: str, port: int, timeout_s: float) -> socket.socket:
+    """Open a TCP connection that notices a peer that is gone.
+
+    Raises ``OSError``.
+    """
+    sock = socket.create_connection((host, port), timeout_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    option = socket.TCP_USER_TIMEOUT
+    sock.setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_LIMIT_MS)
+    return sock
+
+
+class Connection:
+    """One connection; it carries one request at a time.
+
+    Errors of ``exchange`` and ``read`` are ``BackendError`` with the outcome
+    ``not_run`` only when no byte of the request was sent.
+    """
+
+    def __init__(self, sock: socket.socket, peer: str):
+        self.peer = peer
+        self.idle_until_s = 0.0
+        self.used = 0
+        self._sock = sock
+        self._protocol = h11.Connection(h11.CLIENT, HEADER_LIMIT_BYTES)
+        self._closing = False
+        self._complete = True
+        self._limit_s: float | None = None
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether another request may follow a complete answer."""
+        protocol = self._protocol
+        done = self._complete and not self._closing
+        if not done or protocol.trailing_data[0]:
+            return False
+        return (protocol.our_state, protocol.their_state) == (h11.DONE, h11.DONE)
+
+    def is_quiet(self) -> bool:
+        """Return whether an idle connection is open and has no unread bytes."""
+        self._sock.settimeout(0.0)
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        finally:
+            self._sock.settimeout(self._limit_s)
+        return False
+
+    def set_limit(self, limit_s: float | None) -> None:
+        """Set how long the next reads may wait for data."""
+        self._limit_s = limit_s
+        self._sock.settimeout(limit_s)
+
+    def abort(self) -> None:
+        """Let a task that waits for data on this connection fail at once."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
+
+    def exchange(
+        self, head: RequestHead, body: bytes, limit_s: float, answers: bytes = b""
+    ) -> AnswerHead:
+        """Send a request and return the head of its answer.
+
+        ``answers`` is the header, in lower case, in which an answer names the
+        request that it belongs to; answers to others are skipped.
+        """
+        self.set_limit(limit_s)
+        if self.used:
+            self._protocol.start_next_cycle()
+        self.used += 1
+        self._complete = False
+        data = self._encode(head, body)
+        self._send(data)
+        wanted = None
+        if answers:
+            wanted = next((v for k, v in head.headers if k.lower() == answers), None)
+        for _ in range(STRAY_LIMIT):
+            answer = self._read_head()
+            found = answer.get(answers) if wanted is not None else None
+            if found is None or found == wanted:
+                return answer
+            self._skip_answer(head, body)
+        raise self._error("only answers to other requests arrive")
+
+    def read(self) -> bytes:
+        """Return the next part of the body, nothing at its end."""
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                self._complete = True
+                return b""
+            if isinstance(event, h11.ConnectionClosed):
+                raise self._error("connection closed within the answer")
+
+    def read_all(self, limit_bytes: int) -> bytes:
+        """Return the whole body; one over the limit raises ``BackendError``."""
+        parts = []
+        size = 0
+        for part in self:
+            parts.append(part)
+            size += len(part)
+            if size > limit_bytes:
+                raise self._error("answer exceeds the limit")
+        return b"".join(parts)
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the parts of the body."""
+        while part := self.read():
+            yield part
+
+    def _encode(self, head: RequestHead, body: bytes) -> bytes:
+        request = h11.Request(
+            method=head.method, target=head.target, headers=head.headers
+        )
+        try:
+            data = self._protocol.send(request)
+            if body:
+                data += self._protocol.send(h11.Data(body))
+            return data + self._protocol.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise self._error(f"request cannot be sent: {error}", False) from error
+
+    def _send(self, data: bytes) -> None:
+        """Send all of a request unless an answer comes before that."""
+        view = memoryview(data)
+        sent = 0
+        limit_s = self._limit_s
+        self._sock.settimeout(0.0)
+        try:
+            while sent < len(view):
+                try:
+                    sent += self._sock.send(view[sent:])
+                    continue
+                except BlockingIOError:
+                    pass
+                ready, _, _ = gevent.select.select([self._sock], [self._sock], [], 0)
+                if not ready:
+                    ready, writable, _ = gevent.select.select(
+                        [self._sock], [self._sock], [], limit_s
+                    )
+                    if not ready and not writable:
+                        raise TimeoutError
+                if ready:
+                    # What is left of the body would be taken for a request.
+                    self._closing = True
+                    return
+        except OSError as error:
+            text = f"request not sent: {type(error).__name__}"
+            raise self._error(text, sent > 0) from error
+        finally:
+            self._sock.settimeout(limit_s)
+
+    def _read_head(self) -> AnswerHead:
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Response):
+                self._note_close(event)
+                return AnswerHead(event.status_code, tuple(event.headers.raw_items()))
+            if isinstance(event, h11.ConnectionClosed):
+                raise self._error("connection closed before the answer")
+
+    def _note_close(self, event: h11.Response) -> None:
+        for name, value in event.headers:
+            if name == b"connection" and b"close" in value.lower():
+                self._closing = True
+
+    def _skip_answer(self, head: RequestHead, body: bytes) -> None:
+        """Read an answer to its end and wait for another to the same request."""
+        while self.read():
+            pass
+        data, closed = self._protocol.trailing_data
+        self._complete = False
+        self._protocol = h11.Connection(h11.CLIENT, HEADER_LIMIT_BYTES)
+        self._encode(head, body)
+        if data:
+            self._protocol.receive_data(data)
+        if closed:
+            self._protocol.receive_data(b"")
+
+    def _next_event(self):
+        try:
+            while (event := self._protocol.next_event()) is h11.NEED_DATA:
+                self._protocol.receive_data(self._sock.recv(RECEIVE_BYTES))
+        except h11.RemoteProtocolError as error:
+            raise self._error(f"no valid answer: {error}") from error
+        except OSError as error:
+            text = f"connection broke: {type(error).__name__}"
+            raise self._error(text) from error
+        if event is h11.PAUSED:
+            raise self._error("bytes follow the answer")
+        return event
+
+    def _error(self, message: str, sent: bool = True) -> BackendError:
+        self._closing = True
+        outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
+        return BackendError(message, step="exchange", peer=self.peer, outcome=outcome)
--- a/papayarelay/backends/load.py
+++ b/papayarelay/backends/load.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import msgspec
-import urllib3
 
 from ..errors import BackendError, Outcome
 from .pool import BackendPool
@@ -29,11 +28,12 @@
 def read_load(pool: BackendPool) -> LoadReport:
     """Ask a backend server for its load; raises ``BackendError``."""
     try:
-        response = pool.request("GET", "/load", read_timeout_s=LOAD_TIMEOUT_S)
-        if response.status != 200:
-            raise _error(pool, f"load report answered {response.status}")
-        load = msgspec.json.decode(response.data, type=LoadReport)
-    except (urllib3.exceptions.HTTPError, OSError, msgspec.MsgspecError) as error:
+        answer = pool.request("GET", "/load", read_timeout_s=LOAD_TIMEOUT_S)
+        body = answer.read_all()
+        if answer.status != 200:
+            raise _error(pool, f"load report answered {answer.status}")
+        load = msgspec.json.decode(body, type=LoadReport)
+    except msgspec.MsgspecError as error:
         raise _error(pool, f"no load report: {type(error).__name__}") from error
     state = "cold" if load.state == "cold" else "warm"
     return msgspec.structs.replace(load, state=state)
--- a/papayarelay/backends/orders.py
+++ b/papayarelay/backends/orders.py
@@ -18,7 +18,6 @@
 
 import gevent
 import msgspec
-import urllib3
 
 from ..errors import (
     BackendError,
@@ -120,12 +119,11 @@
                 body=msgspec.json.encode(message),
                 headers={"Content-Type": "application/json", "Connection": "close"},
                 read_timeout_s=EFFECT_LIMIT_S,
+                fresh=True,
             )
-    except urllib3.exceptions.NewConnectionError as error:
-        raise _error(pool, "connection refused", Outcome.NOT_RUN) from error
-    except (urllib3.exceptions.HTTPError, OSError, gevent.Timeout) as error:
-        text = f"no answer to the order: {type(error).__name__}"
-        raise _error(pool, text, Outcome.UNKNOWN) from error
+            response.read_all()
+    except gevent.Timeout as error:
+        raise _error(pool, "no answer to the order", Outcome.UNKNOWN) from error
     if response.status == 409:
         raise ConflictError(
             f"the engine has seen a higher fencing number than {message.fencing}",
--- a/papayarelay/backends/pool.py
+++ b/papayarelay/backends/pool.py
@@ -1,68 +1,198 @@
-"""HTTP connections to one backend server."""
+"""Connections to one backend server."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import time
+from collections.abc import Callable, Mapping
+from urllib.parse import urlsplit
 
 import gevent
-import urllib3
+
+from ..errors import BackendError, Outcome
+from ..request import Headers
+from .connection import AnswerHead, Connection, RequestHead, connect
+from .protocol import CHAT, Protocol
 
 CONNECT_TIMEOUT_S = 1.0
 # An engine sends a keep-alive comment every second, so three missed ones mean
 # that the connection has gone silent.
 STREAM_IDLE_LIMIT_S = 3.5
-# A pool that blocks would make short requests wait for the connections of long
-# ones, so the pool only limits how many idle connections are kept.
+# More connections may be open; these many are kept when they are idle.
 IDLE_CONNECTIONS = 64
+# A server that does not say for how long it keeps an idle connection.
+IDLE_S = 4.0
+# A connection is not used again this long before the server may close it.
+IDLE_MARGIN_S = 0.5
+ANSWER_LIMIT_BYTES = 4 << 20
+
+
+class Answer:
+    """An answer whose body is read from its connection.
+
+    ``release`` keeps the connection for another request when the answer is
+    complete, and closes it otherwise.
+    """
+
+    def __init__(self, pool: BackendPool, connection: Connection, head: AnswerHead):
+        self.head = head
+        self.connection = connection
+        self._pool = pool
+        self._released = False
+
+    @property
+    def status(self) -> int:
+        """Return the status of the answer."""
+        return self.head.status
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return the value of a header as text."""
+        value = self.head.get(name.lower().encode())
+        return default if value is None else value.decode("latin-1")
+
+    def read(self) -> bytes:
+        """Return the next part of the body, nothing at its end."""
+        return self.connection.read()
+
+    def read_all(self, limit_bytes: int = ANSWER_LIMIT_BYTES) -> bytes:
+        """Return the whole body and release the connection."""
+        try:
+            return self.connection.read_all(limit_bytes)
+        finally:
+            self.release()
+
+    def release(self) -> None:
+        """Give the connection back."""
+        if not self._released:
+            self._released = True
+            self._pool.put_back(self.connection, self.head)
 
 
 class BackendPool:
-    """Keeps connections to one backend server; ``url`` is its base URL."""
+    """Keeps connections to one backend server; ``url`` is its base URL.
+
+    ``protocol`` says how requests are put for this server.  ``idle_limit`` is
+    the number of idle connections that are kept.
+    """
 
-    def __init__(self, backend_id: str, url: str):
+    def __init__(
+        self,
+        backend_id: str,
+        url: str,
+        protocol: Protocol = CHAT,
+        clock: Callable[[], float] = time.monotonic,
+    ):
         self.backend_id = backend_id
         self.url = url
+        self.protocol = protocol
+        self.idle_limit = IDLE_CONNECTIONS
+        self.connect_timeout_s = CONNECT_TIMEOUT_S
+        self.opened = 0
         # Cancels on their way to the server, by request id.
         self.cancels: dict[str, gevent.Greenlet] = {}
-        self._pool: urllib3.HTTPConnectionPool | None = None
+        self._clock = clock
+        parts = urlsplit(url)
+        self._host, self._port = parts.hostname or "", parts.port or 80
+        self._idle: list[Connection] = []
+        self._closed = False
+
+    @property
+    def address(self) -> str:
+        """Return the address of the server as ``host:port``."""
+        return f"{self._host}:{self._port}"
 
     def start(self) -> None:
-        """Create the pool; connections are opened when they are needed."""
-        self._pool = urllib3.connection_from_url(
-            self.url, maxsize=IDLE_CONNECTIONS, block=False, retries=False
-        )
+        """Allow connections; they are opened when they are needed."""
+        self._closed = False
 
     def close(self) -> None:
-        """Close the idle connections."""
-        if self._pool is not None:
-            self._pool.close()
+        """Close the idle connections, and keep none from now on."""
+        self._closed = True
+        self.drop_idle()
 
     def drop_idle(self) -> None:
-        """Replace all idle connections, after one of them has gone silent."""
-        self.close()
-        self.start()
+        """Close all idle connections, after one of them has gone silent."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def send(
+        self,
+        head: RequestHead,
+        body: bytes,
+        limit_s: float,
+        *,
+        fresh: bool = False,
+        answers: bytes = b"",
+    ) -> Answer:
+        """Send a request and return its answer once the head has arrived.
+
+        ``fresh`` asks for a new connection: a kept one may be closed just as a
+        request is sent, and then nobody knows whether it ran.  Raises
+        ``BackendError``.
+        """
+        connection = self._open(limit_s) if fresh else self._take(limit_s)
+        try:
+            answer = connection.exchange(head, body, limit_s, answers)
+        except BaseException:
+            connection.close()
+            raise
+        return Answer(self, connection, answer)
 
     def request(
         self,
         method: str,
         path: str,
         *,
-        body: bytes | None = None,
+        body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         read_timeout_s: float = STREAM_IDLE_LIMIT_S,
-        stream: bool = False,
-    ) -> urllib3.BaseHTTPResponse:
-        """Send one request; a streamed response must be closed by its reader.
+        fresh: bool = False,
+    ) -> Answer:
+        """Send a request that is made here; see ``send``."""
+        fields: Headers = ((b"Host", self.address.encode()),)
+        fields += tuple((k.encode(), v.encode()) for k, v in (headers or {}).items())
+        if body or method == "POST":
+            fields += ((b"Content-Length", b"%d" % len(body)),)
+        head = RequestHead(method.encode(), path.encode(), fields)
+        return self.send(head, body, read_timeout_s, fresh=fresh)
 
-        Raises ``urllib3.exceptions.HTTPError`` for a failed exchange.
-        """
-        return self._pool.urlopen(
-            method,
-            path,
-            body=body,
-            headers=headers,
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
-            preload_content=not stream,
-            retries=False,
-            redirect=False,
-        )
+    def put_back(self, connection: Connection, head: AnswerHead) -> None:
+        """Keep a connection for another request, or close it."""
+        keep = connection.reusable and not self._closed
+        if not keep or len(self._idle) >= self.idle_limit:
+            connection.close()
+            return
+        connection.idle_until_s = self._clock() + _idle_s(head)
+        self._idle.append(connection)
+
+    def _take(self, limit_s: float) -> Connection:
+        now_s = self._clock()
+        while self._idle:
+            connection = self._idle.pop()
+            if now_s < connection.idle_until_s and connection.is_quiet():
+                return connection
+            connection.close()
+        return self._open(limit_s)
+
+    def _open(self, limit_s: float) -> Connection:
+        try:
+            timeout_s = min(limit_s, self.connect_timeout_s)
+            sock = connect(self._host, self._port, timeout_s)
+        except OSError as error:
+            raise BackendError(
+                f"connection failed: {type(error).__name__}",
+                step="connect",
+                peer=self.backend_id,
+                outcome=Outcome.NOT_RUN,
+            ) from error
+        self.opened += 1
+        return Connection(sock, self.backend_id)
+
+
+def _idle_s(head: AnswerHead) -> float:
+    """Return for how long an idle connection may be used again."""
+    value = head.get(b"keep-alive") or b""
+    for item in value.split(b","):
+        name, _, seconds = item.strip().partition(b"=")
+        if name.lower() == b"timeout" and seconds.isdigit():
+            return max(0.0, int(seconds) - IDLE_MARGIN_S)
+    return IDLE_S
--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -3,32 +3,52 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
 
+from ..bucket import TokenBucket
 from ..circuit import Circuit
-from ..config import Backend, Config
+from ..config import Backend, Config, Service
 from ..cost import Cost
-from ..routing import BackendView, assign_homes, size_class
+from ..routing import BackendView, EngineWork, assign_homes, size_class
 from ..warmup import WarmUp
 from .load import LoadReport
-from .pool import BackendPool
+from .pool import IDLE_CONNECTIONS, BackendPool
+from .protocol import CHAT, Protocol
 
 # An engine counts as warm once it has answered this many times its cold bound.
 FULL_COLD_BOUNDS = 16
 # A report of a full engine must not keep work away for ever when no further
 # report arrives; records of other nodes are up to 8 s old in normal operation.
 LOAD_VALID_S = 20.0
+# Part of a server's connections that all nodes together keep idle.
+IDLE_PART = 0.5
+# Part of a cold server's bound that all nodes together use.
+COLD_PART = 0.8
 
 
 class Work:
-    """A request of this node that runs on a backend server."""
-
-    def __init__(self, cost: Cost, sent_s: float):
+    """A request of this node, or a part of one, on a backend server.
+
+    ``read_s`` is the time that reading it takes.  A part (``part``) is read for
+    an engine that writes the answer, and may hold ``tokens`` of memory for it.
+    """
+
+    def __init__(
+        self,
+        cost: Cost,
+        sent_s: float,
+        read_s: float = 0.0,
+        part: bool = False,
+        tokens: int | None = None,
+    ):
         self.cost = cost
         self.sent_s = sent_s
+        self.read_s = read_s
+        self.part = part
+        self.tokens = cost.kv_tokens if tokens is None else tokens
         self.prefilled = False
 
     @property
@@ -61,6 +81,10 @@
     load: LoadReport = LoadReport()
     reported_s: float = 0.0
     work: set[Work] = field(default_factory=set)
+    service: Service | None = None
+    cold_until_s: float = 0.0
+    cold_rate: TokenBucket | None = None
+    last_read_s: float = 0.0
     _figures: WorkFigures | None = None
 
     @property
@@ -73,6 +97,24 @@
             self._figures = _sum_up(self.work, self.reported_s)
         return self._figures
 
+    def own_work(self, now_s: float) -> EngineWork:
+        """Return the unfinished work that this node has sent."""
+        unread = [each for each in self.work if not each.prefilled]
+        reading_s = sum(each.read_s for each in unread)
+        if unread:
+            begun_s = max(self.last_read_s, min(each.sent_s for each in unread))
+            reading_s = max(0.0, reading_s - max(0.0, now_s - begun_s))
+        return EngineWork(
+            writers=sum(not each.part for each in self.work),
+            reads=len(unread),
+            reading_s=reading_s,
+            tokens=sum(each.tokens for each in self.work),
+        )
+
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether the server has said that it is in cold start now."""
+        return now_s < self.cold_until_s
+
     def forget_figures(self) -> None:
         """Note a change of the work or of the load report."""
         self._figures = None
@@ -83,10 +125,16 @@
 
 
 class BackendTable:
-    """The backend servers of the configuration in force."""
+    """The backend servers of the configuration in force.
+
+    ``protocol`` is the one that all of them speak.
+    """
 
-    def __init__(self, rng: random.Random):
+    def __init__(self, rng: random.Random, protocol: Protocol = CHAT):
         self._rng = rng
+        self._protocol = protocol
+        self._nodes = 1
+        self._peers = PeerWork()
         self._entries: dict[str, BackendEntry] = {}
         self._config = Config()
         self._marks: dict[str, bool] = {}
@@ -123,10 +171,58 @@
             entry = self._entries.get(backend_id)
             if entry is not None and entry.config.url == backend.url:
                 entry.config = backend
+            else:
+                if entry is not None:
+                    entry.pool.close()
+                entry = self._create(backend_id, backend)
+                self._entries[backend_id] = entry
+            entry.service = config.services.get(backend.service)
+        self._share_bounds()
+
+    def set_node_count(self, nodes: int) -> None:
+        """Divide the bounds of each server among that many nodes."""
+        self._nodes = max(1, nodes)
+        self._share_bounds()
+
+    def set_peer_work(
+        self, peer: str, work: Mapping[str, EngineWork], now_s: float
+    ) -> None:
+        """Replace what another node has on the servers, by server id."""
+        self._peers.set(peer, work, now_s)
+
+    def forget_peer(self, peer: str) -> None:
+        """Drop the work of a node that is gone."""
+        self._peers.forget(peer)
+
+    def own_work(self, now_s: float) -> dict[str, EngineWork]:
+        """Return the unfinished work of this node by server id."""
+        return {
+            entry.id: entry.own_work(now_s)
+            for entry in self._entries.values()
+            if entry.work
+        }
+
+    def record_cold(self, backend_id: str, left_s: float, now_s: float) -> None:
+        """Note for how much longer a server says that it is in cold start."""
+        entry = self._entries.get(backend_id)
+        if entry is not None:
+            entry.cold_until_s = now_s + left_s if left_s > 0 else 0.0
+
+    def _share_bounds(self) -> None:
+        for entry in self._entries.values():
+            service = entry.service
+            if service is None:
                 continue
-            if entry is not None:
-                entry.pool.close()
-            self._entries[backend_id] = self._create(backend_id, backend)
+            if service.max_connections:
+                share = service.max_connections * IDLE_PART / self._nodes
+                entry.pool.idle_limit = min(IDLE_CONNECTIONS, int(share))
+            if service.cold_per_s:
+                # The bucket lets its capacity and its rate pass in one second.
+                share = service.cold_per_s * COLD_PART / self._nodes / 2
+                if entry.cold_rate is None:
+                    entry.cold_rate = TokenBucket(share, max(1.0, share))
+                entry.cold_rate.rate_per_s = share
+                entry.cold_rate.burst = max(1.0, share)
 
     def mark_drained(self, target: str, drained: bool) -> None:
         """Drain a target besides those that the configuration drains.
@@ -212,17 +308,34 @@
             self._view(entry, now_s) for entry in self._available(target, name, now_s)
         ]
 
-    def hold(self, entry: BackendEntry, cost: Cost, now_s: float) -> Work:
+    def hold(
+        self,
+        entry: BackendEntry,
+        cost: Cost,
+        now_s: float,
+        *,
+        read_s: float = 0.0,
+        part: bool = False,
+        tokens: int | None = None,
+    ) -> Work:
         """Count a request as own work on a server until it is released."""
-        work = Work(cost, now_s)
+        work = Work(cost, now_s, read_s, part, tokens)
         entry.work.add(work)
         entry.forget_figures()
         return work
 
-    def mark_prefilled(self, entry: BackendEntry, work: Work) -> None:
+    def take_cold_room(self, entry: BackendEntry, now_s: float) -> None:
+        """Count a request that is sent to a server in cold start."""
+        if entry.is_cold(now_s) and entry.cold_rate is not None:
+            entry.cold_rate.take(now_s)
+
+    def mark_prefilled(
+        self, entry: BackendEntry, work: Work, now_s: float = 0.0
+    ) -> None:
         """Note that a server has computed the prompt of a request."""
         if not work.prefilled:
             work.prefilled = True
+            entry.last_read_s = now_s
             entry.forget_figures()
 
     def release(self, entry: BackendEntry, work: Work) -> None:
@@ -237,7 +350,7 @@
         self._entries.clear()
 
     def _create(self, backend_id: str, backend: Backend) -> BackendEntry:
-        pool = BackendPool(backend_id, backend.url)
+        pool = BackendPool(backend_id, backend.url, self._protocol)
         pool.start()
         warm_up = WarmUp(
             backend.cold_bound_tokens, backend.cold_bound_tokens * FULL_COLD_BOUNDS
@@ -253,6 +366,7 @@
             for entry in self._entries.values()
             if self._serves(entry.config, target, name)
             and entry.circuit.is_ready(now_s)
+            and _has_cold_room(entry, now_s)
         )
 
     def _serves(self, backend: Backend, target: str, name: str) -> bool:
@@ -260,6 +374,8 @@
             return False
         if self._is_drained(backend):
             return False
+        if backend.service:
+            return name == backend.service
         return name in (backend.models if target == "engine" else backend.kinds)
 
     def _is_drained(self, backend: Backend) -> bool:
@@ -303,9 +419,44 @@
             sent_kv_tokens=figures.unseen_tokens,
             own_prefill_by_size=figures.prefill_by_size,
             home=entry.id in self._homes,
+            work=entry.own_work(now_s) + self._peers.on(entry.id, now_s),
+            slots=entry.config.slots,
+            timing=entry.service.timing if entry.service else None,
+            cold=entry.is_cold(now_s),
         )
 
 
+class PeerWork:
+    """The work of the other nodes, as each has told last."""
+
+    def __init__(self):
+        self._told: dict[str, tuple[float, Mapping[str, EngineWork]]] = {}
+
+    def set(self, peer: str, work: Mapping[str, EngineWork], now_s: float) -> None:
+        """Replace the work of a peer."""
+        self._told[peer] = (now_s, work)
+
+    def forget(self, peer: str) -> None:
+        """Drop a peer."""
+        self._told.pop(peer, None)
+
+    def on(self, backend_id: str, now_s: float) -> EngineWork:
+        """Return the work of all peers on a server."""
+        total = EngineWork()
+        for told_s, work in self._told.values():
+            each = work.get(backend_id)
+            if each is not None:
+                total += each.after(now_s - told_s)
+        return total
+
+
+def _has_cold_room(entry: BackendEntry, now_s: float) -> bool:
+    """Return whether this node may send one more request to a cold server."""
+    if entry.cold_rate is None or not entry.is_cold(now_s):
+        return True
+    return entry.cold_rate.wait_s(now_s) <= 0
+
+
 def _without_queue(load: LoadReport) -> LoadReport:
     """Return what an old report still says: capacity, speed and state."""
     return msgspec.structs.replace(
@@ -321,8 +472,8 @@
     return WorkFigures(
         inflight=len(work),
         prefill_tokens=sum(sizes),
-        tokens=sum(each.cost.kv_tokens for each in work),
+        tokens=sum(each.tokens for each in work),
         unseen_prefill_tokens=sum(each.prefill_tokens for each in unseen),
-        unseen_tokens=sum(each.cost.kv_tokens for each in unseen),
+        unseen_tokens=sum(each.tokens for each in unseen),
         prefill_by_size=(sizes[0], sizes[1], sizes[2]),
     )
--- a/papayarelay/callers/api.py
+++ b/papayarelay/callers/api.py
@@ -9,8 +9,8 @@
 
 import bottle
 
+from ..backends.protocol import Chunk
 from ..backends.service import ServiceAnswer
-from ..backends.stream import Chunk
 from ..config import Config
 from ..dispatch import NO_GUARD, Dispatcher, DispatchGuard
 from ..errors import BackendError, Outcome, OverloadError, RelayError
@@ -18,6 +18,7 @@
 from ..request import Request
 from . import answer
 from .body import BodyLimits, BodyMemory, body_size, read_body
+from .connection import caller_gone
 from .gate import Gate
 from .parse import (
     Caller,
@@ -34,12 +35,6 @@
 STREAM_TYPE = "text/event-stream; charset=utf-8"
 
 
-class CallerGoneError(BackendError):
-    """The caller closed its connection before the answer was complete."""
-
-    code = "caller_gone"
-
-
 class CallerApi:
     """Turns caller requests into dispatched requests and their answers."""
 
@@ -186,7 +181,7 @@
                 reason = chunk.finish_reason or reason
                 received = chunk.offset
             elif request.kind.idempotent and answer.is_gone(sock):
-                raise _caller_gone()
+                raise caller_gone("wait")
         text = "".join(parts)
         body = answer.whole_answer(request, text, received, reason, int(time.time()))
         return ServiceAnswer(200, JSON_TYPE, body)
@@ -222,7 +217,7 @@
             self._recorder.failed(request, error)
             yield answer.error_event(error)
         except GeneratorExit:
-            self._recorder.failed(request, _caller_gone())
+            self._recorder.failed(request, caller_gone("wait"))
             raise
         else:
             self._recorder.finished(request)
@@ -250,7 +245,7 @@
         if chunk.event:
             return chunk
         if answer.is_gone(sock):
-            raise _caller_gone()
+            raise caller_gone("wait")
     raise BackendError(
         "engine sent an empty answer",
         step="stream",
@@ -263,15 +258,6 @@
     return Headers(bottle.request.environ)
 
 
-def _caller_gone() -> CallerGoneError:
-    return CallerGoneError(
-        "caller closed the connection",
-        step="wait",
-        peer="caller",
-        outcome=Outcome.UNKNOWN,
-    )
-
-
 def _error_response(error: RelayError, keyed: bool = False) -> bottle.HTTPResponse:
     headers = {"Content-Type": JSON_TYPE, **answer.error_headers(error)}
     if isinstance(error, OverloadError) or error.step == "read_body":
--- /dev/null
+++ b/papayarelay/callers/connection.py
@@ -0,0 +1,225 @@
+"""Connections of callers whose requests are passed on as they are, on h11."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import gevent
+import h11
+
+from ..config import CallerLimits
+from ..errors import (
+    BodyTooLargeError,
+    CallerGoneError,
+    Outcome,
+    RequestError,
+    RequestTimeoutError,
+)
+from ..request import Headers
+
+RECEIVE_BYTES = 64 << 10
+# A caller that stops reading must not hold an engine's stream for ever.
+SEND_LIMIT_S = 10.0
+HEADERS_TOO_LARGE = 431
+
+
+class HeadersTooLargeError(RequestError):
+    """The request line and headers exceed the limit."""
+
+    status = HEADERS_TOO_LARGE
+    code = "headers_too_large"
+
+
+class CallerConnection:
+    """One connection of a caller; it carries one request at a time."""
+
+    def __init__(self, sock: socket.socket, limits: CallerLimits):
+        self.answered = False
+        self._sock = sock
+        self._limits = limits
+        self._protocol = h11.Connection(h11.SERVER, limits.header_bytes)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    @property
+    def can_continue(self) -> bool:
+        """Return whether another request may follow."""
+        return (self._protocol.our_state, self._protocol.their_state) == (
+            h11.DONE,
+            h11.DONE,
+        )
+
+    @property
+    def begun(self) -> bool:
+        """Return whether an answer to the present request has begun."""
+        return self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the request has been read to its end."""
+        return self._protocol.their_state is h11.DONE
+
+    @property
+    def has_unread(self) -> bool:
+        """Return whether bytes of a next request have arrived already."""
+        return bool(self._protocol.trailing_data[0])
+
+    def read_request(self) -> h11.Request | None:
+        """Wait for the head of a request; return None when the caller leaves.
+
+        An idle connection is closed after its limit.  Raises ``RequestError``
+        for a malformed head and ``RequestTimeoutError`` for one that is slow.
+        """
+        if self.answered:
+            self._protocol.start_next_cycle()
+            self.answered = False
+        self._sock.settimeout(None)
+        if not self.has_unread and not self._wait_for_bytes():
+            return None
+        try:
+            with gevent.Timeout(self._limits.header_timeout_s):
+                event = self._next_event()
+        except gevent.Timeout:
+            raise RequestTimeoutError(
+                "request headers arrived too slowly", step="read_head", peer="caller"
+            ) from None
+        return event if isinstance(event, h11.Request) else None
+
+    def read_body(self) -> bytes:
+        """Return the body of the request.
+
+        Raises ``BodyTooLargeError``, ``RequestError`` and ``CallerGoneError``.
+        """
+        if self._protocol.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=()))
+        parts = []
+        size = 0
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if not isinstance(event, h11.Data):
+                raise caller_gone("read_body")
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > self._limits.body_bytes:
+                raise BodyTooLargeError(
+                    f"body exceeds {self._limits.body_bytes} bytes",
+                    step="read_body",
+                    peer="caller",
+                )
+
+    @contextmanager
+    def watched(self) -> Iterator[None]:
+        """Raise ``CallerGoneError`` in this task as soon as the caller leaves."""
+        task = gevent.getcurrent()
+        watcher = gevent.get_hub().loop.io(self._sock.fileno(), 1)
+        raw = self._sock._sock
+
+        def look() -> None:
+            try:
+                gone = raw.recv(1, socket.MSG_PEEK) == b""
+            except BlockingIOError:
+                return
+            except OSError:
+                gone = True
+            # Bytes of a next request hide what follows them.
+            watcher.stop()
+            if gone:
+                task.throw(caller_gone("wait"))
+
+        self._sock.settimeout(SEND_LIMIT_S)
+        watcher.start(look)
+        try:
+            yield
+        finally:
+            watcher.stop()
+            watcher.close()
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        fields = (*headers, (b"Content-Length", b"%d" % len(body)))
+        data = self._encode(h11.Response(status_code=status, headers=fields))
+        data += self._encode(h11.Data(body))
+        data += self._encode(h11.EndOfMessage())
+        self._send_bytes(data)
+        self.answered = True
+
+    def begin_stream(self, status: int, headers: Headers, part: bytes) -> None:
+        """Send the head of a streamed answer and its first part."""
+        fields = (*headers, (b"Transfer-Encoding", b"chunked"))
+        data = self._encode(h11.Response(status_code=status, headers=fields))
+        self._send_bytes(data + self._encode(h11.Data(part)))
+
+    def send_part(self, part: bytes) -> None:
+        """Send a further part of a streamed answer."""
+        self._send_bytes(self._encode(h11.Data(part)))
+
+    def end_stream(self) -> None:
+        """Mark a streamed answer as complete."""
+        self._send_bytes(self._encode(h11.EndOfMessage()))
+        self.answered = True
+
+    def abort(self) -> None:
+        """Stop reading and writing; an answer that has begun stays incomplete."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Close the connection; what the caller still sends is discarded."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+        with contextlib.suppress(OSError):
+            self._sock.settimeout(0.0)
+            while self._sock.recv(RECEIVE_BYTES):
+                pass
+        self._sock.close()
+
+    def _wait_for_bytes(self) -> bool:
+        """Wait for the first bytes of a request; return whether they came."""
+        with gevent.Timeout(self._limits.idle_timeout_s, False):
+            data = self._receive()
+            self._protocol.receive_data(data)
+            return bool(data)
+        return False
+
+    def _receive(self) -> bytes:
+        try:
+            return self._sock.recv(RECEIVE_BYTES)
+        except OSError:
+            return b""
+
+    def _next_event(self):
+        try:
+            while (event := self._protocol.next_event()) is h11.NEED_DATA:
+                self._protocol.receive_data(self._receive())
+        except h11.RemoteProtocolError as error:
+            kind = RequestError
+            if error.error_status_hint == HEADERS_TOO_LARGE:
+                kind = HeadersTooLargeError
+            raise kind(str(error), step="read_head", peer="caller") from error
+        return event
+
+    def _encode(self, event) -> bytes:
+        return self._protocol.send(event) or b""
+
+    def _send(self, event) -> None:
+        self._send_bytes(self._encode(event))
+
+    def _send_bytes(self, data: bytes) -> None:
+        try:
+            self._sock.sendall(data)
+        except OSError as error:
+            raise caller_gone("send") from error
+
+
+def caller_gone(step: str) -> CallerGoneError:
+    """Return the error of a caller that has closed its connection."""
+    return CallerGoneError(
+        "caller closed the connection",
+        step=step,
+        peer="caller",
+        outcome=Outcome.UNKNOWN,
+    )
--- a/papayarelay/callers/gate.py
+++ b/papayarelay/callers/gate.py
@@ -13,15 +13,24 @@
 
 
 class Gate:
-    """Counts requests in flight and closes to new ones before a stop."""
+    """Counts requests in flight and closes to new ones before a stop.
+
+    While ``leaving``, connections end with the answer to their request.
+    """
 
     def __init__(self):
         self.ready = False
+        self.leaving = False
         self.inflight = 0
         self._open = True
         self._empty = Event()
         self._empty.set()
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether new requests are admitted."""
+        return self._open
+
     @contextmanager
     def enter(self) -> Iterator[None]:
         """Hold a place for a request; raises ``OverloadError`` when closed."""
--- /dev/null
+++ b/papayarelay/callers/gateway.py
@@ -0,0 +1,371 @@
+"""Serves requests that are passed on to backend servers as they are."""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
+from dataclasses import dataclass, replace
+
+import gevent
+import h11
+from gevent.pool import Pool
+from gevent.server import StreamServer
+
+from ..backends.protocol import Chunk
+from ..config import Config, Route
+from ..dispatch import Dispatcher
+from ..errors import (
+    AuthenticationError,
+    CallerGoneError,
+    DeadlineError,
+    Outcome,
+    OverloadError,
+    RelayError,
+)
+from ..request import Headers, Request
+from . import answer
+from .body import BodyMemory
+from .connection import CallerConnection
+from .gate import Gate
+from .parse import Caller, KeyIndex
+from .record import RequestRecorder
+from .routes import RouteTable, pick_service
+
+BACKLOG = 1024
+CONNECTIONS_LIMIT = 3000
+# A body takes at most this long to arrive.
+BODY_LIMIT_S = 10.0
+UNAVAILABLE = 503
+# Statuses that promise that a request has not run and never will.
+PROMISES = frozenset({408, 421, 429, 503})
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+@dataclass(frozen=True)
+class CallerFields:
+    """What a request says of itself besides its method, target and body.
+
+    ``allowed_s`` is the time that the caller waits, None where it does not say.
+    ``headers`` are those that are passed on.
+    """
+
+    request_id: str
+    key: str = ""
+    allowed_s: float | None = None
+    model: str = ""
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    resume_from: int = 0
+    headers: Headers = ()
+
+
+class CallerDialect(ABC):
+    """Reads the headers of requests and names what must be known to serve them."""
+
+    @abstractmethod
+    def read(self, headers: Headers) -> CallerFields:
+        """Return what the headers say; raises ``RequestError``."""
+
+
+class Gateway:
+    """Accepts connections, and answers each request by way of the dispatcher.
+
+    ``keys_valid`` returns whether this node may still rely on the keys that it
+    knows, ``config_known`` whether it knows the present configuration.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        dialect: CallerDialect,
+        dispatcher: Dispatcher,
+        gate: Gate,
+        recorder: RequestRecorder,
+        body_memory: BodyMemory,
+        keys_valid: Callable[[], bool],
+        config_known: Callable[[], bool],
+        rng: random.Random,
+        clock: Callable[[], float],
+    ):
+        host, _, port = address.rpartition(":")
+        self._dialect = dialect
+        self._dispatcher = dispatcher
+        self._gate = gate
+        self._recorder = recorder
+        self._body_memory = body_memory
+        self._keys_valid = keys_valid
+        self._config_known = config_known
+        self._rng = rng
+        self._clock = clock
+        self._config = Config()
+        self._routes = RouteTable(())
+        self._keys = KeyIndex(self._config)
+        self._server = StreamServer(
+            (host, int(port)),
+            self._serve,
+            backlog=BACKLOG,
+            spawn=Pool(CONNECTIONS_LIMIT),
+        )
+        self._idle: set[CallerConnection] = set()
+
+    @property
+    def address(self) -> str:
+        """Return the address in use as ``host:port``."""
+        return f"{self._server.server_host}:{self._server.server_port}"
+
+    def apply(self, config: Config) -> None:
+        """Follow a new configuration."""
+        self._config = config
+        self._routes = RouteTable(config.routes)
+        self._keys = KeyIndex(config)
+
+    def start(self) -> None:
+        """Begin to listen; raises ``OSError`` when the address is taken."""
+        self._server.start()
+
+    def stop_listening(self) -> None:
+        """Accept no new connection, and close those without a request."""
+        self._server.close()
+        for connection in list(self._idle):
+            connection.abort()
+
+    def close(self) -> None:
+        """End all connections."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, address) -> None:
+        """Serve the requests of one connection until it ends."""
+        connection = CallerConnection(sock, self._config.caller_limits)
+        try:
+            while self._serve_request(connection):
+                pass
+        except CallerGoneError:
+            connection.abort()
+        finally:
+            connection.close()
+
+    def _serve_request(self, connection: CallerConnection) -> bool:
+        """Answer the next request; return whether another may follow."""
+        self._idle.add(connection)
+        try:
+            head = connection.read_request()
+        except RelayError as error:
+            self._refuse(connection, error)
+            return False
+        finally:
+            self._idle.discard(connection)
+        if head is None:
+            return False
+        received_s = self._clock()
+        with ExitStack() as stack:
+            request = None
+            try:
+                stack.enter_context(self._gate.enter())
+                request, streamed = self._admit(stack, connection, head, received_s)
+                with connection.watched():
+                    if streamed:
+                        self._answer_stream(connection, request)
+                    else:
+                        self._answer_call(connection, request)
+                self._recorder.finished(request)
+            except RelayError as error:
+                self._fail(connection, request, error)
+        kept = connection.answered and connection.can_continue
+        return kept and not self._gate.leaving
+
+    def _admit(
+        self,
+        stack: ExitStack,
+        connection: CallerConnection,
+        head: h11.Request,
+        received_s: float,
+    ) -> tuple[Request, bool]:
+        """Return the request and whether its answer is a stream.
+
+        Raises ``RelayError``; what the request holds is given back by ``stack``.
+        """
+        headers = tuple(head.headers.raw_items())
+        fields = self._dialect.read(headers)
+        target = head.target.decode("ascii")
+        route = self._find_route(_header(headers, b"host"), target)
+        caller = self._authenticate(route, fields.key)
+        body = self._read_body(stack, connection)
+        kind = route.kind
+        organisation = self._organisation_priority(caller)
+        if organisation is not None:
+            kind = replace(kind, priority=organisation)
+        allowed_s = min(kind.deadline_s, fields.allowed_s or kind.deadline_s)
+        request = Request(
+            id=fields.request_id,
+            member=caller.member,
+            organisation=caller.organisation,
+            kind=kind,
+            model=fields.model,
+            path=target,
+            body=body,
+            prompt_tokens=fields.prompt_tokens,
+            max_tokens=fields.max_tokens,
+            stream=route.stream,
+            received_s=received_s,
+            deadline_s=received_s + allowed_s,
+            method=head.method.decode("ascii"),
+            headers=fields.headers,
+            service=pick_service(route, self._rng),
+            resume_from=fields.resume_from,
+        )
+        self._recorder.admitted(request)
+        return request, route.stream
+
+    def _find_route(self, host: str, target: str) -> Route:
+        try:
+            return self._routes.find(host, target)
+        except RelayError as error:
+            raise self._doubt(error) from None
+
+    def _authenticate(self, route: Route, key: str) -> Caller:
+        """Return who calls; nobody in particular where no key is needed."""
+        if not self._config.members:
+            return NOBODY
+        if route.public:
+            return self._keys.get(key) or NOBODY
+        if not self._keys_valid():
+            raise _not_known("keys may have been taken away")
+        caller = self._keys.get(key)
+        if caller is None:
+            error = AuthenticationError(
+                "API key is missing or not known", step="authenticate", peer="caller"
+            )
+            raise self._doubt(error)
+        return caller
+
+    def _doubt(self, error: RelayError) -> RelayError:
+        """Return the error, or a refusal while a newer configuration may allow it."""
+        if self._config_known():
+            return error
+        return _not_known("the present configuration is not known")
+
+    def _organisation_priority(self, caller: Caller) -> int | None:
+        member = self._config.members.get(caller.member)
+        if member is None:
+            return None
+        organisation = member.organisations.get(caller.organisation)
+        return organisation.priority if organisation else None
+
+    def _read_body(self, stack: ExitStack, connection: CallerConnection) -> bytes:
+        try:
+            with gevent.Timeout(BODY_LIMIT_S):
+                body = connection.read_body()
+        except gevent.Timeout:
+            raise DeadlineError(
+                "body arrived too slowly", step="read_body", peer="caller"
+            ) from None
+        stack.enter_context(self._body_memory.reserve(len(body)))
+        return body
+
+    def _answer_call(self, connection: CallerConnection, request: Request) -> None:
+        reply = self._dispatcher.call(request)
+        headers = self._passed_on(reply.headers)
+        connection.answer(reply.status, headers, reply.body)
+
+    def _answer_stream(self, connection: CallerConnection, request: Request) -> None:
+        chunks = self._dispatcher.stream(request)
+        try:
+            self._pass_on(connection, self._recorder.watch(request, chunks))
+        finally:
+            chunks.close()
+
+    def _pass_on(self, connection: CallerConnection, chunks: Iterator[Chunk]) -> None:
+        begun = False
+        for chunk in chunks:
+            if not chunk.event:
+                continue
+            if begun:
+                connection.send_part(chunk.event)
+            else:
+                headers = self._passed_on(chunk.head.headers)
+                connection.begin_stream(chunk.head.status, headers, chunk.event)
+                begun = True
+        connection.end_stream()
+
+    def _passed_on(self, headers: Headers) -> Headers:
+        """Return the headers of a backend server's answer that a caller gets."""
+        kept = end_to_end(headers)
+        if self._gate.leaving:
+            kept += ((b"Connection", b"close"),)
+        return kept
+
+    def _fail(
+        self, connection: CallerConnection, request: Request | None, error: RelayError
+    ) -> None:
+        """Tell the caller of a failure, or break off an answer that has begun."""
+        if request is None:
+            self._recorder.rejected(error)
+        else:
+            self._recorder.failed(request, error)
+        if isinstance(error, CallerGoneError) or connection.begun:
+            connection.abort()
+            return
+        reply = getattr(error, "answer", None)
+        if reply is not None:
+            headers = self._passed_on(reply.headers)
+            connection.answer(reply.status, headers, reply.body)
+            return
+        self._refuse(connection, error)
+
+    def _refuse(self, connection: CallerConnection, error: RelayError) -> None:
+        headers = ((b"Content-Type", b"application/json"),)
+        status = public_status(error)
+        if status in PROMISES and error.retry_after_s is not None:
+            headers += ((b"Retry-After", b"%.3f" % error.retry_after_s),)
+        if self._gate.leaving or not connection.is_whole:
+            headers += ((b"Connection", b"close"),)
+        try:
+            connection.answer(status, headers, answer.error_body(error))
+        except (CallerGoneError, h11.LocalProtocolError):
+            connection.abort()
+
+
+NOBODY = Caller("", "")
+
+
+def public_status(error: RelayError) -> int:
+    """Return the status of an error; a promise only where it is true."""
+    if error.outcome is Outcome.NOT_RUN:
+        return UNAVAILABLE if error.status in (502, 504) else error.status
+    return 502 if error.status in PROMISES else error.status
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that do not concern one connection only."""
+    named = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named |= {item.strip().lower() for item in value.split(b",")}
+    dropped = HOP_BY_HOP | named
+    return tuple(item for item in headers if item[0].lower() not in dropped)
+
+
+def _header(headers: Headers, name: bytes) -> str:
+    for key, value in headers:
+        if key.lower() == name:
+            return value.decode("latin-1")
+    return ""
+
+
+def _not_known(message: str) -> OverloadError:
+    return OverloadError(message, step="authenticate", peer="store", retry_after_s=0.5)
--- a/papayarelay/callers/parse.py
+++ b/papayarelay/callers/parse.py
@@ -94,11 +94,15 @@
             for digest in organisation.key_sha256
         }
 
+    def get(self, key: str) -> Caller | None:
+        """Return the caller of a key, or None."""
+        digest = hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
+        return self._callers.get(digest)
+
     def find(self, authorization: str) -> Caller:
         """Return the caller; raises ``AuthenticationError``."""
         scheme, _, key = authorization.partition(" ")
-        digest = hashlib.sha256(key.strip().encode()).hexdigest()
-        caller = self._callers.get(digest)
+        caller = self.get(key.strip())
         if scheme.lower() != "bearer" or caller is None:
             raise AuthenticationError(
                 "API key is missing or not known", step="authenticate", peer="caller"
--- a/papayarelay/callers/record.py
+++ b/papayarelay/callers/record.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterator
 
-from ..backends.stream import Chunk
+from ..backends.protocol import Chunk
 from ..errors import Outcome, OverloadError, RelayError, StoreError
 from ..events import Event
 from ..logs import log
--- a/papayarelay/config.py
+++ b/papayarelay/config.py
@@ -17,6 +17,7 @@
     suggest,
 )
 from .request import RequestKind
+from .timing import EngineTiming
 
 SECTIONS = ("members", "kinds", "data_centres", "backends", "models", "limits")
 TARGETS = ("engine", "service")
@@ -32,11 +33,15 @@
 
 @dataclass(frozen=True)
 class Organisation:
-    """A caller organisation of a member and the digests of its API keys."""
+    """A caller organisation of a member and the digests of its API keys.
+
+    ``priority`` replaces that of the kind of request; None means that it does not.
+    """
 
     name: str
     weight: float = 1.0
     key_sha256: tuple[str, ...] = ()
+    priority: int | None = None
 
 
 @dataclass(frozen=True)
@@ -63,6 +68,8 @@
 
     An engine serves ``models``, a plain service serves ``kinds``.
     ``cold_bound_tokens`` is the work that an engine in cold start may hold.
+    ``service`` is the group that it belongs to, and ``slots`` the number of
+    requests that it runs at once; 0 means that this is not known.
     """
 
     id: str
@@ -74,6 +81,55 @@
     state: str = "active"
     checks_fencing: bool = False
     cold_bound_tokens: int = 8192
+    service: str = ""
+    slots: int = 0
+
+
+@dataclass(frozen=True)
+class Service:
+    """A group of like backend servers.
+
+    ``max_connections`` bounds the connections of all nodes to one server, and
+    ``cold_per_s`` the requests that a server in cold start takes in a second;
+    0 means that there is no bound.  ``timing`` is how its engines work.
+    """
+
+    name: str
+    max_connections: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+    timing: EngineTiming | None = None
+
+
+@dataclass(frozen=True)
+class WeightedService:
+    """A service and its part of the requests of a route."""
+
+    service: str
+    weight: float = 1.0
+
+
+@dataclass(frozen=True)
+class Route:
+    """Where requests to a host and a path prefix go; ``public`` needs no key."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    services: tuple[WeightedService, ...]
+    public: bool = False
+    stream: bool = False
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """Bounds on what a caller may send and how long it may take or stay idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4 << 20
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
 
 
 @dataclass(frozen=True)
@@ -93,7 +149,11 @@
 
 @dataclass(frozen=True)
 class Config:
-    """One version of the configuration; each section is a mapping by name."""
+    """One version of the configuration; each section is a mapping by name.
+
+    ``services``, ``routes`` and ``caller_limits`` are for requests that are
+    passed on as they are.
+    """
 
     version: int = 0
     members: Mapping[str, MemberConfig] = field(default_factory=dict)
@@ -102,6 +162,9 @@
     backends: Mapping[str, Backend] = field(default_factory=dict)
     models: Mapping[str, Model] = field(default_factory=dict)
     limits: Limits = field(default_factory=Limits)
+    services: Mapping[str, Service] = field(default_factory=dict)
+    routes: tuple[Route, ...] = ()
+    caller_limits: CallerLimits = field(default_factory=CallerLimits)
 
 
 def parse_document(text: str, version: int = 0) -> Config:
--- a/papayarelay/cost.py
+++ b/papayarelay/cost.py
@@ -14,10 +14,16 @@
 
 @dataclass(frozen=True)
 class Cost:
-    """Work of one request in tokens: prefill, decode and KV memory held."""
+    """Work of one request in tokens: prefill, decode and KV memory held.
+
+    ``target_s`` is the time within which the first event is in time and
+    ``gap_target_s`` the longest such pause between events, 0 for none.
+    """
 
     prefill_tokens: int
     decode_tokens: int
+    target_s: float = 0.0
+    gap_target_s: float = 0.0
 
     @property
     def kv_tokens(self) -> int:
@@ -37,4 +43,9 @@
 
 def estimate_cost(request: Request) -> Cost:
     """Return the cost of a request without any cached prefix."""
-    return Cost(request.prompt_tokens, request.max_tokens)
+    return Cost(
+        request.prompt_tokens,
+        request.max_tokens,
+        request.kind.target_s,
+        request.kind.gap_target_s,
+    )
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -10,13 +10,13 @@
 
 from .backends import engine, service
 from .backends.monitor import StreamMonitor
-from .backends.stream import KEEP_ALIVE, Chunk, StreamCounters
+from .backends.protocol import KEEP_ALIVE, Attempt, Chunk, Helper, StreamCounters
 from .backends.table import BackendEntry
 from .cost import Cost, estimate_cost
 from .errors import BackendError, DeadlineError, Outcome, OverloadError, RelayError
 from .events import Event
 from .logs import log
-from .request import Request
+from .request import Request, RequestKind
 from .retry import RetryBudget
 from .scheduler import Grant, Scheduler, Ticket
 
@@ -26,6 +26,15 @@
 # spread; after that the caller learns of the failure.
 RETRY_WAIT_S = 2.0
 RETRY_TICK_S = 0.1
+# Servers that one request is offered to before the caller learns of the failure.
+MAX_SERVERS_TRIED = 6
+# An engine that is silent for this many times the longest pause of a stream has
+# failed, but no sooner than after the least silence: a long read may hold it up.
+SILENT_PAUSES = 3.0
+LEAST_SILENCE_S = 1.0
+# The same for the first event, in times that were expected and in targets.
+SILENT_EXPECTATIONS = 2.0
+SILENT_TARGETS = 3.0
 
 
 class DispatchGuard(Protocol):
@@ -57,7 +66,12 @@
 
     received: int = 0
     tried: set[str] = field(default_factory=set)
-    may_have_run: bool = False
+    runs: int = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an attempt may have run."""
+        return self.runs > 0
 
     def correct(self, error: RelayError) -> None:
         """Give the final error the outcome of all attempts together."""
@@ -98,7 +112,7 @@
         only when no attempt may have run.
         """
         self._budget.record_request(self._clock())
-        progress = _Progress()
+        progress = _Progress(received=request.resume_from)
         try:
             while True:
                 ticket = self._offer(request, progress)
@@ -132,7 +146,7 @@
                 try:
                     while (grant := ticket.wait(QUEUE_TICK_S)) is None:
                         pass
-                    return self._call_once(grant.entry, request, guard)
+                    return self._call_once(grant, request, progress, guard)
                 except BackendError as error:
                     failure = error
                 finally:
@@ -164,7 +178,8 @@
             with engine.open_stream(
                 entry.pool,
                 request,
-                progress.received,
+                self._describe(grant, request, progress),
+                allowed_silence(request.kind, grant.placement.expected_s),
                 self.counters,
                 self._monitor,
                 self._clock,
@@ -178,7 +193,7 @@
             if error.outcome is Outcome.NOT_RUN:
                 guard.undo()
             if isinstance(error, BackendError):
-                self._record_failure(entry)
+                self._record_failure(entry, error)
                 self._check_deadline(request, entry.id)
             raise
         now_s = self._clock()
@@ -187,20 +202,37 @@
         entry.warm_up.record_success(tokens, True, now_s)
 
     def _call_once(
-        self, entry: BackendEntry, request: Request, guard: DispatchGuard
+        self, grant: Grant, request: Request, progress: _Progress, guard: DispatchGuard
     ) -> service.ServiceAnswer:
+        entry = grant.entry
         guard.begin()
+        attempt = self._describe(grant, request, progress)
         try:
-            answer = service.call(entry.pool, request, self._clock())
+            answer = service.call(entry.pool, request, attempt)
         except RelayError as error:
             if error.outcome is Outcome.NOT_RUN:
                 guard.undo()
-            self._record_failure(entry)
+            self._record_failure(entry, error)
             raise
         entry.circuit.record_success(self._clock())
         return answer
 
-    def _record_failure(self, entry: BackendEntry) -> None:
+    def _describe(self, grant: Grant, request: Request, progress: _Progress) -> Attempt:
+        """Return what the next attempt tells its server."""
+        helpers = tuple(Helper(entry.pool.address) for entry, _ in grant.helpers)
+        return Attempt(
+            backend_id=grant.entry.id,
+            address=grant.entry.pool.address,
+            received=progress.received,
+            time_left_s=request.time_left_s(self._clock()),
+            priority=request.kind.priority,
+            helpers=helpers,
+        )
+
+    def _record_failure(self, entry: BackendEntry, error: RelayError) -> None:
+        if getattr(error, "refused", False):
+            # A server that says that it is full works.
+            return
         now_s = self._clock()
         entry.circuit.record_failure(now_s)
         entry.warm_up.record_failure(now_s)
@@ -225,12 +257,16 @@
         """
         first = grant.entry.id not in progress.tried
         progress.tried.add(grant.entry.id)
-        progress.may_have_run |= error.outcome is not Outcome.NOT_RUN
+        progress.runs += error.outcome is not Outcome.NOT_RUN
         if progress.may_have_run and not request.kind.idempotent:
             raise error
+        if 0 < request.kind.max_attempts <= progress.runs:
+            raise error
+        if len(progress.tried) >= MAX_SERVERS_TRIED:
+            raise error
         # A refused connection costs the server nothing, and each is tried once.
-        refused = isinstance(error, BackendError) and error.outcome is Outcome.NOT_RUN
-        allowed = first and refused
+        unsent = isinstance(error, BackendError) and error.outcome is Outcome.NOT_RUN
+        allowed = first and unsent and not error.refused
         end_s = min(self._clock() + RETRY_WAIT_S, request.deadline_s)
         while not allowed and not self._budget.allow(self._clock()):
             if self._clock() >= end_s:
@@ -247,6 +283,17 @@
             )
 
 
+def allowed_silence(kind: RequestKind, expected_s: float) -> engine.Silence:
+    """Return how long an engine may be silent before it counts as failed."""
+    if not kind.gap_target_s:
+        return engine.Silence()
+    idle_s = max(LEAST_SILENCE_S, SILENT_PAUSES * kind.gap_target_s)
+    first_s = SILENT_TARGETS * kind.target_s
+    if expected_s:
+        first_s = max(first_s, SILENT_EXPECTATIONS * expected_s)
+    return engine.Silence(max(LEAST_SILENCE_S, first_s), idle_s)
+
+
 def _cost_of(request: Request) -> Cost:
     """Return the cost in tokens; a plain service has none."""
     if request.kind.target == "engine":
--- a/papayarelay/errors.py
+++ b/papayarelay/errors.py
@@ -105,11 +105,24 @@
 
 
 class BackendError(RelayError):
-    """A backend server failed or broke its stream."""
+    """A backend server failed or broke its stream.
+
+    ``refused`` says that the server itself has answered that it did not run the
+    request.  ``answer`` is the server's own answer, where it may be passed on.
+    """
 
     status = 502
     code = "backend_error"
     default_retry_after_s = RETRY_AFTER_S
+    refused = False
+    answer: object | None = None
+
+
+class CallerGoneError(RelayError):
+    """The caller closed its connection before the answer was complete."""
+
+    status = 502
+    code = "caller_gone"
 
 
 class DeadlineError(RelayError):
--- a/papayarelay/events.py
+++ b/papayarelay/events.py
@@ -142,6 +142,24 @@
         "stream resumed",
         "An answer continues on another engine from the tokens received.",
     )
+    BACKEND_STATE = (
+        1208,
+        "info",
+        "backend server listed",
+        "The list names a new backend server, or another state of a known one.",
+    )
+    BACKEND_REMOVED = (
+        1209,
+        "info",
+        "backend server removed",
+        "A backend server is in the list no more and gets no new work.",
+    )
+    BACKEND_ENTRY_UNREADABLE = (
+        1210,
+        "warning",
+        "entry left aside",
+        "An entry of the list of backend servers cannot be read and names no server.",
+    )
 
     REQUEST_FINISHED = (
         1301,
@@ -187,6 +205,19 @@
         "The table service answers again.",
     )
 
+    STORE_HISTORY_GONE = (
+        1403,
+        "warning",
+        "history gone",
+        "The store no longer has the changes since version; all rows are read again.",
+    )
+    STORE_READ_OLD = (
+        1404,
+        "warning",
+        "old rows left aside",
+        "The store answered with rows older than those known; they are not used.",
+    )
+
     PEER_LOST = (
         1501,
         "warning",
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import json
 import random
 import signal
@@ -15,8 +14,6 @@
 
 from .admission import AdmissionQueue
 from .backends.load import LoadReport
-from .backends.monitor import StreamMonitor
-from .backends.table import BackendTable
 from .backends.watcher import Watcher
 from .callers.api import CallerApi
 from .callers.body import BodyLimits, BodyMemory
@@ -27,7 +24,6 @@
 from .claim import Claims
 from .config import Config
 from .config_feed import ConfigFeed
-from .dispatch import Dispatcher
 from .drain import Drains
 from .events import Event as LogEvent
 from .housekeeping import Housekeeping
@@ -36,16 +32,15 @@
 from .metrics import Metrics
 from .nodes.peering import Peering
 from .operators.api import OperatorApi
+from .process import log_task_failure, tune_collector
 from .retry import RetryBudget
 from .routing import POLICIES
-from .scheduler import Scheduler
+from .serving import Serving
 from .settings import Settings
 from .stalls import StallMeter
 from .store.client import TableClient
 
 START_RETRY_S = 0.5
-GC_ALLOCATIONS = 20_000
-WITHOUT_PLACE = "unknown"
 
 
 class Node:
@@ -65,20 +60,18 @@
         self.metrics = Metrics()
         self._stalls = StallMeter()
         self.store = TableClient(settings.store_url, settings.store_timeout_s)
-        self.backends = BackendTable(self._rng)
-        policy = POLICIES[settings.routing_policy]()
-        self.scheduler = Scheduler(
-            self.backends, policy, AdmissionQueue(), self._rng, clock
-        )
-        self._monitor = StreamMonitor(clock)
-        self._watcher = Watcher(self.backends, self._record_load, self._rng, clock)
-        self.dispatcher = Dispatcher(
-            self.scheduler,
-            self._monitor,
+        self._serving = Serving(
+            POLICIES[settings.routing_policy](),
+            AdmissionQueue(),
             RetryBudget(),
-            self._watcher.read_soon,
+            self._rng,
             clock,
+            on_failure=self._read_load_soon,
         )
+        self.backends = self._serving.backends
+        self.scheduler = self._serving.scheduler
+        self.dispatcher = self._serving.dispatcher
+        self._watcher = Watcher(self.backends, self._record_load, self._rng, clock)
         self.feed = ConfigFeed(
             self.store,
             self._apply_config,
@@ -153,8 +146,7 @@
         while not self._get_config():
             gevent.sleep(START_RETRY_S)
         self.feed.start()
-        self.scheduler.start()
-        self._monitor.start()
+        self._serving.start()
         self._housekeeping.start()
         self.gate.ready = True
         log(LogEvent.NODE_READY, version=self.feed.config.version)
@@ -189,14 +181,12 @@
     def close(self) -> None:
         """End all parts at once."""
         self.feed.close()
-        self.scheduler.close()
-        self._monitor.close()
         self._housekeeping.close()
         self._watcher.close()
         self.peering.close()
         self._server.close()
         self._operator_server.stop(timeout=0)
-        self.backends.close()
+        self._serving.close()
         self.store.close()
         self._stalls.close()
 
@@ -339,6 +329,9 @@
     def _publish_config(self, version: int, sections: Mapping[str, str]) -> None:
         self.peering.publish_config(version, sections)
 
+    def _read_load_soon(self, backend_id: str) -> None:
+        self._watcher.read_soon(backend_id)
+
     def _record_load(self, backend_id: str, load: LoadReport, now_s: float) -> None:
         self.backends.record_load(backend_id, load, now_s)
         self.backends.record_rate(backend_id, load.prefill_tokens_per_s, now_s)
@@ -354,7 +347,7 @@
     """
     set_up_logs(settings.name, settings.log_level)
     tune_collector()
-    gevent.get_hub().print_exception = _log_task_failure
+    gevent.get_hub().print_exception = log_task_failure
     node = Node(settings, _read_token(settings))
     stopping, ending = Event(), Event()
 
@@ -380,27 +373,6 @@
     return 1 if interrupted else 0
 
 
-def tune_collector() -> None:
-    """Make the garbage collector run rarely and skip what lives for good.
-
-    A full collection of a node with many streams pauses all of them.
-    """
-    gc.freeze()
-    gc.set_threshold(GC_ALLOCATIONS, 20, 100)
-
-
-def _log_task_failure(context, kind, error, traceback) -> None:
-    """Log an error that ended a task; replaces gevent's traceback."""
-    frame = traceback
-    while frame is not None and frame.tb_next is not None:
-        frame = frame.tb_next
-    place = WITHOUT_PLACE
-    if frame is not None:
-        name = frame.tb_frame.f_globals.get("__name__", "")
-        place = f"{name}:{frame.tb_lineno}"
-    log(LogEvent.TASK_FAILED, task=place, error=error)
-
-
 def _read_token(settings: Settings) -> str:
     if not settings.operator_token_file:
         return ""
--- /dev/null
+++ b/papayarelay/nodes/board.py
@@ -0,0 +1,217 @@
+"""Tells the other nodes at once which work this node has on the engines.
+
+Each node sends the whole of its unfinished work in one datagram, soon after a
+change and at least every heartbeat.  A datagram that is lost is made good by
+the next one, and there are no connections that could go silent.
+"""
+
+from __future__ import annotations
+
+import random
+import socket
+from collections.abc import Callable, Mapping
+
+import gevent
+import gevent.event
+import msgspec
+
+from ..guard import run_step
+from ..routing import EngineWork
+
+# Changes within this time share a datagram.
+BATCH_S = 0.02
+HEARTBEAT_S = 0.5
+# A node that is silent for this long has no work any more.
+SILENCE_S = 2.0
+# A node that is silent for this long does not count as live.
+GONE_S = 5.0
+DATAGRAM_BYTES = 60_000
+
+
+class _Figures(msgspec.Struct, array_like=True):
+    """Work on one backend server; ``reading_ms`` is what is left to read."""
+
+    backend: str
+    writers: int
+    reads: int
+    reading_ms: int
+    tokens: int
+
+
+class _Message(msgspec.Struct, array_like=True):
+    """The work of a node; ``start`` tells its starts apart, ``number`` orders."""
+
+    sender: str
+    start: int
+    number: int
+    leaving: bool
+    work: list[_Figures]
+
+
+_DECODER = msgspec.msgpack.Decoder(_Message)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class _Peer:
+    """What is known of another node."""
+
+    def __init__(self, address: tuple[str, int]):
+        self.address = address
+        self.start = 0
+        self.number = -1
+        self.heard_s: float | None = None
+
+
+class WorkBoard:
+    """Sends the work of this node to its peers, and takes theirs.
+
+    ``own_work`` returns it by server id; ``take`` is called with a peer's name
+    and its work, ``drop`` with the name of a peer that is gone, ``on_count`` when
+    the number of live nodes has changed.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: tuple[str, int],
+        own_work: Callable[[], Mapping[str, EngineWork]],
+        take: Callable[[str, Mapping[str, EngineWork]], None],
+        drop: Callable[[str], None],
+        on_count: Callable[[int], None],
+        rng: random.Random,
+        clock: Callable[[], float],
+    ):
+        self.malformed = 0
+        self._name = name
+        self._address = address
+        self._own_work = own_work
+        self._take = take
+        self._drop = drop
+        self._on_count = on_count
+        self._clock = clock
+        self._start = rng.getrandbits(62)
+        self._number = 0
+        self._leaving = False
+        self._peers: dict[str, _Peer] = {}
+        self._count = 1
+        self._sock: socket.socket | None = None
+        self._changed = gevent.event.Event()
+        self._tasks: list[gevent.Greenlet] = []
+
+    @property
+    def live_names(self) -> list[str]:
+        """Return the peers that were heard lately."""
+        now_s = self._clock()
+        return sorted(
+            name
+            for name, peer in self._peers.items()
+            if peer.heard_s is not None and now_s - peer.heard_s < GONE_S
+        )
+
+    def start(self) -> None:
+        """Begin to send and receive."""
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.bind(self._address)
+        self._tasks = [gevent.spawn(self._receive), gevent.spawn(self._send)]
+
+    def close(self) -> None:
+        """Say that this node leaves, and end."""
+        self._leaving = True
+        if self._sock is not None:
+            run_step(self._send_all)
+        gevent.killall(self._tasks)
+        if self._sock is not None:
+            self._sock.close()
+
+    def add_peer(self, name: str, address: tuple[str, int]) -> None:
+        """Send to a node from now on."""
+        if name != self._name and name not in self._peers:
+            self._peers[name] = _Peer(address)
+            self._changed.set()
+
+    def changed(self) -> None:
+        """Note that the work of this node has changed."""
+        self._changed.set()
+
+    def _send(self) -> None:
+        while True:
+            self._changed.wait(HEARTBEAT_S)
+            gevent.sleep(BATCH_S)
+            self._changed.clear()
+            run_step(self._send_all)
+            run_step(self._check_peers)
+
+    def _send_all(self) -> None:
+        if not self._peers:
+            return
+        work = [
+            _Figures(
+                backend_id,
+                each.writers,
+                each.reads,
+                int(each.reading_s * 1000),
+                each.tokens,
+            )
+            for backend_id, each in self._own_work().items()
+        ]
+        self._number += 1
+        message = _Message(self._name, self._start, self._number, self._leaving, work)
+        data = _ENCODER.encode(message)
+        for peer in list(self._peers.values()):
+            self._send_to(data, peer.address)
+
+    def _send_to(self, data: bytes, address: tuple[str, int]) -> None:
+        try:
+            self._sock.sendto(data, address)
+        except OSError:
+            # An address that cannot be reached now is tried again with the
+            # next datagram.
+            return
+
+    def _receive(self) -> None:
+        while True:
+            data, address = self._sock.recvfrom(DATAGRAM_BYTES)
+            try:
+                message = _DECODER.decode(data)
+            except msgspec.MsgspecError:
+                self.malformed += 1
+                continue
+            run_step(self._accept, message, address)
+
+    def _accept(self, message: _Message, address: tuple[str, int]) -> None:
+        if message.sender == self._name:
+            return
+        peer = self._peers.get(message.sender)
+        if peer is None:
+            peer = self._peers[message.sender] = _Peer(address)
+            self._changed.set()
+        if message.start == peer.start and message.number <= peer.number:
+            return
+        peer.address = address
+        peer.start, peer.number = message.start, message.number
+        peer.heard_s = self._clock()
+        if message.leaving:
+            del self._peers[message.sender]
+            self._drop(message.sender)
+        else:
+            work = {
+                each.backend: EngineWork(
+                    each.writers, each.reads, each.reading_ms / 1000, each.tokens
+                )
+                for each in message.work
+            }
+            self._take(message.sender, work)
+        self._recount()
+
+    def _check_peers(self) -> None:
+        now_s = self._clock()
+        for name, peer in self._peers.items():
+            if peer.heard_s is not None and now_s - peer.heard_s > SILENCE_S:
+                self._drop(name)
+        self._recount()
+
+    def _recount(self) -> None:
+        count = 1 + len(self.live_names)
+        if count != self._count:
+            self._count = count
+            self._on_count(count)
--- /dev/null
+++ b/papayarelay/placing.py
@@ -0,0 +1,138 @@
+"""Where a request runs: the engine that answers it and those that help.
+
+Placing answers to streams of very unlike prompts on the same engines: a pass
+that reads a long part holds up every stream that is being written there.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import singledispatch
+
+from .cost import Cost
+from .routing import BackendView, choose
+
+MAX_HELPERS = 16
+
+
+@dataclass(frozen=True)
+class Placement:
+    """The engine that answers a request, and the helpers that read with it.
+
+    ``read_s`` is the time that each part takes to be read, ``expected_s`` the
+    time to the first event; 0 where nothing is known.
+    """
+
+    backend_id: str
+    helpers: tuple[str, ...] = ()
+    read_s: float = 0.0
+    expected_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class Packed:
+    """Packs short prompts on few engines and splits long ones over the others.
+
+    A step takes nearly the same time for one stream as for eight, so packing
+    leaves engines without streams, which read long parts at full speed.
+
+    A prompt over ``part_tokens`` is split.  Short prompts leave ``spare_slots``
+    free.  ``writer_s`` is the weight of a stream on an engine that is to read a
+    long part.  An expected time to the first event above ``target_part`` of the
+    target, or a pass longer than ``gap_part`` of the longest pause, is avoided.
+    """
+
+    part_tokens: int = 20_000
+    max_parts: int = 8
+    spare_slots: int = 2
+    writer_s: float = 0.05
+    target_part: float = 0.7
+    gap_part: float = 0.8
+
+
+@singledispatch
+def place(
+    policy: object,
+    cost: Cost,
+    views: Sequence[BackendView],
+    now_s: float,
+    rng: random.Random,
+) -> Placement | None:
+    """Return where a request runs, or None while no server has room."""
+    view = choose(policy, cost, views, now_s, rng)
+    return None if view is None else Placement(view.id)
+
+
+@place.register
+def _(policy: Packed, cost, views, now_s, rng):
+    if not views:
+        return None
+    warm = [view for view in views if not view.cold] or views
+    if warm[0].timing is None:
+        view = min(warm, key=lambda each: (_fill(each), rng.random()))
+        return Placement(view.id)
+    if cost.prefill_tokens > policy.part_tokens:
+        return _split(policy, cost, warm, rng)
+    return _pack(policy, cost, warm, rng)
+
+
+def _fill(view: BackendView) -> float:
+    return (view.work.writers + 1) / max(1, view.slots)
+
+
+def _pack(
+    policy: Packed, cost: Cost, views: Sequence[BackendView], rng: random.Random
+) -> Placement:
+    """Return the fullest engine on which a short prompt is in time."""
+    good = []
+    others = []
+    for view in views:
+        read_s = view.timing.read_s(cost.prefill_tokens)
+        expected_s = _first_event_s(view, cost, read_s)
+        placement = Placement(view.id, (), read_s, expected_s)
+        work = view.work
+        crowded = work.writers + policy.spare_slots >= view.slots
+        slow = expected_s > policy.target_part * cost.target_s > 0
+        pause_s = _pass_s(view, cost) + work.reading_s + read_s
+        paused = pause_s > policy.gap_part * cost.gap_target_s > 0
+        if crowded or slow or paused:
+            full = work.writers >= view.slots
+            others.append((full, expected_s, rng.random(), placement))
+        else:
+            good.append((-work.writers, rng.random(), placement))
+    return min(good)[-1] if good else min(others)[-1]
+
+
+def _split(
+    policy: Packed, cost: Cost, views: Sequence[BackendView], rng: random.Random
+) -> Placement:
+    """Return the emptiest engines that together read a long prompt in time."""
+    ranked = sorted(
+        views,
+        key=lambda view: (
+            view.work.writers >= view.slots,
+            view.work.reading_s + policy.writer_s * view.work.writers,
+            rng.random(),
+        ),
+    )
+    wanted = -(-cost.prefill_tokens // policy.part_tokens)
+    parts = max(1, min(wanted, policy.max_parts, len(ranked)))
+    chosen = ranked[:parts]
+    read_s = chosen[0].timing.read_s(cost.prefill_tokens, parts)
+    expected_s = max(_first_event_s(view, cost, read_s) for view in chosen)
+    helpers = tuple(view.id for view in chosen[1:])
+    return Placement(chosen[0].id, helpers, read_s, expected_s)
+
+
+def _pass_s(view: BackendView, cost: Cost) -> float:
+    tokens = view.work.tokens + cost.kv_tokens
+    return view.timing.pass_s(view.work.writers + 1, tokens)
+
+
+def _first_event_s(view: BackendView, cost: Cost, read_s: float) -> float:
+    """Return the expected time to the first event of a request."""
+    pass_s = _pass_s(view, cost)
+    running_s = pass_s / 2 if view.work.writers else 0.0
+    return running_s + view.work.reading_s + read_s + pass_s
--- /dev/null
+++ b/papayarelay/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between papayarelay and the users' platform."""
--- /dev/null
+++ b/papayarelay/platform/config.py
@@ -0,0 +1,249 @@
+"""The configuration and the list of backend servers in the platform's store."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from ..config import (
+    Backend,
+    CallerLimits,
+    Config,
+    DataCentre,
+    MemberConfig,
+    Organisation,
+    Route,
+    Service,
+    WeightedService,
+)
+from ..request import RequestKind
+from ..timing import EngineTiming
+
+# The platform knows organisations only, so all belong to one member.
+MEMBER = "federation"
+MS = 0.001
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    # ``idempotent``, ``non_idempotent`` or ``streaming``.
+    kind: str
+    timeout_ms: float
+    # The time within which an answer earns its full worth, not a limit.
+    target_latency_ms: float = 0.0
+    priority: int = 1
+    service: str = ""
+    # In place of ``service`` where the requests of a route are divided.
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    # No key is needed.
+    public: bool = False
+    resumable: bool = False
+    # The longest pause between two events of a stream that is in time.
+    gap_aim_ms: float = 0.0
+
+
+class _Usual(msgspec.Struct, frozen=True):
+    prompt: float = 10_000.0
+    answer: float = 1_000.0
+
+
+class _Engine(msgspec.Struct):
+    kv_tokens: int = 0
+    slots: int = 8
+    stride: int = 1
+    step_ms: float = 1.0
+    per_seq_ms: float = 0.0
+    # Milliseconds a step for each 1,000 tokens of context.
+    context_per_k: float = 0.0
+    read_per_s: float = 20_000.0
+    # Milliseconds for a million pairs of a token and an earlier one.
+    pairs_per_m: float = 0.0
+    # The most prompt tokens that are read in a step.
+    chunk: int = 2048
+    hop_ms: float = 0.0
+    usual: _Usual = _Usual()
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4 << 20
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class Document(msgspec.Struct):
+    """The whole configuration as operators write it."""
+
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+    # None where callers need no keys.
+    tenants: list[_Tenant] | None = None
+
+
+class ServerEntry(msgspec.Struct):
+    """What a backend server says of itself in the list."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 0
+    # How much longer it is in cold start, as of its last report.
+    cold_remaining_ms: float = 0.0
+    # Unix milliseconds of its start; a start under the same id begins anew.
+    born: int = 0
+
+
+DOCUMENTS = msgspec.json.Decoder(Document)
+ENTRIES = msgspec.json.Decoder(ServerEntry)
+STATES = {"ready": "active", "draining": "leaving"}
+
+
+def read_entry(value: bytes) -> ServerEntry | None:
+    """Return a server's entry, or None where another writer has made it."""
+    try:
+        entry = ENTRIES.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    host, _, port = entry.address.rpartition(":")
+    if entry.state not in STATES or not host or not port.isdigit():
+        return None
+    return entry
+
+
+def to_config(
+    document: Document,
+    entries: Mapping[str, ServerEntry],
+    data_centres: Iterable[str],
+    evacuated: frozenset[str],
+    region: str = "",
+) -> Config:
+    """Return the configuration in the product's own types."""
+    services = {each.name: _to_service(each) for each in document.services}
+    names = {*data_centres, *(each.zone for each in entries.values())}
+    return Config(
+        version=document.version,
+        members=_to_members(document.tenants),
+        data_centres={
+            name: DataCentre(name, region, "drained" if name in evacuated else "active")
+            for name in sorted(names)
+        },
+        backends={
+            server_id: _to_backend(server_id, entry, services[entry.service])
+            for server_id, entry in entries.items()
+            if entry.service in services
+        },
+        services=services,
+        routes=tuple(_to_route(each, services) for each in document.routes),
+        caller_limits=_to_limits(document.limits),
+    )
+
+
+def _to_service(service: _Service) -> Service:
+    engine = service.engine
+    timing = None
+    if engine is not None:
+        timing = EngineTiming(
+            kv_tokens=engine.kv_tokens,
+            slots=engine.slots,
+            stride=engine.stride,
+            step_s=engine.step_ms * MS,
+            sequence_s=engine.per_seq_ms * MS,
+            context_s=engine.context_per_k * MS / 1_000,
+            read_tokens_per_s=engine.read_per_s,
+            pair_s=engine.pairs_per_m * MS / 1_000_000,
+            chunk_tokens=engine.chunk,
+            hop_s=engine.hop_ms * MS,
+            usual_prompt_tokens=engine.usual.prompt,
+            usual_answer_tokens=engine.usual.answer,
+        )
+    return Service(
+        name=service.name,
+        max_connections=service.max_connections,
+        cold_start_s=service.cold_start_s,
+        cold_per_s=service.cold_per_s,
+        timing=timing,
+    )
+
+
+def _to_route(route: _Route, services: Mapping[str, Service]) -> Route:
+    split = [WeightedService(each.service, each.weight) for each in route.traffic_split]
+    weighted = tuple(split) or (WeightedService(route.service),)
+    stream = route.kind == "streaming"
+    first = services.get(weighted[0].service)
+    kind = RequestKind(
+        name=route.name,
+        target="engine" if first is not None and first.timing else "service",
+        idempotent=route.resumable if stream else route.kind == "idempotent",
+        deadline_s=route.timeout_ms * MS,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        target_s=route.target_latency_ms * MS,
+        gap_target_s=route.gap_aim_ms * MS,
+    )
+    return Route(
+        route.name, route.host, route.prefix, kind, weighted, route.public, stream
+    )
+
+
+def _to_backend(server_id: str, entry: ServerEntry, service: Service) -> Backend:
+    return Backend(
+        id=server_id,
+        target="engine" if service.timing else "service",
+        data_centre=entry.zone,
+        url=f"http://{entry.address}",
+        state=STATES[entry.state],
+        service=entry.service,
+        slots=entry.slots or (service.timing.slots if service.timing else 1),
+    )
+
+
+def _to_members(tenants: list[_Tenant] | None) -> dict[str, MemberConfig]:
+    if tenants is None:
+        return {}
+    organisations = {
+        tenant.name: Organisation(
+            tenant.name,
+            key_sha256=tuple(
+                hashlib.sha256(key.encode()).hexdigest() for key in tenant.api_keys
+            ),
+            priority=tenant.priority,
+        )
+        for tenant in tenants
+    }
+    return {MEMBER: MemberConfig(MEMBER, 1.0, organisations)}
+
+
+def _to_limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.header_timeout_ms * MS,
+        idle_timeout_s=limits.idle_timeout_ms * MS,
+    )
--- /dev/null
+++ b/papayarelay/platform/node.py
@@ -0,0 +1,225 @@
+"""A node on the platform: owns all parts of a running process."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from collections.abc import Callable, Mapping
+
+import gevent
+from gevent import pywsgi
+from gevent.event import Event
+
+from ..admission import AdmissionQueue
+from ..callers.body import BodyMemory
+from ..callers.gate import Gate
+from ..callers.gateway import Gateway
+from ..callers.record import RequestRecorder
+from ..config import Config
+from ..cost import Cost
+from ..events import Event as LogEvent
+from ..logs import log
+from ..metrics import Metrics
+from ..nodes.board import WorkBoard
+from ..placing import Packed
+from ..retry import RetryBudget
+from ..routing import EngineWork
+from ..serving import Serving
+from .feed import Feed
+from .roster import Roster
+from .settings import PlatformSettings
+from .store import StoreClient
+from .wire import PlatformDialect, PlatformProtocol
+
+READY_PATH = "/papayarelay/readyz"
+BODY_MEMORY_BYTES = 64 << 20
+# All nodes together use this part of the retries that are allowed.
+BUDGET_PART = 0.5
+# Keys are relied on until this long before their reading is too old.
+KEY_MARGIN_S = 0.4
+# The balancer has taken a stopping node out after this time.
+LEAVE_S = 2.3
+# Requests that are still running this long before the kill are cut off.
+KILL_MARGIN_S = 0.5
+METRICS_PORT = 9464
+
+
+class PlatformNode:
+    """One node; ``start`` serves callers, ``close`` ends everything."""
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        clock: Callable[[], float] = time.monotonic,
+        seed: int | None = None,
+    ):
+        self.settings = settings
+        self._clock = clock
+        self._rng = random.Random(seed)
+        bounds = settings.bounds
+        self.gate = Gate()
+        self.metrics = Metrics()
+        self._serving = Serving(
+            Packed(),
+            AdmissionQueue(service_s=_least_service_s),
+            RetryBudget(bounds.retry_ratio * BUDGET_PART, bounds.retry_window_s),
+            self._rng,
+            clock,
+            protocol=PlatformProtocol(),
+            on_work=self._tell_work,
+        )
+        self.store = StoreClient(settings.store_address)
+        self.feed = Feed(
+            self.store,
+            settings,
+            self._apply,
+            self._record_cold,
+            (settings.data_centre,),
+            clock,
+        )
+        self._board = WorkBoard(
+            settings.name,
+            (settings.ip, settings.first_port),
+            lambda: self._serving.backends.own_work(clock()),
+            self._take_work,
+            self._serving.backends.forget_peer,
+            self._share_bounds,
+            self._rng,
+            clock,
+        )
+        self._roster = Roster(
+            self.store,
+            settings.name,
+            f"{settings.ip}:{settings.first_port}",
+            self._board.add_peer,
+            self._rng,
+        )
+        self._gateway = Gateway(
+            settings.caller_address,
+            PlatformDialect(),
+            self._serving.dispatcher,
+            self.gate,
+            RequestRecorder(self.metrics, clock),
+            BodyMemory(BODY_MEMORY_BYTES),
+            self._keys_valid,
+            self._config_known,
+            self._rng,
+            clock,
+        )
+        self._ready_server = _create_server(settings.ready_address, self._serve_ready)
+        self._metrics_server = _create_server(
+            f"{settings.ip}:{METRICS_PORT}", self._serve_metrics
+        )
+        self._share_bounds(1)
+
+    def start(self) -> None:
+        """Start all parts; the node is ready once it has a configuration."""
+        self.store.start()
+        self._ready_server.start()
+        self._metrics_server.start()
+        self._serving.start()
+        self._gateway.start()
+        self._board.start()
+        self.feed.start()
+        self._roster.start()
+        log(LogEvent.NODE_STARTED, address=self.settings.caller_address)
+
+    def stop(self) -> None:
+        """Stop as planned: refuse new work, then finish what is in flight."""
+        end_s = self._clock() + self.settings.bounds.stop_s - KILL_MARGIN_S
+        self.gate.ready = False
+        self.gate.leaving = True
+        self._roster.leave()
+        gevent.sleep(LEAVE_S)
+        self._gateway.stop_listening()
+        self.gate.close()
+        self.gate.wait_until_empty(max(0.0, end_s - self._clock()))
+
+    def close(self) -> None:
+        """End all parts at once."""
+        self._roster.close()
+        self.feed.close()
+        self._board.close()
+        self._gateway.close()
+        self._serving.close()
+        self._ready_server.stop(timeout=0)
+        self._metrics_server.stop(timeout=0)
+        self.store.close()
+
+    def _apply(self, config: Config) -> None:
+        self._serving.backends.apply(config)
+        self._gateway.apply(config)
+        self._serving.scheduler.wake()
+
+    def _record_cold(self, backend_id: str, left_s: float) -> None:
+        self._serving.backends.record_cold(backend_id, left_s, self._clock())
+
+    def _tell_work(self) -> None:
+        self._board.changed()
+
+    def _take_work(self, peer: str, work: Mapping[str, EngineWork]) -> None:
+        self._serving.backends.set_peer_work(peer, work, self._clock())
+        self._serving.scheduler.wake()
+
+    def _share_bounds(self, nodes: int) -> None:
+        """Take this node's part of what is divided among the live nodes."""
+        self._serving.backends.set_node_count(nodes)
+        reserve = self.settings.bounds.retry_reserve
+        self._serving.budget.set_reserve(BUDGET_PART * reserve / nodes)
+
+    def _keys_valid(self) -> bool:
+        bounds = self.settings.bounds
+        if not bounds.revokes_when_cut_off:
+            return True
+        return self.feed.config_age_s() < bounds.revocation_s - KEY_MARGIN_S
+
+    def _config_known(self) -> bool:
+        bounds = self.settings.bounds
+        return self.feed.known and self.feed.config_age_s() < bounds.revocation_s
+
+    def _is_ready(self) -> bool:
+        if self.gate.leaving:
+            return False
+        ready = self.feed.known and self._keys_valid()
+        if ready and not self.gate.ready:
+            log(LogEvent.NODE_READY, version=self.feed.config.version)
+        self.gate.ready = ready
+        return ready
+
+    def _serve_ready(self, environ: dict, start_response: Callable) -> list[bytes]:
+        ready = environ["PATH_INFO"] == READY_PATH and self._is_ready()
+        status = "200 OK" if ready else "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return []
+
+    def _serve_metrics(self, environ: dict, start_response: Callable) -> list[bytes]:
+        start_response("200 OK", [("Content-Type", "text/plain; version=0.0.4")])
+        return [self.metrics.render()]
+
+
+def _least_service_s(cost: Cost) -> float:
+    """Return the time that a request takes at least; its engine refuses later."""
+    return 0.0
+
+
+def _create_server(address: str, app: Callable) -> pywsgi.WSGIServer:
+    host, _, port = address.rpartition(":")
+    return pywsgi.WSGIServer((host, int(port)), app, log=None, error_log=None)
+
+
+def run(settings: PlatformSettings) -> int:
+    """Run a node until SIGTERM or SIGINT; return the process exit code."""
+    node = PlatformNode(settings)
+    stopping = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopping.set)
+    node.start()
+    stopping.wait()
+    log(LogEvent.SHUTDOWN_STARTED, requests_count=node.gate.inflight)
+    node.stop()
+    interrupted = node.gate.inflight
+    node.close()
+    event = LogEvent.SHUTDOWN_FORCED if interrupted else LogEvent.SHUTDOWN_FINISHED
+    log(event, requests_count=interrupted)
+    return 1 if interrupted else 0
--- /dev/null
+++ b/papayarelay/platform/store.py
@@ -0,0 +1,186 @@
+"""Client of the platform's table store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import gevent
+import msgspec
+import urllib3
+
+from ..errors import Outcome, StoreError, StoreUnavailableError
+
+PATH = "/papayarelay"
+# Longer than a slow store needs, shorter than the time in which changes must be
+# in force.
+TIMEOUT_S = 0.8
+CONNECT_S = 0.4
+PAGE_ROWS = 500
+HISTORY_GONE = 410
+PEER = "store"
+
+
+class HistoryGoneError(StoreError):
+    """The changes that were asked for are no longer kept."""
+
+    code = "history_gone"
+
+
+@dataclass(frozen=True)
+class Row:
+    """A row; ``value`` is None where it cannot be read or was removed.
+
+    ``version`` counts the transactions of the whole store.
+    """
+
+    key: str
+    value: bytes | None
+    version: int
+    removed: bool = False
+
+
+@dataclass(frozen=True)
+class Rows:
+    """Rows as of a version of the store."""
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+class _Row(msgspec.Struct):
+    key: str = ""
+    value: str = ""
+    ver: int = 0
+    tombstone: bool = False
+
+
+class _Answer(msgspec.Struct):
+    rows: list[_Row] = []
+    ver: int = 0
+    truncated: bool = False
+
+
+_DECODER = msgspec.json.Decoder(_Answer)
+
+
+class StoreClient:
+    """Calls of one node to the store; ``calls`` counts them."""
+
+    def __init__(self, address: str):
+        self.calls = 0
+        self._address = address
+        self._pool: urllib3.HTTPConnectionPool | None = None
+
+    def start(self) -> None:
+        """Open the connection pool; connections are made on first use."""
+        host, _, port = self._address.rpartition(":")
+        self._pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=4, block=False, retries=False
+        )
+
+    def close(self) -> None:
+        """Close all connections."""
+        if self._pool is not None:
+            self._pool.close()
+
+    def read(self, table: str, timeout_s: float = TIMEOUT_S) -> Rows:
+        """Return all rows of a table as of one version; raises ``StoreError``.
+
+        Where the rows come in pages, the version is that of the first page.
+        """
+        rows: list[Row] = []
+        version = None
+        start = ""
+        while True:
+            query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
+            if start:
+                query["from"] = start
+            answer = self._call("GET", "/rows-get", query, timeout_s)
+            rows += [_read_row(each) for each in answer.rows]
+            version = answer.ver if version is None else version
+            if not answer.truncated or not answer.rows:
+                return Rows(tuple(rows), version)
+            start = answer.rows[-1].key + "\x00"
+
+    def changes(
+        self, table: str, after: int, wait_s: float, timeout_s: float = TIMEOUT_S
+    ) -> Rows:
+        """Return the rows that changed after a version, once there are any.
+
+        Raises ``HistoryGoneError`` and ``StoreError``.
+        """
+        query = {
+            "table": table,
+            "after": str(after),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        answer = self._call("GET", "/rows-feed", query, timeout_s + wait_s)
+        rows = tuple(_read_row(each) for each in answer.rows)
+        return Rows(rows, max(after, answer.ver))
+
+    def write(self, table: str, key: str, value: bytes) -> None:
+        """Write a row; raises ``StoreError``."""
+        encoded = base64.b64encode(value).decode()
+        row = {"table": table, "part": "", "key": key, "value": encoded}
+        self._transact({"expected_rev": [], "upserts": [row], "remove": []})
+
+    def remove(self, table: str, keys: Sequence[str]) -> None:
+        """Remove rows; raises ``StoreError``."""
+        rows = [{"table": table, "part": "", "key": key} for key in keys]
+        self._transact({"expected_rev": [], "upserts": [], "remove": rows})
+
+    def _transact(self, transaction: dict) -> None:
+        body = json.dumps(transaction).encode()
+        self._call("POST", "/rows-tx", None, TIMEOUT_S, body)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None,
+        timeout_s: float,
+        body: bytes | None = None,
+    ) -> _Answer:
+        self.calls += 1
+        headers = {"Content-Type": "application/json"} if body else {}
+        try:
+            with gevent.Timeout(timeout_s, TimeoutError):
+                response = self._pool.request(
+                    method,
+                    PATH + path,
+                    fields=query,
+                    body=body,
+                    headers=headers,
+                    redirect=False,
+                    timeout=urllib3.Timeout(connect=CONNECT_S, read=timeout_s),
+                )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise _error(f"no answer: {type(error).__name__}", path) from error
+        if response.status == HISTORY_GONE:
+            raise HistoryGoneError(
+                "history is gone", step=path, peer=PEER, outcome=Outcome.UNKNOWN
+            )
+        if response.status != 200:
+            raise _error(f"status {response.status}", path)
+        try:
+            return _DECODER.decode(response.data)
+        except msgspec.MsgspecError as error:
+            raise _error(f"malformed answer: {error}", path) from error
+
+
+def _read_row(row: _Row) -> Row:
+    try:
+        value = None if row.tombstone else base64.b64decode(row.value)
+    except binascii.Error:
+        value = None
+    return Row(row.key, value, row.ver, row.tombstone)
+
+
+def _error(message: str, step: str) -> StoreUnavailableError:
+    return StoreUnavailableError(
+        message, step=step.strip("/"), peer=PEER, outcome=Outcome.UNKNOWN
+    )
--- /dev/null
+++ b/papayarelay/platform/wire.py
@@ -0,0 +1,200 @@
+"""Headers of the platform's requests and answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..backends.connection import RequestHead
+from ..backends.pool import Answer
+from ..backends.protocol import (
+    Attempt,
+    Chunk,
+    Protocol,
+    StreamCounters,
+    check,
+    encode,
+    event_reader,
+)
+from ..backends.service import ServiceAnswer
+from ..callers.gateway import CallerDialect, CallerFields, end_to_end
+from ..errors import BackendError, Outcome, RequestError
+from ..request import Headers, Request
+
+REQUEST_ID = b"X-Attempt-Id"
+API_KEY = b"X-Key"
+ORGANISATION = b"X-Tenant"
+# What the caller will wait on a request, what is left of that on an attempt.
+TIME_LEFT = b"X-Deadline-Ms"
+MODEL = b"X-Model"
+# Prompt tokens and the most output tokens.
+TOKENS = b"X-Token-Counts"
+BACKEND_ID = b"X-Expect-Instance"
+# The digest of an answer, without which it is not the backend server's.
+SEAL = b"X-Response-Seal"
+# Says that a request has not run.
+NOT_RUN = b"X-Not-Executed"
+PRIORITY = b"X-Request-Priority"
+HELPERS = b"X-Helpers"
+LAST_EVENT = b"Last-Event-Id"
+# Set by this system, whatever the caller sends.
+OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        API_KEY,
+        ORGANISATION,
+        TIME_LEFT,
+        BACKEND_ID,
+        PRIORITY,
+        HELPERS,
+        LAST_EVENT,
+        b"Expect",
+    )
+)
+OTHER_INSTANCE = 421
+MOST_PRIORITY = 9
+ID_PREFIX = b"id:"
+
+
+class PlatformDialect(CallerDialect):
+    """Reads the headers of callers' requests."""
+
+    def read(self, headers: Headers) -> CallerFields:
+        """Return what the headers say; raises ``RequestError``."""
+        values = {name.lower(): value for name, value in headers}
+        request_id = _text(values, REQUEST_ID)
+        if not request_id:
+            raise RequestError("request has no id", step="parse", peer="caller")
+        prompt, answer = _token_counts(_text(values, TOKENS))
+        allowed_ms = _number(_text(values, TIME_LEFT))
+        kept = tuple(
+            item for item in end_to_end(headers) if item[0].lower() not in OWN_HEADERS
+        )
+        return CallerFields(
+            request_id=request_id,
+            key=_text(values, API_KEY),
+            allowed_s=None if allowed_ms is None else allowed_ms / 1000,
+            model=_text(values, MODEL),
+            prompt_tokens=prompt,
+            max_tokens=answer,
+            resume_from=_number(_text(values, LAST_EVENT)) or 0,
+            headers=kept,
+        )
+
+
+@dataclass(frozen=True)
+class PlatformProtocol(Protocol):
+    """How requests are put for the platform's backend servers."""
+
+    answers = REQUEST_ID.lower()
+
+
+class EventReader:
+    """Reads the events of a stream; ``offset`` is the id of the last one."""
+
+    needs_end = False
+
+    def __init__(self, answer: Answer, received: int, counters: StreamCounters):
+        self.offset = received
+        self._head = answer.head
+        self._peer = answer.connection.peer
+        self._counters = counters
+
+    def is_end(self, event: bytes) -> bool:
+        """Return False: the stream ends with its body."""
+        return False
+
+    def accept(self, event: bytes) -> Chunk | None:
+        """Return the chunk of an event; raises ``BackendError`` on a gap."""
+        number = _event_id(event)
+        if number is None:
+            self._counters.malformed += 1
+            raise self._error("event has no id")
+        if number <= self.offset:
+            self._counters.duplicate += 1
+            return None
+        if number != self.offset + 1:
+            raise self._error(f"event {number} follows {self.offset}")
+        self.offset = number
+        return Chunk(event, "event", number, head=self._head)
+
+    def _error(self, message: str) -> BackendError:
+        return BackendError(
+            message, step="stream", peer=self._peer, outcome=Outcome.UNKNOWN
+        )
+
+
+@encode.register
+def _(protocol: PlatformProtocol, request: Request, attempt: Attempt):
+    left_ms = max(1, int(attempt.time_left_s * 1000))
+    headers = list(request.headers)
+    headers.append((BACKEND_ID, attempt.backend_id.encode()))
+    headers.append((TIME_LEFT, b"%d" % left_ms))
+    if request.organisation:
+        headers.append((ORGANISATION, request.organisation.encode()))
+    if attempt.received:
+        headers.append((LAST_EVENT, b"%d" % attempt.received))
+    if request.kind.target == "engine":
+        priority = min(MOST_PRIORITY, max(0, attempt.priority))
+        headers.append((PRIORITY, b"%d" % priority))
+    if attempt.helpers:
+        listed = ",".join(
+            each.address + (f"/{each.reservation}" if each.reservation else "")
+            for each in attempt.helpers
+        )
+        headers.append((HELPERS, listed.encode()))
+    if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+        headers.append((b"Content-Length", b"%d" % len(request.body)))
+    head = RequestHead(request.method.encode(), request.path.encode(), tuple(headers))
+    return head, request.body
+
+
+@check.register
+def _(protocol: PlatformProtocol, request: Request, answer: Answer, peer: str):
+    head = answer.head
+    if head.status == OTHER_INSTANCE or head.get(NOT_RUN.lower()) is not None:
+        error = _error(f"not run, answered {head.status}", peer, Outcome.NOT_RUN)
+        error.refused = True
+        raise error
+    sealed = head.get(SEAL.lower()) is not None
+    if head.get(b"content-encoding") is not None:
+        raise _error("answer is encoded", peer)
+    if 200 <= head.status < 300:
+        if not sealed:
+            raise _error("success without its digest", peer)
+        return
+    error = _error(f"answered {head.status}", peer)
+    if sealed:
+        body = answer.read_all()
+        error.answer = ServiceAnswer(head.status, "", body, head.headers)
+    raise error
+
+
+@event_reader.register
+def _(protocol: PlatformProtocol, request, answer: Answer, received: int, counters):
+    return EventReader(answer, received, counters)
+
+
+def _event_id(event: bytes) -> int | None:
+    for line in event.split(b"\n"):
+        if line.startswith(ID_PREFIX):
+            text = line[len(ID_PREFIX) :].strip()
+            return int(text) if text.isdigit() else None
+    return None
+
+
+def _text(values: dict[bytes, bytes], name: bytes) -> str:
+    return values.get(name.lower(), b"").decode("latin-1").strip()
+
+
+def _number(text: str) -> int | None:
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 12 else None
+
+
+def _token_counts(text: str) -> tuple[int, int]:
+    """Return prompt and output tokens; 0 where the header does not say."""
+    prompt, _, answer = text.partition(",")
+    return _number(prompt.strip()) or 0, _number(answer.strip()) or 0
+
+
+def _error(message: str, peer: str, outcome: Outcome = Outcome.UNKNOWN) -> BackendError:
+    return BackendError(message, step="answer", peer=peer, outcome=outcome)
--- /dev/null
+++ b/papayarelay/process.py
@@ -0,0 +1,32 @@
+"""What every process of a node sets up."""
+
+from __future__ import annotations
+
+import gc
+
+from .events import Event
+from .logs import log
+
+GC_ALLOCATIONS = 20_000
+WITHOUT_PLACE = "unknown"
+
+
+def tune_collector() -> None:
+    """Make the garbage collector run rarely and skip what lives for good.
+
+    A full collection of a node with many streams pauses all of them.
+    """
+    gc.freeze()
+    gc.set_threshold(GC_ALLOCATIONS, 20, 100)
+
+
+def log_task_failure(context, kind, error, traceback) -> None:
+    """Log an error that ended a task; replaces gevent's traceback."""
+    frame = traceback
+    while frame is not None and frame.tb_next is not None:
+        frame = frame.tb_next
+    place = WITHOUT_PLACE
+    if frame is not None:
+        name = frame.tb_frame.f_globals.get("__name__", "")
+        place = f"{name}:{frame.tb_lineno}"
+    log(Event.TASK_FAILED, task=place, error=error)
--- a/papayarelay/program.py
+++ b/papayarelay/program.py
@@ -36,6 +36,7 @@
     "standin": ("standins.program", "run a stand-in of an engine, service or store"),
     "bench": ("bench.program", "run the benchmarks"),
     "capacity": ("bench.capacity", "compute the capacity page from measured slopes"),
+    "platform-node": ("platform.program", "run a node on the users' platform"),
     "config": ("operators.config_commands", "check, show and change configuration"),
 }
 NODE_COMMANDS = ("status", "drain", "return", "job")
--- a/papayarelay/request.py
+++ b/papayarelay/request.py
@@ -4,12 +4,19 @@
 
 from dataclasses import dataclass
 
+Headers = tuple[tuple[bytes, bytes], ...]
+"""Names and values of HTTP headers, in their order."""
+
 
 @dataclass(frozen=True)
 class RequestKind:
     """A kind of request from the configuration.
 
     ``target`` is ``engine`` or ``service``; ``priority`` 0 is the most urgent.
+    ``max_attempts`` is the number of backend servers on which one request may
+    run, 0 for no limit.  ``target_s`` is the time within which an answer, or the
+    first event of a stream, is in time, and ``gap_target_s`` the longest such
+    pause between events; 0 means that there is none.
     """
 
     name: str
@@ -17,14 +24,20 @@
     idempotent: bool = True
     deadline_s: float = 60.0
     priority: int = 1
+    max_attempts: int = 0
+    target_s: float = 0.0
+    gap_target_s: float = 0.0
 
 
 @dataclass(frozen=True)
 class Request:
     """One caller request after validation.
 
-    ``body`` is the JSON body for the backend server, ``prompt_tokens`` an
-    estimate, ``received_s`` and ``deadline_s`` are monotonic times in seconds.
+    ``body`` is the body for the backend server, ``prompt_tokens`` an estimate,
+    ``received_s`` and ``deadline_s`` are monotonic times in seconds.  A request
+    that is passed on as it is also has a ``method`` and ``headers``, ``path`` is
+    then the target with its query.  ``service`` is the group of backend servers
+    that the route has chosen, ``resume_from`` the last event that the caller has.
     """
 
     id: str
@@ -40,6 +53,10 @@
     received_s: float
     deadline_s: float
     idempotency_key: str | None = None
+    method: str = "POST"
+    headers: Headers = ()
+    service: str = ""
+    resume_from: int = 0
 
     def time_left_s(self, now_s: float) -> float:
         """Return the seconds until the deadline, negative once it has passed."""
--- a/papayarelay/retry.py
+++ b/papayarelay/retry.py
@@ -30,6 +30,10 @@
         self._retries = 0.0
         self._updated_s: float | None = None
 
+    def set_reserve(self, reserve: float) -> None:
+        """Set the number of retries per window that need no requests."""
+        self._reserve = reserve
+
     def record_request(self, now_s: float) -> None:
         """Count a request that is not itself a retry."""
         self._decay(now_s)
--- a/papayarelay/routing.py
+++ b/papayarelay/routing.py
@@ -10,6 +10,35 @@
 from functools import singledispatch
 
 from .cost import Cost
+from .timing import EngineTiming
+
+
+@dataclass(frozen=True)
+class EngineWork:
+    """Unfinished work on a backend server.
+
+    ``writers`` are requests whose answers are being produced, ``reads`` parts of
+    prompts that are still to be read, which takes ``reading_s``; ``tokens`` is
+    the memory that all of these hold.
+    """
+
+    writers: int = 0
+    reads: int = 0
+    reading_s: float = 0.0
+    tokens: int = 0
+
+    def __add__(self, other: EngineWork) -> EngineWork:
+        return EngineWork(
+            self.writers + other.writers,
+            self.reads + other.reads,
+            self.reading_s + other.reading_s,
+            self.tokens + other.tokens,
+        )
+
+    def after(self, elapsed_s: float) -> EngineWork:
+        """Return what is left of the work after some time."""
+        left_s = max(0.0, self.reading_s - elapsed_s)
+        return EngineWork(self.writers, self.reads, left_s, self.tokens)
 
 
 @dataclass(frozen=True)
@@ -22,7 +51,9 @@
     is the part of this request's prompt that the prefix cache holds.  ``home``
     says that this node is one of the few that prefer the engine.
     ``bound`` limits the node's own tokens in flight (``own_tokens``) while the
-    backend server is cold; None means no limit.
+    backend server is cold; None means no limit.  ``work`` is what all nodes have
+    sent to the server, ``slots`` what it runs at once, ``timing`` how it works
+    and ``cold`` whether it is in cold start.
     """
 
     id: str
@@ -45,6 +76,10 @@
     own_prefill_by_size: tuple[int, int, int] = (0, 0, 0)
     cached_tokens: int = 0
     home: bool = False
+    work: EngineWork = EngineWork()
+    slots: int = 0
+    timing: EngineTiming | None = None
+    cold: bool = False
 
 
 @dataclass
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -14,8 +14,9 @@
 from .cost import Cost
 from .errors import DeadlineError, OverloadError
 from .guard import run_step
+from .placing import Placement, place
 from .request import Request
-from .routing import CostAware, choose
+from .routing import CostAware
 
 # Estimates of waiting times change with time alone, so queued requests are
 # tried again even when nothing was reported.
@@ -24,10 +25,15 @@
 
 @dataclass(frozen=True)
 class Grant:
-    """A backend server for a request, whose work on it is counted already."""
+    """A backend server for a request, whose work on it is counted already.
+
+    ``helpers`` read parts of the prompt for it; their work is counted as well.
+    """
 
     entry: BackendEntry
     work: Work
+    placement: Placement
+    helpers: tuple[tuple[BackendEntry, Work], ...] = ()
 
 
 class Ticket:
@@ -51,7 +57,10 @@
 
 
 class Scheduler:
-    """Owns the admission queue of a node and the task that empties it."""
+    """Owns the admission queue of a node and the task that empties it.
+
+    ``on_work`` is called when the work of this node on a server has changed.
+    """
 
     def __init__(
         self,
@@ -60,8 +69,10 @@
         queue: AdmissionQueue,
         rng: random.Random,
         clock: Callable[[], float],
+        on_work: Callable[[], None] = lambda: None,
     ):
         self.queue = queue
+        self._on_work = on_work
         self._table = table
         self._policy = policy
         self._rng = rng
@@ -114,11 +125,18 @@
         elif ticket.granted.successful():
             grant = ticket.granted.get()
             self._table.release(grant.entry, grant.work)
+            for entry, work in grant.helpers:
+                self._table.release(entry, work)
             self._wake.set()
+            self._on_work()
 
     def mark_prefilled(self, grant: Grant) -> None:
         """Note that the server has answered, so its prefill is done."""
-        self._table.mark_prefilled(grant.entry, grant.work)
+        now_s = self._clock()
+        self._table.mark_prefilled(grant.entry, grant.work, now_s)
+        for entry, work in grant.helpers:
+            self._table.mark_prefilled(entry, work, now_s)
+        self._on_work()
 
     def wake(self) -> None:
         """Try the queue again: a backend server may have room."""
@@ -150,32 +168,47 @@
     def _grant_next(self) -> bool:
         """Give the next request that fits to its server; return whether one did."""
         now_s = self._clock()
-        chosen: list[BackendEntry] = []
+        chosen: list[Placement] = []
 
         def fits(request: Request, cost: Cost) -> bool:
-            entry = self._choose(self._tickets[request.id], cost, now_s)
-            if entry is not None:
-                chosen.append(entry)
-            return entry is not None
+            placement = self._place(self._tickets[request.id], cost, now_s)
+            if placement is not None:
+                chosen.append(placement)
+            return placement is not None
 
         request = self.queue.next(now_s, fits)
         if request is None:
             return False
-        entry = chosen[-1]
-        entry.circuit.allow(now_s)
         ticket = self._tickets.pop(request.id)
-        work = self._table.hold(entry, ticket.cost, now_s)
-        ticket.granted.set(Grant(entry, work))
+        ticket.granted.set(self._hold(ticket.cost, chosen[-1], now_s))
+        self._on_work()
         return True
 
-    def _choose(self, ticket: Ticket, cost: Cost, now_s: float) -> BackendEntry | None:
+    def _hold(self, cost: Cost, placement: Placement, now_s: float) -> Grant:
+        """Count the work of a placement on its servers."""
+        table = self._table
+        entry = table.get(placement.backend_id)
+        entry.circuit.allow(now_s)
+        table.take_cold_room(entry, now_s)
+        work = table.hold(entry, cost, now_s, read_s=placement.read_s)
+        helpers = []
+        for backend_id in placement.helpers:
+            helper = table.get(backend_id)
+            part = table.hold(
+                helper, cost, now_s, read_s=placement.read_s, part=True, tokens=0
+            )
+            helpers.append((helper, part))
+        return Grant(entry, work, placement, tuple(helpers))
+
+    def _place(self, ticket: Ticket, cost: Cost, now_s: float) -> Placement | None:
         request = ticket.request
         views = self._table.views(request.kind.target, _service_name(request), now_s)
         fresh = [view for view in views if view.id not in ticket.tried] or views
-        view = choose(self._policy, cost, fresh, now_s, self._rng)
-        return self._table.get(view.id) if view is not None else None
+        return place(self._policy, cost, fresh, now_s, self._rng)
 
 
 def _service_name(request: Request) -> str:
-    """Return what a backend server must serve: the model, or the service kind."""
+    """Return what a backend server must serve: the service, model or kind."""
+    if request.service:
+        return request.service
     return request.model if request.kind.target == "engine" else request.kind.name
--- /dev/null
+++ b/papayarelay/serving.py
@@ -0,0 +1,52 @@
+"""The path of a request through a node: queue, placing, dispatch and streams."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from .admission import AdmissionQueue
+from .backends.monitor import StreamMonitor
+from .backends.protocol import CHAT, Protocol
+from .backends.table import BackendTable
+from .dispatch import Dispatcher
+from .retry import RetryBudget
+from .scheduler import Scheduler
+
+
+class Serving:
+    """Owns and connects the parts between callers and backend servers.
+
+    ``on_failure`` is called with the id of a server that failed an attempt,
+    ``on_work`` when the work of this node on a server has changed.
+    """
+
+    def __init__(
+        self,
+        policy: object,
+        queue: AdmissionQueue,
+        budget: RetryBudget,
+        rng: random.Random,
+        clock: Callable[[], float],
+        protocol: Protocol = CHAT,
+        on_failure: Callable[[str], None] = lambda backend_id: None,
+        on_work: Callable[[], None] = lambda: None,
+    ):
+        self.budget = budget
+        self.backends = BackendTable(rng, protocol)
+        self.scheduler = Scheduler(self.backends, policy, queue, rng, clock, on_work)
+        self._monitor = StreamMonitor(clock)
+        self.dispatcher = Dispatcher(
+            self.scheduler, self._monitor, budget, on_failure, clock
+        )
+
+    def start(self) -> None:
+        """Begin to give out requests and to check streams."""
+        self.scheduler.start()
+        self._monitor.start()
+
+    def close(self) -> None:
+        """End the tasks and close all connections to backend servers."""
+        self.scheduler.close()
+        self._monitor.close()
+        self.backends.close()
--- a/papayarelay/tests/test_stream.py
+++ b/papayarelay/tests/test_stream.py
@@ -3,7 +3,9 @@
 import unittest
 from unittest import mock
 
-from ..backends.stream import EngineStream, StreamCounters
+from ..backends.chat import ChatReader
+from ..backends.protocol import StreamCounters
+from ..backends.stream import EngineStream, StreamLimits
 from ..errors import DeadlineError
 
 DEADLINE_S = 10.0
@@ -15,15 +17,13 @@
 
     def setUp(self):
         self.now_s = 0.0
-        response = mock.Mock(chunked=False)
-        response.read1.side_effect = [EVENT, b"data: [DONE]\n\n"]
+        answer = mock.Mock()
+        answer.read.side_effect = [EVENT, b"data: [DONE]\n\n", b""]
         self.stream = EngineStream(
-            response,
-            "r",
+            answer,
+            ChatReader("r", "engine-1", 0, StreamCounters()),
+            StreamLimits(DEADLINE_S),
             "engine-1",
-            0,
-            DEADLINE_S,
-            StreamCounters(),
             lambda: self.now_s,
         )
 
