--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -202,6 +202,17 @@
             if entry.work
         }
 
+    def work_on(self, backend_id: str, now_s: float) -> tuple[EngineWork, float]:
+        """Return the work of all nodes on a server, and the age of the oldest word.
+
+        The age is 0 where no other node has work there.
+        """
+        work = self._peers.on(backend_id, now_s)
+        entry = self._entries.get(backend_id)
+        if entry is not None:
+            work += entry.own_work(now_s)
+        return work, self._peers.age_s(backend_id, now_s)
+
     def record_cold(self, backend_id: str, left_s: float, now_s: float) -> None:
         """Note for how much longer a server says that it is in cold start."""
         entry = self._entries.get(backend_id)
@@ -449,6 +460,11 @@
                 total += each.after(now_s - told_s)
         return total
 
+    def age_s(self, backend_id: str, now_s: float) -> float:
+        """Return the age of the oldest word of a peer with work on a server."""
+        ages = (now_s - t for t, work in self._told.values() if backend_id in work)
+        return max(ages, default=0.0)
+
 
 def _has_cold_room(entry: BackendEntry, now_s: float) -> bool:
     """Return whether this node may send one more request to a cold server."""
--- a/papayarelay/callers/connection.py
+++ b/papayarelay/callers/connection.py
@@ -38,6 +38,7 @@
 
     def __init__(self, sock: socket.socket, limits: CallerLimits):
         self.answered = False
+        self.request_id = ""
         self._sock = sock
         self._limits = limits
         self._protocol = h11.Connection(h11.SERVER, limits.header_bytes)
--- a/papayarelay/callers/gateway.py
+++ b/papayarelay/callers/gateway.py
@@ -24,6 +24,8 @@
     OverloadError,
     RelayError,
 )
+from ..events import Event
+from ..logs import log
 from ..request import Headers, Request
 from . import answer
 from .body import BodyMemory
@@ -86,7 +88,8 @@
     """Accepts connections, and answers each request by way of the dispatcher.
 
     ``keys_valid`` returns whether this node may still rely on the keys that it
-    knows, ``config_known`` whether it knows the present configuration.
+    knows, ``config_known`` whether it knows the present configuration and
+    ``config_age_s`` how old its reading of that is.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         body_memory: BodyMemory,
         keys_valid: Callable[[], bool],
         config_known: Callable[[], bool],
+        config_age_s: Callable[[], float],
         rng: random.Random,
         clock: Callable[[], float],
     ):
@@ -110,6 +114,7 @@
         self._body_memory = body_memory
         self._keys_valid = keys_valid
         self._config_known = config_known
+        self._config_age_s = config_age_s
         self._rng = rng
         self._clock = clock
         self._config = Config()
@@ -185,6 +190,9 @@
                 self._recorder.finished(request)
             except RelayError as error:
                 self._fail(connection, request, error)
+            except Exception as error:
+                log(Event.TASK_FAILED, task="gateway", error=error)
+                self._fail(connection, request, _internal())
         kept = connection.answered and connection.can_continue
         return kept and not self._gate.leaving
 
@@ -201,6 +209,7 @@
         """
         headers = tuple(head.headers.raw_items())
         fields = self._dialect.read(headers)
+        connection.request_id = fields.request_id
         target = head.target.decode("ascii")
         route = self._find_route(_header(headers, b"host"), target)
         caller = self._authenticate(route, fields.key)
@@ -229,6 +238,18 @@
             resume_from=fields.resume_from,
         )
         self._recorder.admitted(request)
+        log(
+            Event.REQUEST_ADMITTED,
+            request=request.id,
+            kind=kind.name,
+            organisation=request.organisation,
+            service=request.service,
+            prompt_tokens=request.prompt_tokens,
+            received=request.resume_from,
+            allowed_s=round(allowed_s, 3),
+            config_version=self._config.version,
+            config_age_s=round(self._config_age_s(), 3),
+        )
         return request, route.stream
 
     def _find_route(self, host: str, target: str) -> Route:
@@ -315,6 +336,14 @@
         """Tell the caller of a failure, or break off an answer that has begun."""
         if request is None:
             self._recorder.rejected(error)
+            log(
+                Event.REQUEST_REFUSED,
+                request=connection.request_id,
+                error=error,
+                status=public_status(error),
+                config_version=self._config.version,
+                config_age_s=round(self._config_age_s(), 3),
+            )
         else:
             self._recorder.failed(request, error)
         if isinstance(error, CallerGoneError) or connection.begun:
@@ -367,5 +396,11 @@
     return ""
 
 
+def _internal() -> RelayError:
+    return RelayError(
+        "internal error", step="serve", peer="node", outcome=Outcome.UNKNOWN
+    )
+
+
 def _not_known(message: str) -> OverloadError:
     return OverloadError(message, step="authenticate", peer="store", retry_after_s=0.5)
--- a/papayarelay/callers/record.py
+++ b/papayarelay/callers/record.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 from ..backends.protocol import Chunk
 from ..errors import Outcome, OverloadError, RelayError, StoreError
@@ -14,12 +15,22 @@
 UNKNOWN_LABEL = "unknown"
 
 
+@dataclass
+class Pace:
+    """When the events of a stream came, in seconds."""
+
+    first_s: float = 0.0
+    longest_pause_s: float = 0.0
+    events: int = 0
+
+
 class RequestRecorder:
     """Records what happens to the requests of a node."""
 
     def __init__(self, metrics: Metrics, clock: Callable[[], float]):
         self._metrics = metrics
         self._clock = clock
+        self._paces: dict[str, Pace] = {}
 
     def admitted(self, request: Request) -> None:
         """Record a request that has passed validation."""
@@ -34,6 +45,7 @@
         member, kind = request.member, request.kind.name
         self._metrics.record_finished(member, kind, Outcome.COMPLETED)
         duration_s = self._clock() - request.received_s
+        pace = self._paces.pop(request.id, Pace())
         log(
             Event.REQUEST_FINISHED,
             request=request.id,
@@ -41,6 +53,9 @@
             kind=kind,
             prompt_tokens=request.prompt_tokens,
             duration_s=round(duration_s, 3),
+            first_event_s=round(pace.first_s, 3),
+            longest_pause_s=round(pace.longest_pause_s, 3),
+            events_count=pace.events,
         )
 
     def failed(self, request: Request, error: RelayError) -> None:
@@ -51,29 +66,35 @@
         if isinstance(error, StoreError):
             self._metrics.record_store_error(error.step, error.code)
         self._metrics.record_finished(member, kind, error.outcome, error.code)
+        pace = self._paces.pop(request.id, Pace())
         log(
             _failure_event(request, error),
             request=request.id,
             member=member,
             kind=kind,
+            duration_s=round(self._clock() - request.received_s, 3),
+            events_count=pace.events,
             error=error,
         )
 
     def watch(self, request: Request, chunks: Iterator[Chunk]) -> Iterator[Chunk]:
         """Pass chunks on and record the times of their tokens."""
-        first = True
+        pace = self._paces[request.id] = Pace()
         last_s = request.received_s
         intervals = self._metrics.token_intervals
         for chunk in chunks:
             if chunk.content:
                 now_s = self._clock()
-                if first:
+                pause_s = now_s - last_s
+                if pace.events:
+                    intervals.record(pause_s)
+                    pace.longest_pause_s = max(pace.longest_pause_s, pause_s)
+                else:
+                    pace.first_s = pause_s
                     self._metrics.record_first_token(
-                        request.kind.name, request.prompt_tokens, now_s - last_s
+                        request.kind.name, request.prompt_tokens, pause_s
                     )
-                    first = False
-                else:
-                    intervals.record(now_s - last_s)
+                pace.events += 1
                 last_s = now_s
             yield chunk
 
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -17,7 +17,8 @@
 from .events import Event
 from .logs import log
 from .request import Request, RequestKind
-from .retry import RetryBudget
+from .reservations import MemoryNeed, Reservations
+from .retry import RetryBudget, find_denial
 from .scheduler import Grant, Scheduler, Ticket
 
 # While a request is queued, its caller's connection is checked this often.
@@ -26,8 +27,6 @@
 # spread; after that the caller learns of the failure.
 RETRY_WAIT_S = 2.0
 RETRY_TICK_S = 0.1
-# Servers that one request is offered to before the caller learns of the failure.
-MAX_SERVERS_TRIED = 6
 # An engine that is silent for this many times the longest pause of a stream has
 # failed, but no sooner than after the least silence: a long read may hold it up.
 SILENT_PAUSES = 3.0
@@ -58,6 +57,7 @@
 
 
 NO_GUARD = _NoGuard()
+NO_RESERVATIONS: Mapping[str, str] = {}
 
 
 @dataclass
@@ -91,8 +91,10 @@
         monitor: StreamMonitor,
         budget: RetryBudget,
         on_failure: Callable[[str], None],
+        reservations: Reservations,
         clock: Callable[[], float],
     ):
+        self._reservations = reservations
         self.counters = StreamCounters()
         self.retries = 0
         self._scheduler = scheduler
@@ -175,15 +177,18 @@
         entry = grant.entry
         guard.begin()
         try:
-            with engine.open_stream(
-                entry.pool,
-                request,
-                self._describe(grant, request, progress),
-                allowed_silence(request.kind, grant.placement.expected_s),
-                self.counters,
-                self._monitor,
-                self._clock,
-            ) as stream:
+            with (
+                self._reservations.hold(request.id, _memory_needs(grant)) as names,
+                engine.open_stream(
+                    entry.pool,
+                    request,
+                    self._describe(grant, request, progress, names),
+                    allowed_silence(request.kind, grant.placement.expected_s),
+                    self.counters,
+                    self._monitor,
+                    self._clock,
+                ) as stream,
+            ):
                 for chunk in stream:
                     if chunk.event and not grant.work.prefilled:
                         self._scheduler.mark_prefilled(grant)
@@ -217,9 +222,18 @@
         entry.circuit.record_success(self._clock())
         return answer
 
-    def _describe(self, grant: Grant, request: Request, progress: _Progress) -> Attempt:
+    def _describe(
+        self,
+        grant: Grant,
+        request: Request,
+        progress: _Progress,
+        reservations: Mapping[str, str] = NO_RESERVATIONS,
+    ) -> Attempt:
         """Return what the next attempt tells its server."""
-        helpers = tuple(Helper(entry.pool.address) for entry, _ in grant.helpers)
+        helpers = tuple(
+            Helper(entry.pool.address, reservations.get(entry.id, ""))
+            for entry, _ in grant.helpers
+        )
         return Attempt(
             backend_id=grant.entry.id,
             address=grant.entry.pool.address,
@@ -258,29 +272,36 @@
         first = grant.entry.id not in progress.tried
         progress.tried.add(grant.entry.id)
         progress.runs += error.outcome is not Outcome.NOT_RUN
-        if progress.may_have_run and not request.kind.idempotent:
-            raise error
-        if 0 < request.kind.max_attempts <= progress.runs:
-            raise error
-        if len(progress.tried) >= MAX_SERVERS_TRIED:
-            raise error
+        log(
+            Event.ATTEMPT_FAILED,
+            request=request.id,
+            attempt=len(progress.tried),
+            received=progress.received,
+            error=error,
+            backend=grant.entry.id,
+        )
+        reason = find_denial(request.kind, progress.runs, len(progress.tried))
         # A refused connection costs the server nothing, and each is tried once.
         unsent = isinstance(error, BackendError) and error.outcome is Outcome.NOT_RUN
         allowed = first and unsent and not error.refused
         end_s = min(self._clock() + RETRY_WAIT_S, request.deadline_s)
-        while not allowed and not self._budget.allow(self._clock()):
+        while not reason and not allowed and not self._budget.allow(self._clock()):
             if self._clock() >= end_s:
-                raise error
+                reason = "budget"
             yield KEEP_ALIVE
             gevent.sleep(RETRY_TICK_S)
+        if reason:
+            log(Event.RETRY_DENIED, request=request.id, reason=reason)
+            raise error
         self.retries += 1
-        if progress.received:
-            log(
-                Event.STREAM_RESUMED,
-                request=request.id,
-                backend=grant.entry.id,
-                error=error,
-            )
+        event = Event.STREAM_RESUMED if progress.received else Event.REQUEST_RETRIED
+        log(event, request=request.id, received=progress.received)
+
+
+def _memory_needs(grant: Grant) -> list[MemoryNeed]:
+    """Return the memory that the helpers of a grant must hold."""
+    pairs = zip(grant.helpers, grant.placement.reserved, strict=False)
+    return [MemoryNeed(entry.pool, tokens) for (entry, _), tokens in pairs]
 
 
 def allowed_silence(kind: RequestKind, expected_s: float) -> engine.Silence:
--- a/papayarelay/events.py
+++ b/papayarelay/events.py
@@ -161,6 +161,31 @@
         "An entry of the list of backend servers cannot be read and names no server.",
     )
 
+    MEMORY_RESERVED = (
+        1211,
+        "debug",
+        "memory reserved",
+        "Helper engines hold memory for a prompt that is too long for one engine.",
+    )
+    MEMORY_REFUSED = (
+        1212,
+        "info",
+        "memory not reserved",
+        "A helper engine has no room or did not answer; the request goes elsewhere.",
+    )
+    MEMORY_NOT_RENEWED = (
+        1213,
+        "info",
+        "reservation not renewed",
+        "A reservation was not renewed; the engine may cut the request off.",
+    )
+    MEMORY_NOT_RELEASED = (
+        1214,
+        "info",
+        "reservation not released",
+        "The end of a reservation was not confirmed; it ends by itself.",
+    )
+
     REQUEST_FINISHED = (
         1301,
         "debug",
@@ -192,6 +217,43 @@
         "A non-idempotent request was sent and its result did not arrive.",
     )
 
+    REQUEST_ADMITTED = (
+        1306,
+        "debug",
+        "request admitted",
+        "A request was read and allowed under config_version, known for config_age_s.",
+    )
+    REQUEST_PLACED = (
+        1307,
+        "debug",
+        "request placed",
+        "A request was given to a backend server after waiting for waited_s.",
+    )
+    ATTEMPT_FAILED = (
+        1308,
+        "info",
+        "attempt failed",
+        "No whole answer came from a backend server; outcome says if it may have run.",
+    )
+    REQUEST_RETRIED = (
+        1309,
+        "info",
+        "request retried",
+        "A request goes on at another backend server, after received events.",
+    )
+    REQUEST_REFUSED = (
+        1310,
+        "info",
+        "request not admitted",
+        "A request was answered with an error before it was queued.",
+    )
+    RETRY_DENIED = (
+        1311,
+        "info",
+        "retry denied",
+        "A failed attempt was the last one, for the reason that the line names.",
+    )
+
     STORE_DOWN = (
         1401,
         "error",
@@ -262,6 +324,13 @@
         "The log output was not ready; lines_count lines were not written.",
     )
 
+    LINES_DROPPED = (
+        1903,
+        "warning",
+        "log lines left out",
+        "More lines about requests came than are written in a second.",
+    )
+
     def __init__(self, number: int, level: str, text: str, meaning: str):
         self.id = f"{PREFIX}{number}"
         self.level = level
--- a/papayarelay/logs.py
+++ b/papayarelay/logs.py
@@ -23,6 +23,7 @@
 import msgspec
 from gevent.monkey import get_original
 
+from .bucket import TokenBucket
 from .errors import Outcome, RelayError, SettingsError
 from .events import Event
 
@@ -48,6 +49,7 @@
         "region",
         "request",
         "section",
+        "service",
         "signal",
         "state",
         "step",
@@ -57,7 +59,18 @@
     }
 )
 NUMBER_FIELDS = frozenset(
-    {"attempt", "count", "number", "pid", "port", "status", "suppressed", "version"}
+    {
+        "attempt",
+        "config_version",
+        "count",
+        "number",
+        "pid",
+        "port",
+        "received",
+        "status",
+        "suppressed",
+        "version",
+    }
 )
 NUMBER_ENDINGS = ("_s", "_ms", "_bytes", "_tokens", "_count", "_per_s", "_ratio")
 # Text with spaces is never an identifier, and a prompt or answer has spaces.
@@ -65,6 +78,9 @@
 WITHHELD = "<withheld>"
 # A pipe that poll reports as ready takes this many bytes without blocking.
 LINE_LIMIT_BYTES = 4096
+# Lines that name a request.
+DECISION_LINES_PER_S = 200.0
+DECISION_LINES_BURST = 400
 REPEAT_WINDOW_S = 10.0
 REPEATS_PER_WINDOW = 5
 REPEAT_KEYS_LIMIT = 1024
@@ -149,7 +165,11 @@
 
 
 class RepeatLimiter:
-    """Limits how often the same event is written for the same subject."""
+    """Limits how often the same event is written for the same subject.
+
+    Lines about one request are limited by their number in a second instead, so
+    that its story can be read afterwards.
+    """
 
     def __init__(self):
         self._repeats: dict[tuple, _Repeats] = {}
@@ -194,10 +214,12 @@
     ):
         super().__init__(level=level.upper(), bubble=False)
         self.lost = 0
+        self.dropped = 0
         self._stream = stream
         self._node = node
         self._clock = clock
         self._limiter = RepeatLimiter()
+        self._decisions = TokenBucket(DECISION_LINES_PER_S, DECISION_LINES_BURST)
         self._encoder = msgspec.json.Encoder()
 
     def emit(self, record: logbook.LogRecord) -> None:
@@ -209,16 +231,28 @@
         else:
             fields = record.extra.get("fields", {})
         kept = filter_fields(fields)
-        left_out = self._limiter.admit(event, kept, self._clock())
-        if left_out is None:
-            return
-        if left_out:
-            kept["suppressed"] = left_out
+        now_s = self._clock()
+        if "request" in kept:
+            if not self._decisions.take(now_s):
+                self.dropped += 1
+                return
+            self._report_dropped()
+        else:
+            left_out = self._limiter.admit(event, kept, now_s)
+            if left_out is None:
+                return
+            if left_out:
+                kept["suppressed"] = left_out
         if self.lost and self._write(Event.LINES_LOST, {"lines_count": self.lost}):
             self.lost = 0
         if not self._write(event, kept):
             self.lost += 1
 
+    def _report_dropped(self) -> None:
+        dropped, self.dropped = self.dropped, 0
+        if dropped:
+            self._write(Event.LINES_DROPPED, {"lines_count": dropped})
+
     def _write(self, event: Event, fields: Mapping[str, object]) -> bool:
         """Write one line; return whether it was written."""
         line = self._encode(event, fields)
--- a/papayarelay/placing.py
+++ b/papayarelay/placing.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -15,18 +16,23 @@
 from .routing import BackendView, choose
 
 MAX_HELPERS = 16
+# Part of an engine's memory that a share of a very long prompt takes.
+SHARE_PART = 0.5
 
 
 @dataclass(frozen=True)
 class Placement:
     """The engine that answers a request, and the helpers that read with it.
 
-    ``read_s`` is the time that each part takes to be read, ``expected_s`` the
-    time to the first event; 0 where nothing is known.
+    ``reserved`` is the memory, in tokens, that helpers hold for the prompt, the
+    first ``len(reserved)`` of them.  ``read_s`` is the time that each part takes
+    to be read, ``expected_s`` the time to the first event; 0 where nothing is
+    known.
     """
 
     backend_id: str
     helpers: tuple[str, ...] = ()
+    reserved: tuple[int, ...] = ()
     read_s: float = 0.0
     expected_s: float = 0.0
 
@@ -42,6 +48,8 @@
     free.  ``writer_s`` is the weight of a stream on an engine that is to read a
     long part.  An expected time to the first event above ``target_part`` of the
     target, or a pass longer than ``gap_part`` of the longest pause, is avoided.
+    A prompt that needs over ``memory_part`` of an engine's memory is kept on
+    several engines.
     """
 
     part_tokens: int = 20_000
@@ -50,6 +58,7 @@
     writer_s: float = 0.05
     target_part: float = 0.7
     gap_part: float = 0.8
+    memory_part: float = 0.6
 
 
 @singledispatch
@@ -91,7 +100,7 @@
     for view in views:
         read_s = view.timing.read_s(cost.prefill_tokens)
         expected_s = _first_event_s(view, cost, read_s)
-        placement = Placement(view.id, (), read_s, expected_s)
+        placement = Placement(view.id, read_s=read_s, expected_s=expected_s)
         work = view.work
         crowded = work.writers + policy.spare_slots >= view.slots
         slow = expected_s > policy.target_part * cost.target_s > 0
@@ -107,7 +116,7 @@
 
 def _split(
     policy: Packed, cost: Cost, views: Sequence[BackendView], rng: random.Random
-) -> Placement:
+) -> Placement | None:
     """Return the emptiest engines that together read a long prompt in time."""
     ranked = sorted(
         views,
@@ -117,13 +126,35 @@
             rng.random(),
         ),
     )
-    wanted = -(-cost.prefill_tokens // policy.part_tokens)
+    timing = views[0].timing
+    shares = _memory_shares(policy, cost, timing.kv_tokens)
+    wanted = max(shares, -(-cost.prefill_tokens // policy.part_tokens))
     parts = max(1, min(wanted, policy.max_parts, len(ranked)))
-    chosen = ranked[:parts]
-    read_s = chosen[0].timing.read_s(cost.prefill_tokens, parts)
-    expected_s = max(_first_event_s(view, cost, read_s) for view in chosen)
-    helpers = tuple(view.id for view in chosen[1:])
-    return Placement(chosen[0].id, helpers, read_s, expected_s)
+    tokens = -(-cost.kv_tokens // shares)
+    holders = [view for view in ranked if _free_tokens(view) >= tokens][:shares]
+    if len(holders) < shares:
+        return None
+    others = [view for view in ranked if view not in holders]
+    chosen = [*holders, *others][: max(parts, shares)]
+    read_s = timing.read_s(cost.prefill_tokens, len(chosen))
+    return Placement(
+        chosen[0].id,
+        helpers=tuple(view.id for view in chosen[1:]),
+        reserved=(tokens,) * (shares - 1),
+        read_s=read_s,
+        expected_s=max(_first_event_s(view, cost, read_s) for view in chosen),
+    )
+
+
+def _memory_shares(policy: Packed, cost: Cost, kv_tokens: int) -> int:
+    """Return on how many engines the memory of a prompt is kept."""
+    if cost.kv_tokens <= policy.memory_part * kv_tokens:
+        return 1
+    return max(2, math.ceil(cost.kv_tokens / (SHARE_PART * kv_tokens)))
+
+
+def _free_tokens(view: BackendView) -> int:
+    return view.timing.kv_tokens - view.work.tokens
 
 
 def _pass_s(view: BackendView, cost: Cost) -> float:
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -26,6 +26,7 @@
 from ..retry import RetryBudget
 from ..routing import EngineWork
 from ..serving import Serving
+from . import orders  # noqa: F401  (registers the orders)
 from .feed import Feed
 from .roster import Roster
 from .settings import PlatformSettings
@@ -104,6 +105,7 @@
             BodyMemory(BODY_MEMORY_BYTES),
             self._keys_valid,
             self._config_known,
+            self.feed.config_age_s,
             self._rng,
             clock,
         )
--- /dev/null
+++ b/papayarelay/platform/orders.py
@@ -0,0 +1,81 @@
+"""Orders to engines: memory that is set aside for long prompts."""
+
+from __future__ import annotations
+
+import json
+
+import msgspec
+
+from ..backends.pool import Answer, BackendPool
+from ..errors import BackendError, Outcome
+from ..reservations import read_names, release, reserve
+from .wire import BACKEND_ID, PlatformProtocol
+
+ORDER_PATH = "/papayarelay/order"
+REPORT_PATH = "/papayarelay/report"
+TIMEOUT_S = 0.6
+ACCEPTED = 200
+# Codes by which an engine says that it has not carried out an order.
+REJECTED = frozenset({400, 409, 412, 421})
+
+
+class _Ticket(msgspec.Struct):
+    id: str = ""
+
+
+class _Report(msgspec.Struct):
+    tickets: list[_Ticket] = []
+
+
+@reserve.register
+def _(
+    protocol: PlatformProtocol, pool: BackendPool, name: str, tokens: int, hold_s: float
+) -> None:
+    body = {
+        "operation": "reserve",
+        "id": name,
+        "tokens": tokens,
+        "hold_ms": int(hold_s * 1000),
+    }
+    _order(pool, body)
+
+
+@release.register
+def _(protocol: PlatformProtocol, pool: BackendPool, name: str) -> None:
+    _order(pool, {"operation": "release", "id": name})
+
+
+@read_names.register
+def _(protocol: PlatformProtocol, pool: BackendPool) -> frozenset[str]:
+    answer = pool.request("GET", REPORT_PATH, read_timeout_s=TIMEOUT_S)
+    body = answer.read_all()
+    if answer.status != ACCEPTED:
+        raise _error(pool, f"report answered {answer.status}", Outcome.UNKNOWN)
+    try:
+        report = msgspec.json.decode(body, type=_Report)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise _error(pool, "malformed report", Outcome.UNKNOWN) from error
+    return frozenset(each.id for each in report.tickets)
+
+
+def _order(pool: BackendPool, fields: dict) -> Answer:
+    answer = pool.request(
+        "POST",
+        ORDER_PATH,
+        body=json.dumps(fields).encode(),
+        headers={
+            "Content-Type": "application/json",
+            BACKEND_ID.decode(): pool.backend_id,
+        },
+        read_timeout_s=TIMEOUT_S,
+    )
+    answer.read_all()
+    if answer.status != ACCEPTED:
+        rejected = answer.status in REJECTED
+        outcome = Outcome.NOT_RUN if rejected else Outcome.UNKNOWN
+        raise _error(pool, f"order answered {answer.status}", outcome)
+    return answer
+
+
+def _error(pool: BackendPool, message: str, outcome: Outcome) -> BackendError:
+    return BackendError(message, step="order", peer=pool.backend_id, outcome=outcome)
--- a/papayarelay/retry.py
+++ b/papayarelay/retry.py
@@ -4,11 +4,30 @@
 
 import math
 
+from .request import RequestKind
+
+# Servers that one request is offered to before the caller learns of the failure.
+MAX_SERVERS_TRIED = 6
 DEFAULT_FRACTION = 0.1
 DEFAULT_WINDOW_S = 10.0
 DEFAULT_RESERVE = 3.0
 
 
+def find_denial(kind: RequestKind, runs: int, tried: int) -> str:
+    """Return why a request must not be sent again, nothing where it may be.
+
+    ``runs`` is the number of attempts that may have run, ``tried`` that of the
+    servers to which it was offered.
+    """
+    if runs and not kind.idempotent:
+        return "not_idempotent"
+    if 0 < kind.max_attempts <= runs:
+        return "max_attempts"
+    if tried >= MAX_SERVERS_TRIED:
+        return "servers_tried"
+    return ""
+
+
 class RetryBudget:
     """Limits retries to a fraction of the recent requests.
 
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -13,7 +14,9 @@
 from .backends.table import BackendEntry, BackendTable, Work
 from .cost import Cost
 from .errors import DeadlineError, OverloadError
+from .events import Event as LogEvent
 from .guard import run_step
+from .logs import log
 from .placing import Placement, place
 from .request import Request
 from .routing import CostAware
@@ -180,22 +183,47 @@
         if request is None:
             return False
         ticket = self._tickets.pop(request.id)
-        ticket.granted.set(self._hold(ticket.cost, chosen[-1], now_s))
+        placement = chosen[-1]
+        self._log_placement(ticket, placement, now_s)
+        ticket.granted.set(self._hold(ticket.cost, placement, now_s))
         self._on_work()
         return True
 
+    def _log_placement(
+        self, ticket: Ticket, placement: Placement, now_s: float
+    ) -> None:
+        """Write what was known of the chosen server, and for how long."""
+        work, age_s = self._table.work_on(placement.backend_id, now_s)
+        log(
+            LogEvent.REQUEST_PLACED,
+            request=ticket.request.id,
+            backend=placement.backend_id,
+            attempt=len(ticket.tried) + 1,
+            waited_s=round(now_s - ticket.request.received_s, 4),
+            helpers_count=len(placement.helpers),
+            reserved_tokens=sum(placement.reserved),
+            expected_s=round(placement.expected_s, 4),
+            writers_count=work.writers,
+            reading_s=round(work.reading_s, 4),
+            peers_age_s=round(age_s, 3),
+        )
+
     def _hold(self, cost: Cost, placement: Placement, now_s: float) -> Grant:
         """Count the work of a placement on its servers."""
         table = self._table
         entry = table.get(placement.backend_id)
         entry.circuit.allow(now_s)
         table.take_cold_room(entry, now_s)
-        work = table.hold(entry, cost, now_s, read_s=placement.read_s)
+        read_s = placement.read_s
+        kept = cost.kv_tokens - sum(placement.reserved)
+        work = table.hold(entry, cost, now_s, read_s=read_s, tokens=kept)
         helpers = []
-        for backend_id in placement.helpers:
+        for backend_id, tokens in itertools.zip_longest(
+            placement.helpers, placement.reserved, fillvalue=0
+        ):
             helper = table.get(backend_id)
             part = table.hold(
-                helper, cost, now_s, read_s=placement.read_s, part=True, tokens=0
+                helper, cost, now_s, read_s=read_s, part=True, tokens=tokens
             )
             helpers.append((helper, part))
         return Grant(entry, work, placement, tuple(helpers))
--- a/papayarelay/serving.py
+++ b/papayarelay/serving.py
@@ -10,6 +10,7 @@
 from .backends.protocol import CHAT, Protocol
 from .backends.table import BackendTable
 from .dispatch import Dispatcher
+from .reservations import Reservations
 from .retry import RetryBudget
 from .scheduler import Scheduler
 
@@ -36,17 +37,25 @@
         self.backends = BackendTable(rng, protocol)
         self.scheduler = Scheduler(self.backends, policy, queue, rng, clock, on_work)
         self._monitor = StreamMonitor(clock)
+        self._reservations = Reservations(f"{rng.getrandbits(48):012x}", clock)
         self.dispatcher = Dispatcher(
-            self.scheduler, self._monitor, budget, on_failure, clock
+            self.scheduler,
+            self._monitor,
+            budget,
+            on_failure,
+            self._reservations,
+            clock,
         )
 
     def start(self) -> None:
         """Begin to give out requests and to check streams."""
         self.scheduler.start()
         self._monitor.start()
+        self._reservations.start()
 
     def close(self) -> None:
         """End the tasks and close all connections to backend servers."""
         self.scheduler.close()
         self._monitor.close()
+        self._reservations.close()
         self.backends.close()
