Test the gateway and the connections byte for byte, and mend what the tests found

Cause: the new parts had no tests of their own. Writing them found: headers over the limit passed when they arrived at once, a request with two lengths was taken, a refusal before the body's end cost the connection, a route's service of another type was not found, and a request refused by all servers was offered again without end until its deadline. Change: the head is checked after it is read, what is left of a refused body is read within limits, a service is found by its name alone, and attempts are counted instead of servers, with a pause before a server is asked again.

--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -381,12 +381,12 @@
         )
 
     def _serves(self, backend: Backend, target: str, name: str) -> bool:
-        if backend.target != target:
-            return False
         if self._is_drained(backend):
             return False
         if backend.service:
             return name == backend.service
+        if backend.target != target:
+            return False
         return name in (backend.models if target == "engine" else backend.kinds)
 
     def _is_drained(self, backend: Backend) -> bool:
--- a/papayarelay/callers/connection.py
+++ b/papayarelay/callers/connection.py
@@ -86,7 +86,10 @@
             raise RequestTimeoutError(
                 "request headers arrived too slowly", step="read_head", peer="caller"
             ) from None
-        return event if isinstance(event, h11.Request) else None
+        if not isinstance(event, h11.Request):
+            return None
+        self._check_head(event)
+        return event
 
     def read_body(self) -> bytes:
         """Return the body of the request.
@@ -112,6 +115,14 @@
                     peer="caller",
                 )
 
+    def discard_body(self) -> None:
+        """Read what is left of a refused request within the limit of a body.
+
+        Raises ``RelayError`` where that cannot be done.
+        """
+        if not self.is_whole and not self._protocol.they_are_waiting_for_100_continue:
+            self.read_body()
+
     @contextmanager
     def watched(self) -> Iterator[None]:
         """Raise ``CallerGoneError`` in this task as soon as the caller leaves."""
@@ -178,6 +189,20 @@
                 pass
         self._sock.close()
 
+    def _check_head(self, head: h11.Request) -> None:
+        """Refuse a head that is too large, or that may be read in two ways."""
+        headers = head.headers.raw_items()
+        size = sum(len(name) + len(value) + 4 for name, value in headers)
+        if len(head.target) + size > self._limits.header_bytes:
+            raise HeadersTooLargeError(
+                "headers exceed the limit", step="read_head", peer="caller"
+            )
+        names = {name for name, _ in head.headers}
+        if {b"content-length", b"transfer-encoding"} <= names:
+            raise RequestError(
+                "request has two lengths", step="read_head", peer="caller"
+            )
+
     def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; return whether they came."""
         with gevent.Timeout(self._limits.idle_timeout_s, False):
--- a/papayarelay/callers/gateway.py
+++ b/papayarelay/callers/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterator
@@ -26,7 +27,7 @@
 )
 from ..events import Event
 from ..logs import log
-from ..request import Headers, Request
+from ..request import Headers, Request, RequestKind
 from . import answer
 from .body import BodyMemory
 from .connection import CallerConnection
@@ -37,6 +38,8 @@
 
 BACKLOG = 1024
 CONNECTIONS_LIMIT = 3000
+# What is left of a refused request is read for this long.
+DISCARD_LIMIT_S = 1.0
 # A body takes at most this long to arrive.
 BODY_LIMIT_S = 10.0
 UNAVAILABLE = 503
@@ -214,10 +217,8 @@
         route = self._find_route(_header(headers, b"host"), target)
         caller = self._authenticate(route, fields.key)
         body = self._read_body(stack, connection)
-        kind = route.kind
-        organisation = self._organisation_priority(caller)
-        if organisation is not None:
-            kind = replace(kind, priority=organisation)
+        service = pick_service(route, self._rng)
+        kind = self._kind(route, caller, service)
         allowed_s = min(kind.deadline_s, fields.allowed_s or kind.deadline_s)
         request = Request(
             id=fields.request_id,
@@ -234,7 +235,7 @@
             deadline_s=received_s + allowed_s,
             method=head.method.decode("ascii"),
             headers=fields.headers,
-            service=pick_service(route, self._rng),
+            service=service,
             resume_from=fields.resume_from,
         )
         self._recorder.admitted(request)
@@ -280,12 +281,16 @@
             return error
         return _not_known("the present configuration is not known")
 
-    def _organisation_priority(self, caller: Caller) -> int | None:
+    def _kind(self, route: Route, caller: Caller, service_name: str) -> RequestKind:
+        """Return the kind of a request to a service from a caller."""
+        service = self._config.services.get(service_name)
+        target = "engine" if service is not None and service.timing else "service"
         member = self._config.members.get(caller.member)
-        if member is None:
-            return None
-        organisation = member.organisations.get(caller.organisation)
-        return organisation.priority if organisation else None
+        organisation = member and member.organisations.get(caller.organisation)
+        priority = route.kind.priority
+        if organisation and organisation.priority is not None:
+            priority = organisation.priority
+        return replace(route.kind, target=target, priority=priority)
 
     def _read_body(self, stack: ExitStack, connection: CallerConnection) -> bytes:
         try:
@@ -349,6 +354,12 @@
         if isinstance(error, CallerGoneError) or connection.begun:
             connection.abort()
             return
+        # An answer before the end of the request may be lost on its way.
+        with (
+            contextlib.suppress(RelayError),
+            gevent.Timeout(DISCARD_LIMIT_S, False),
+        ):
+            connection.discard_body()
         reply = getattr(error, "answer", None)
         if reply is not None:
             headers = self._passed_on(reply.headers)
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -66,6 +66,7 @@
 
     received: int = 0
     tried: set[str] = field(default_factory=set)
+    attempts: int = 0
     runs: int = 0
 
     @property
@@ -271,16 +272,17 @@
         """
         first = grant.entry.id not in progress.tried
         progress.tried.add(grant.entry.id)
+        progress.attempts += 1
         progress.runs += error.outcome is not Outcome.NOT_RUN
         log(
             Event.ATTEMPT_FAILED,
             request=request.id,
-            attempt=len(progress.tried),
+            attempt=progress.attempts,
             received=progress.received,
             error=error,
             backend=grant.entry.id,
         )
-        reason = find_denial(request.kind, progress.runs, len(progress.tried))
+        reason = find_denial(request.kind, progress.runs, progress.attempts)
         # A refused connection costs the server nothing, and each is tried once.
         unsent = isinstance(error, BackendError) and error.outcome is Outcome.NOT_RUN
         allowed = first and unsent and not error.refused
@@ -293,6 +295,10 @@
         if reason:
             log(Event.RETRY_DENIED, request=request.id, reason=reason)
             raise error
+        if not first:
+            # All servers were tried; asking them again at once helps nobody.
+            yield KEEP_ALIVE
+            gevent.sleep(RETRY_TICK_S)
         self.retries += 1
         event = Event.STREAM_RESUMED if progress.received else Event.REQUEST_RETRIED
         log(event, request=request.id, received=progress.received)
--- a/papayarelay/retry.py
+++ b/papayarelay/retry.py
@@ -6,25 +6,24 @@
 
 from .request import RequestKind
 
-# Servers that one request is offered to before the caller learns of the failure.
-MAX_SERVERS_TRIED = 6
+# Times that a request is offered before its caller learns of the failure.
+MAX_ATTEMPTS = 6
 DEFAULT_FRACTION = 0.1
 DEFAULT_WINDOW_S = 10.0
 DEFAULT_RESERVE = 3.0
 
 
-def find_denial(kind: RequestKind, runs: int, tried: int) -> str:
+def find_denial(kind: RequestKind, runs: int, attempts: int) -> str:
     """Return why a request must not be sent again, nothing where it may be.
 
-    ``runs`` is the number of attempts that may have run, ``tried`` that of the
-    servers to which it was offered.
+    ``runs`` is the number of attempts that may have run.
     """
     if runs and not kind.idempotent:
         return "not_idempotent"
     if 0 < kind.max_attempts <= runs:
         return "max_attempts"
-    if tried >= MAX_SERVERS_TRIED:
-        return "servers_tried"
+    if attempts >= MAX_ATTEMPTS:
+        return "attempts"
     return ""
 
 
--- /dev/null
+++ b/papayarelay/tests/raw_server.py
@@ -0,0 +1,125 @@
+"""A server for tests that answers with given bytes."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+import h11
+from gevent.server import StreamServer
+
+RECEIVE_BYTES = 65536
+
+
+@dataclass
+class Received:
+    """A request as it arrived, and the connection it came on."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    sock: socket.socket
+    connection: int
+    gone: gevent.event.Event = field(default_factory=gevent.event.Event)
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the value of a header."""
+        for key, value in self.headers:
+            if key.lower() == name.lower():
+                return value
+        return None
+
+
+Script = Callable[[Received], bool | None]
+
+
+class RawServer:
+    """Reads requests with h11 and lets ``script`` write the answers.
+
+    The script returns False to end the connection.  ``requests`` has them all.
+    """
+
+    def __init__(self, script: Script):
+        self.script = script
+        self.requests: list[Received] = []
+        self.connections = 0
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Return the address as ``host:port``."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def close(self) -> None:
+        """Stop listening and end all connections."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, address) -> None:
+        self.connections += 1
+        number = self.connections
+        protocol = h11.Connection(h11.SERVER)
+        while (request := self._read(protocol, sock, number)) is not None:
+            self.requests.append(request)
+            if self.script(request) is False:
+                break
+            # The script has written the answer itself.
+            protocol = self._next(protocol)
+        sock.close()
+
+    @staticmethod
+    def _next(protocol):
+        following = h11.Connection(h11.SERVER)
+        data, _ = protocol.trailing_data
+        if data:
+            following.receive_data(data)
+        return following
+
+    @staticmethod
+    def _read(protocol, sock, number) -> Received | None:
+        head, body = None, b""
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    data = sock.recv(RECEIVE_BYTES)
+                except OSError:
+                    return None
+                if not data:
+                    return None
+                protocol.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return Received(
+                    head.method,
+                    head.target,
+                    list(head.headers.raw_items()),
+                    body,
+                    sock,
+                    number,
+                )
+            else:
+                return None
+
+
+def reset(sock: socket.socket) -> None:
+    """Close a connection so that its other end sees a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def wait_until_closed(sock: socket.socket, limit_s: float) -> bool:
+    """Return whether the other end closes its side within a time."""
+    with gevent.Timeout(limit_s, False):
+        try:
+            return sock.recv(1) == b""
+        except OSError:
+            return True
+    return False
--- /dev/null
+++ b/papayarelay/tests/test_gateway.py
@@ -0,0 +1,521 @@
+"""Tests of requests that are passed on as they are."""
+
+import contextlib
+import socket
+import time
+import unittest
+from dataclasses import replace
+
+import gevent
+import gevent.event
+
+from ..config import Organisation
+from ..platform.config import MEMBER
+from .gateway_system import (
+    END,
+    HOST,
+    KEY,
+    GatewaySystem,
+    chunk,
+    event,
+    refusal,
+    sealed,
+    stream_head,
+)
+from .raw_server import reset, wait_until_closed
+
+LIMIT_S = 5.0
+
+
+def answer(body: bytes, status: bytes = b"200 OK", extra: bytes = b""):
+    """Return a script that gives a whole answer."""
+    return lambda request: request.sock.sendall(sealed(request, body, status, extra))
+
+
+def refuse(request):
+    """Answer that the request has not run."""
+    request.sock.sendall(refusal(request))
+
+
+def cut(request):
+    """Reset the connection without an answer."""
+    reset(request.sock)
+    return False
+
+
+def events(first: int, last: int, *, end: bool, seal: bytes = b"s1", torn: bytes = b""):
+    """Return a script that streams some events, then ends or breaks off."""
+
+    def script(request):
+        request.sock.sendall(stream_head(request, seal))
+        for number in range(first, last + 1):
+            request.sock.sendall(chunk(event(number)))
+        if torn:
+            request.sock.sendall(chunk(torn))
+        if end:
+            request.sock.sendall(END)
+            return True
+        gevent.sleep(0.02)
+        return cut(request)
+
+    return script
+
+
+def body_of(first: int, last: int) -> bytes:
+    """Return the body of a stream."""
+    return b"".join(event(number) for number in range(first, last + 1))
+
+
+class GatewayTestCase(unittest.TestCase):
+    """Base of the tests with a gateway before two servers of each service."""
+
+    def setUp(self):
+        self.system = self.enterContext(GatewaySystem())
+        self.send = self.system.request
+
+
+class RouteTest(GatewayTestCase):
+    """Guards against requests that go to the wrong place or to nobody."""
+
+    def test_longest_prefix(self):
+        """A request would go to the route of a shorter prefix."""
+        routes = self.system.config.routes
+        deeper = replace(
+            routes[0], name="deeper", prefix="/call/deep/", services=routes[3].services
+        )
+        self.system.apply(replace(self.system.config, routes=(*routes, deeper)))
+        self.send("/call/deep/x")
+        self.assertEqual(sum(len(s.requests) for s in self.system.engines), 1)
+        self.send("/call/deeper")
+        self.assertEqual(sum(len(s.requests) for s in self.system.plain), 1)
+
+    def test_no_route(self):
+        """A request without a route would reach a server."""
+        for path, host in (("/other/", HOST), ("/call/", "other.example"), ("/", HOST)):
+            self.assertEqual(self.send(path, Host=host).status, 404)
+        self.assertEqual(self.system.arrivals, [])
+
+    def test_no_route_in_an_old_configuration(self):
+        """A route that was added meanwhile would be denied for good."""
+        self.system.config_known = False
+        reply = self.send("/other/")
+        self.assertEqual(reply.status, 503)
+        self.assertIn("Retry-After", reply.headers)
+
+    def test_passed_on(self):
+        """A method, path, body or header would change on its way."""
+        self.send("/call/a/../b?x=%20;", "POST", b"\x00body", X_Other="1")
+        (request,) = self.system.arrivals
+        self.assertEqual(request.method, b"POST")
+        self.assertEqual(request.target, b"/call/a/../b?x=%20;")
+        self.assertEqual(request.body, b"\x00body")
+        self.assertEqual(request.get(b"X-Other"), b"1")
+        self.assertEqual(request.get(b"X-Attempt-Id"), b"a1")
+        self.assertEqual(request.get(b"Host"), HOST.encode())
+
+    def test_own_headers(self):
+        """A caller could set what this system says of the request."""
+        self.send(
+            "/call/",
+            X_Tenant="other",
+            X_Expect_Instance="plain-9",
+            X_Helpers="10.0.0.1:1",
+            X_Request_Priority="0",
+        )
+        (request,) = self.system.arrivals
+        self.assertEqual(request.get(b"X-Tenant"), b"office")
+        self.assertRegex(request.get(b"X-Expect-Instance").decode(), "^plain-[01]$")
+        for name in (b"X-Helpers", b"X-Key", b"X-Request-Priority"):
+            self.assertIsNone(request.get(name))
+
+    def test_time_left(self):
+        """A server would work longer than the caller waits."""
+        self.send("/call/", X_Deadline_Ms="700")
+        left_ms = int(self.system.arrivals[0].get(b"X-Deadline-Ms"))
+        self.assertLessEqual(left_ms, 700)
+        self.send("/call/", X_Deadline_Ms="60000")
+        left_ms = int(self.system.arrivals[1].get(b"X-Deadline-Ms"))
+        self.assertLessEqual(left_ms, 2000)
+
+    def test_hop_by_hop_headers(self):
+        """Headers of one connection would be taken for those of another."""
+        extra = (
+            b"Keep-Alive: timeout=9\r\nConnection: x-hop\r\nX-Hop: 1\r\nX-End: 2\r\n"
+        )
+        self.system.set_scripts(answer(b"ok", extra=extra))
+        reply = self.send("/call/")
+        self.assertNotIn("Keep-Alive", reply.headers)
+        self.assertNotIn("X-Hop", reply.headers)
+        self.assertEqual(reply.headers["X-End"], "2")
+
+
+class KeyTest(GatewayTestCase):
+    """Guards against callers without a key, and against keys taken away."""
+
+    def test_unknown(self):
+        """A caller without a known key would be served."""
+        for key in ("", "other", KEY + "x"):
+            self.assertEqual(self.send("/call/", X_Key=key).status, 401)
+        self.assertEqual(self.system.arrivals, [])
+
+    def test_public(self):
+        """A public route would need a key, or a caller could name an organisation."""
+        reply = self.send("/open/", X_Key="", X_Tenant="office")
+        self.assertEqual(reply.status, 200)
+        self.assertIsNone(self.system.arrivals[0].get(b"X-Tenant"))
+
+    def test_taken_away(self):
+        """A key that a new configuration takes away would still be served."""
+        members = dict(self.system.config.members)
+        office = Organisation("office", 1.0, ())
+        members[MEMBER] = replace(members[MEMBER], organisations={"office": office})
+        self.system.apply(replace(self.system.config, members=members))
+        self.assertEqual(self.send("/call/").status, 401)
+
+    def test_cut_off(self):
+        """A key would be honoured after it may have been taken away."""
+        self.system.keys_valid = False
+        reply = self.send("/call/")
+        self.assertEqual(reply.status, 503)
+        self.assertGreater(float(reply.headers["Retry-After"]), 0)
+        self.assertEqual(self.system.arrivals, [])
+
+    def test_unknown_in_an_old_configuration(self):
+        """A key that was added meanwhile would be denied for good."""
+        self.system.config_known = False
+        self.assertEqual(self.send("/call/", X_Key="new").status, 503)
+
+
+class CallTest(GatewayTestCase):
+    """Guards against requests that run twice, and refusals that are not true."""
+
+    def test_idempotent_is_repeated(self):
+        """A read would fail because one server broke off."""
+        self.system.set_scripts(cut, answer(b"second"))
+        self.assertEqual(self.send("/call/").body, b"second")
+
+    def test_non_idempotent_is_not_repeated(self):
+        """A job would run twice."""
+        self.system.set_scripts(cut, answer(b"second"))
+        reply = self.send("/job/", "POST", b"x")
+        self.assertEqual(reply.status, 502)
+        self.assertNotIn("Retry-After", reply.headers)
+        self.assertEqual(len(self.system.arrivals), 1)
+
+    def test_not_run_is_offered_again(self):
+        """A job that a full server did not run would fail."""
+        self.system.set_scripts(refuse, answer(b"done"))
+        self.assertEqual(self.send("/job/", "POST", b"x").body, b"done")
+
+    def test_refused_by_all(self):
+        """A caller would not learn that its job has not run."""
+        self.system.set_scripts(refuse)
+        reply = self.send("/job/", "POST", b"x")
+        self.assertEqual(reply.status, 503)
+        self.assertGreater(float(reply.headers["Retry-After"]), 0)
+
+    def test_refused_after_it_may_have_run(self):
+        """A refusal would say that a request has not run that may have."""
+        self.system.set_scripts(cut, refuse)
+        self.assertEqual(self.send("/call/").status, 502)
+
+    def test_unreachable(self):
+        """A job that no server has seen would count as perhaps run."""
+        for server in self.system.plain:
+            server.close()
+        self.assertEqual(self.send("/job/", "POST", b"x").status, 503)
+
+    def test_failure_of_the_server(self):
+        """A server's own failure would get another status or body."""
+        self.system.set_scripts(answer(b"failed", b"500 Internal Server Error"))
+        reply = self.send("/call/")
+        self.assertEqual((reply.status, reply.body), (500, b"failed"))
+        self.assertIn("X-Response-Seal", reply.headers)
+        self.assertEqual(len(self.system.arrivals), 2)
+
+    def test_success_without_digest(self):
+        """An answer that is not the server's would count as its success."""
+
+        def script(request):
+            plain = sealed(request, b"x").replace(b"X-Response-Seal", b"X-Other")
+            request.sock.sendall(plain)
+
+        self.system.set_scripts(script)
+        self.assertEqual(self.send("/job/", "POST", b"x").status, 502)
+
+    def test_encoded_answer(self):
+        """A body that is not the server's would reach the caller."""
+        self.system.set_scripts(answer(b"x", extra=b"Content-Encoding: gzip\r\n"))
+        self.assertEqual(self.send("/job/", "POST", b"x").status, 502)
+
+    def test_torn_answer(self):
+        """Half an answer would reach the caller as a whole one."""
+
+        def script(request):
+            request.sock.sendall(sealed(request, b"whole")[:-2])
+            return cut(request)
+
+        self.system.set_scripts(script)
+        self.assertEqual(self.send("/job/", "POST", b"x").status, 502)
+
+    def test_deadline(self):
+        """A caller would wait longer than its route allows."""
+        self.system.set_scripts(lambda request: gevent.sleep(LIMIT_S))
+        reply = self.send("/call/", X_Deadline_Ms="300")
+        self.assertEqual(reply.status, 504)
+        self.assertLess(reply.seconds, 0.3 + 0.25)
+
+    def test_other_instance(self):
+        """A request would fail because another server has taken an address over."""
+
+        def misdirected(request):
+            status = b"421 Misdirected Request"
+            request.sock.sendall(sealed(request, b"", status))
+
+        self.system.set_scripts(misdirected, answer(b"done"))
+        self.assertEqual(self.send("/job/", "POST", b"x").body, b"done")
+
+
+class StreamTest(GatewayTestCase):
+    """Guards against streams with pieces that are missing, doubled or joined."""
+
+    def _post(self, path="/stream/", **headers):
+        return self.send(path, "POST", b"prompt", X_Token_Counts="100,10", **headers)
+
+    def test_whole(self):
+        """A stream would not reach its caller."""
+        self.system.set_scripts(events(1, 3, end=True))
+        reply = self._post()
+        self.assertEqual((reply.body, reply.whole), (body_of(1, 3), True))
+
+    def test_resumed(self):
+        """A stream would end with its engine, or show another engine's digest."""
+        second = events(3, 4, end=True, seal=b"s2")
+        self.system.set_scripts(events(1, 2, end=False, seal=b"s1"), second)
+        reply = self._post()
+        self.assertEqual((reply.body, reply.whole), (body_of(1, 4), True))
+        self.assertEqual(reply.headers["X-Response-Seal"], "s1")
+        resumed = next(r for r in self.system.arrivals if r.get(b"Last-Event-Id"))
+        self.assertEqual(resumed.get(b"Last-Event-Id"), b"2")
+
+    def test_torn_event(self):
+        """Half an event would be followed by the events of another engine."""
+        first = events(1, 2, end=False, torn=event(3)[:7])
+        self.system.set_scripts(first, events(3, 4, end=True))
+        self.assertEqual(self._post().body, body_of(1, 4))
+
+    def test_repeated_events(self):
+        """An event would come twice after a stream has moved."""
+        self.system.set_scripts(events(1, 2, end=False), events(1, 4, end=True))
+        self.assertEqual(self._post().body, body_of(1, 4))
+
+    def test_gap(self):
+        """A stream would go on without an event that was lost."""
+        self.system.set_scripts(events(1, 1, end=False), events(3, 4, end=True))
+        reply = self._post()
+        self.assertEqual((reply.body, reply.whole), (body_of(1, 1), False))
+
+    def test_not_resumable(self):
+        """A stream that must not run twice would be sent again."""
+        self.system.set_scripts(events(1, 2, end=False), events(3, 4, end=True))
+        reply = self._post("/once/")
+        self.assertEqual((reply.body, reply.whole), (body_of(1, 2), False))
+        self.assertEqual(len(self.system.arrivals), 1)
+
+    def test_resumed_by_the_caller(self):
+        """Events that a caller has already would be sent again."""
+        self.system.set_scripts(events(5, 6, end=True))
+        reply = self._post(Last_Event_Id="4")
+        self.assertEqual(reply.body, body_of(5, 6))
+        self.assertEqual(self.system.arrivals[0].get(b"Last-Event-Id"), b"4")
+
+    def test_silent_engine(self):
+        """A caller would wait for an engine that says nothing any more."""
+
+        def silent(request):
+            request.sock.sendall(stream_head(request, b"s1") + chunk(event(1)))
+            gevent.sleep(LIMIT_S)
+
+        self.system.set_scripts(silent, events(2, 3, end=True))
+        reply = self._post()
+        self.assertEqual(reply.body, body_of(1, 3))
+        # Callers of this kind leave after two seconds.
+        self.assertLess(reply.seconds, 2.0)
+
+    def test_deadline_within_a_stream(self):
+        """A stream would go on for longer than its caller waits."""
+
+        def slow(request):
+            request.sock.sendall(stream_head(request, b"s1"))
+            for number in range(1, 100):
+                request.sock.sendall(chunk(event(number)))
+                gevent.sleep(0.05)
+
+        self.system.set_scripts(slow)
+        reply = self._post(X_Deadline_Ms="500")
+        self.assertFalse(reply.whole)
+        self.assertLess(reply.seconds, 0.5 + 0.25)
+
+    def test_caller_leaves(self):
+        """An engine would go on working for nobody."""
+        at_engine = gevent.event.AsyncResult()
+
+        def script(request):
+            request.sock.sendall(stream_head(request, b"s1") + chunk(event(1)))
+            closed = wait_until_closed(request.sock, LIMIT_S)
+            at_engine.set((closed, time.monotonic()))
+            return False
+
+        self.system.set_scripts(script)
+        sock = socket.create_connection(self.system.address)
+        sock.sendall(
+            b"POST /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
+            b"X-Key: key-1\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.assertIn(b"piece 1", sock.recv(1000))
+        left_s = time.monotonic()
+        sock.close()
+        closed, closed_s = at_engine.get(timeout=LIMIT_S)
+        self.assertTrue(closed)
+        self.assertLess(closed_s - left_s, 0.5)
+
+    def test_no_engine_in_service(self):
+        """A request that cannot be served would wait until its deadline."""
+        now_s = time.monotonic()
+        for entry in self.system.serving.backends.entries:
+            for _ in range(3):
+                entry.circuit.record_failure(now_s)
+        reply = self._post()
+        self.assertEqual(reply.status, 503)
+        self.assertLess(reply.seconds, 0.5)
+        self.assertEqual(self.system.arrivals, [])
+
+
+class ConnectionTest(GatewayTestCase):
+    """Guards against callers that are malformed, slow or silent."""
+
+    def _open(self) -> socket.socket:
+        sock = socket.create_connection(self.system.address)
+        sock.settimeout(LIMIT_S)
+        self.addCleanup(sock.close)
+        return sock
+
+    def _exchange(self, data: bytes) -> bytes:
+        sock = self._open()
+        sock.sendall(data)
+        received = b""
+        with contextlib.suppress(OSError):
+            while part := sock.recv(65536):
+                received += part
+        return received
+
+    HEAD = (
+        b"%s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nX-Key: key-1\r\n"
+        b"X-Deadline-Ms: 2000\r\n"
+    )
+
+    def test_malformed(self):
+        """A malformed request would end without an answer or reach a server."""
+        for data in (b"\x00\x01\r\n\r\n", b"GET\r\n\r\n", b"GET / HTTP/1.1\r\n\r\n"):
+            self.assertIn(b" 400 ", self._exchange(data))
+        self.assertEqual(self.system.arrivals, [])
+
+    def test_two_lengths(self):
+        """A second request would be smuggled inside a first one."""
+        for extra in (
+            b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+            b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        ):
+            data = self._exchange(self.HEAD % b"POST /call/" + extra)
+            self.assertIn(b" 400 ", data)
+        self.assertEqual(self.system.arrivals, [])
+
+    def test_large_headers(self):
+        """Headers over the limit would be passed on."""
+        data = self.HEAD % b"GET /call/" + b"X-Big: " + b"x" * 3000 + b"\r\n\r\n"
+        self.assertIn(b" 431 ", self._exchange(data))
+
+    def test_large_body(self):
+        """A body over the limit would be passed on."""
+        reply = self.send("/call/", "POST", b"x" * 200_000)
+        self.assertEqual(reply.status, 413)
+        self.assertEqual(self.system.arrivals, [])
+
+    def test_slow_headers(self):
+        """A caller that sends headers slowly would hold a connection for ever."""
+        sock = self._open()
+        sock.sendall(b"GET /call/ HTTP/1.1\r\n")
+        begun_s = time.monotonic()
+        self.assertIn(b" 408 ", sock.recv(1000))
+        self.assertLess(time.monotonic() - begun_s, 1.5)
+
+    def test_idle(self):
+        """An idle connection would be kept for ever, or closed too early."""
+        sock = self._open()
+        begun_s = time.monotonic()
+        self.assertEqual(sock.recv(1000), b"")
+        self.assertGreater(time.monotonic() - begun_s, 0.8)
+
+    def test_chunked_body(self):
+        """A body in chunks would arrive changed."""
+        data = self.HEAD % b"POST /call/" + b"Transfer-Encoding: chunked\r\n"
+        data += b"Connection: close\r\n\r\n" + chunk(b"ab") + chunk(b"c") + END
+        self.assertIn(b" 200 ", self._exchange(data))
+        self.assertEqual(self.system.arrivals[0].body, b"abc")
+
+    def test_expected_continue(self):
+        """A caller that waits for leave to send its body would wait for ever."""
+        sock = self._open()
+        head = self.HEAD % b"POST /call/" + b"Content-Length: 3\r\n"
+        sock.sendall(head + b"Expect: 100-continue\r\n\r\n")
+        self.assertIn(b" 100 ", sock.recv(1000))
+        sock.sendall(b"abc")
+        self.assertIn(b" 200 ", sock.recv(1000))
+        self.assertIsNone(self.system.arrivals[0].get(b"Expect"))
+
+    def test_requests_in_a_row(self):
+        """A request that follows at once would be lost or answered out of turn."""
+        one = self.HEAD % b"GET /call/1" + b"\r\n"
+        two = self.HEAD % b"GET /call/2" + b"Connection: close\r\n\r\n"
+        self.system.set_scripts(lambda r: r.sock.sendall(sealed(r, r.target)))
+        data = self._exchange(one + two)
+        self.assertLess(data.index(b"/call/1"), data.index(b"/call/2"))
+
+    def test_kept_after_a_refusal(self):
+        """A refusal would cost the caller its connection."""
+        sock = self._open()
+        for _ in range(2):
+            sock.sendall(self.HEAD % b"POST /other/" + b"Content-Length: 3\r\n\r\nabc")
+            self.assertIn(b" 404 ", sock.recv(1000))
+
+
+class StopTest(GatewayTestCase):
+    """Guards against a planned stop that loses requests."""
+
+    def test_in_flight(self):
+        """A request in flight would be cut by a planned stop."""
+        begun = gevent.event.Event()
+
+        def slow(request):
+            begun.set()
+            gevent.sleep(0.3)
+            request.sock.sendall(sealed(request, b"done"))
+
+        self.system.set_scripts(slow)
+        task = gevent.spawn(self.send, "/call/")
+        begun.wait(LIMIT_S)
+        self.system.gate.leaving = True
+        self.system.gateway.stop_listening()
+        self.system.gate.close()
+        reply = task.get(timeout=LIMIT_S)
+        self.assertEqual(reply.body, b"done")
+        self.assertEqual(reply.headers["Connection"], "close")
+        self.assertTrue(self.system.gate.wait_until_empty(LIMIT_S))
+
+    def test_open_connection(self):
+        """A request on an open connection would be lost after the stop began."""
+        self.system.gate.leaving = True
+        self.system.gate.close()
+        reply = self.send("/job/", "POST", b"x")
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(self.system.arrivals, [])
