--- /dev/null
+++ b/papayarelay/tests/test_platform.py
@@ -0,0 +1,361 @@
+"""Tests of the translation between the platform's words and the product's."""
+
+import json
+import random
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import gevent
+
+from ..errors import StoreError
+from ..local import wait_for
+from ..platform import config as platform_config
+from ..platform import settings as platform_settings
+from ..platform.feed import RETURN_S, Feed
+from ..platform.roster import Roster
+from ..platform.store import HistoryGoneError, Row, Rows, StoreClient
+from .platform_documents import SETTINGS, make_document, make_entry
+from .store_standin import StoreFaults, StoreStandIn
+
+LIMIT_S = 5.0
+DATA_CENTRES = ("a", "b")
+
+
+def load_settings(text: str = SETTINGS):
+    """Return the settings in a text."""
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory, "node.toml")
+        path.write_text(text)
+        return platform_settings.load(str(path))
+
+
+class SettingsTest(unittest.TestCase):
+    """Guards against settings that are misread."""
+
+    def test_fields(self):
+        """A time limit would be taken in another unit."""
+        settings = load_settings()
+        self.assertEqual(settings.name, "edge-a-1")
+        self.assertEqual(settings.bounds.drain_s, 2.0)
+        self.assertEqual(settings.bounds.stop_s, 8.0)
+        self.assertEqual(settings.bounds.revocation_s, 5.0)
+
+    def test_without_bounds(self):
+        """A node would not start because a new platform leaves bounds out."""
+        text = SETTINGS.partition("[bounds]")[0] + '[platform]\naddress = "h:1"\n'
+        self.assertEqual(load_settings(text).store_address, "h:1")
+
+    def test_mistakes(self):
+        """A node would start with an address or port that does not exist."""
+        for old, new in (
+            ('ip = "127.0.0.1"', ""),
+            ("[7340, 7355]", '"x"'),
+            ("[platform]", "[other]"),
+            ("node_name =", "node_name"),
+        ):
+            with self.assertRaises(platform_settings.PlatformSettingsError):
+                load_settings(SETTINGS.replace(old, new))
+
+
+class ConfigTest(unittest.TestCase):
+    """Guards against fields that are taken for something else."""
+
+    def setUp(self):
+        text = json.dumps(make_document()).encode()
+        document = platform_config.DOCUMENTS.decode(text)
+        entries = {}
+        for name, changes in (("e1", {}), ("e2", {"state": "draining"})):
+            value = json.dumps(make_entry(**changes)).encode()
+            entries[name] = platform_config.read_entry(value)
+        self.config = platform_config.to_config(
+            document, entries, DATA_CENTRES, frozenset({"b"})
+        )
+
+    def test_route(self):
+        """A stream that may be resumed would count as one that may not repeat."""
+        stream, job = self.config.routes
+        self.assertTrue(stream.stream and stream.kind.idempotent)
+        self.assertEqual(stream.kind.deadline_s, 10.0)
+        self.assertEqual(stream.kind.target_s, 0.3)
+        self.assertEqual(stream.kind.gap_target_s, 0.25)
+        self.assertEqual([each.weight for each in stream.services], [90, 10])
+        self.assertFalse(job.kind.idempotent)
+        self.assertEqual(job.services[0].service, "plain")
+
+    def test_engine(self):
+        """An engine would seem a thousand times faster or slower than it is."""
+        timing = self.config.services["model"].timing
+        self.assertAlmostEqual(timing.read_s(154_000), 0.87 + 2.18, delta=0.01)
+        self.assertAlmostEqual(timing.pass_s(1, 10_000), 51 * 0.00088, delta=0.001)
+
+    def test_servers(self):
+        """A server that is leaving, or in an evacuated place, would get work."""
+        self.assertEqual(self.config.backends["e1"].state, "active")
+        self.assertEqual(self.config.backends["e2"].state, "leaving")
+        self.assertEqual(self.config.data_centres["b"].state, "drained")
+
+    def test_organisation(self):
+        """An organisation would lose its rank or its keys."""
+        office = self.config.members[platform_config.MEMBER].organisations["office"]
+        self.assertEqual(office.priority, 3)
+        self.assertEqual(len(office.key_sha256), 2)
+
+    def test_without_tenants(self):
+        """Requests would need keys where the configuration has none."""
+        fields = make_document()
+        del fields["tenants"]
+        document = platform_config.DOCUMENTS.decode(json.dumps(fields).encode())
+        self.assertEqual(
+            platform_config.to_config(document, {}, (), frozenset()).members, {}
+        )
+
+    def test_entries_of_other_writers(self):
+        """An entry that names no server would be used."""
+        for value in (
+            b"\xff\x00",
+            b"[]",
+            b"{}",
+            json.dumps(make_entry(state="unknown")).encode(),
+            json.dumps(make_entry(address=5)).encode(),
+            json.dumps(make_entry(address="nowhere")).encode(),
+        ):
+            self.assertIsNone(platform_config.read_entry(value))
+
+
+class FakeStore:
+    """Gives prepared answers; an exception in place of rows is raised."""
+
+    def __init__(self):
+        self.tables = {"op": [], "servers": []}
+
+    def read(self, table):
+        """Return the next answer of a table."""
+        return self._next(table)
+
+    def changes(self, table, after, wait_s):
+        """Return the next answer of a table."""
+        return self._next(table)
+
+    def _next(self, table):
+        answer = self.tables[table].pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def as_row(key: str, fields: dict | None, version: int) -> Row:
+    """Return a row, or the mark of a removed one."""
+    if fields is None:
+        return Row(key, None, version, removed=True)
+    return Row(key, json.dumps(fields).encode(), version)
+
+
+def gone() -> HistoryGoneError:
+    """Return the error of a store that has dropped its history."""
+    return HistoryGoneError("gone", step="feed", peer="store")
+
+
+class FeedTest(unittest.TestCase):
+    """Guards against beliefs that are older than they may be."""
+
+    def setUp(self):
+        self.now_s = 100.0
+        self.store = FakeStore()
+        self.applied = []
+        self.cold = {}
+        self.feed = Feed(
+            self.store,
+            load_settings(),
+            self.applied.append,
+            self.cold.__setitem__,
+            DATA_CENTRES,
+            lambda: self.now_s,
+            lambda: self.now_s,
+        )
+
+    def _config(self, version: int, *rows: Row) -> None:
+        self.store.tables["op"].append(Rows(rows, version))
+        self.feed._read_config()
+
+    def _servers(self, version: int, *rows: Row) -> None:
+        self.store.tables["servers"].append(Rows(rows, version))
+        self.feed._read_servers()
+
+    def _start(self) -> None:
+        self._config(10, as_row("config", make_document(3), 9))
+        self._servers(10, as_row("e1", make_entry(), 8), as_row("e2", make_entry(), 7))
+
+    def _states(self) -> dict[str, str]:
+        backends = self.feed.config.backends
+        return {name: backend.state for name, backend in backends.items()}
+
+    def test_never_back(self):
+        """An older version would come into force again."""
+        self._start()
+        self._config(11, as_row("config", make_document(2), 11))
+        self.assertEqual(self.feed.config.version, 3)
+
+    def test_old_reading(self):
+        """Rows that are older than those known would count as new."""
+        self._start()
+        for answer in (gone(), Rows((as_row("config", make_document(1), 5),), 6)):
+            self.store.tables["op"].append(answer)
+        self.now_s += 4.0
+        self.feed._read_config()
+        self.assertEqual(self.feed.config.version, 3)
+        self.assertEqual(self.feed.config_age_s(), 4.0)
+
+    def test_history_gone(self):
+        """A server that left while nothing was heard would stay in use."""
+        self._start()
+        self.store.tables["servers"].append(gone())
+        self._servers(20, as_row("e1", make_entry(), 19))
+        self._servers(21)
+        self.assertEqual(self._states(), {"e1": "active"})
+
+    def test_unreadable_configuration(self):
+        """A configuration that cannot be read would end the one in force."""
+        self._start()
+        self._config(11, Row("config", b"{", 11))
+        self.assertEqual(self.feed.config.version, 3)
+
+    def test_age(self):
+        """The age would count from the answer instead of from the question."""
+        self._start()
+
+        def slow(table, after, wait_s):
+            self.now_s += 2.0
+            return Rows((), 11)
+
+        self.store.changes = slow
+        self.feed._read_config()
+        self.assertEqual(self.feed.config_age_s(), 2.0)
+
+    def test_evacuation(self):
+        """A data centre that is taken out would get work, or never get any again."""
+        self._start()
+        self._config(11, as_row("evacuate/a", {}, 11))
+        self.assertEqual(self.feed.config.data_centres["a"].state, "drained")
+        self._config(12, as_row("evacuate/a", None, 12))
+        self.assertEqual(self.feed.config.data_centres["a"].state, "active")
+
+    def test_draining(self):
+        """A server that is leaving would get work."""
+        self._start()
+        self._servers(11, as_row("e1", make_entry(state="draining"), 11))
+        self.assertEqual(self._states(), {"e1": "leaving", "e2": "active"})
+
+    def test_removed(self):
+        """A server whose entry was removed would get work."""
+        self._start()
+        self._servers(11, as_row("e1", None, 11))
+        self.assertEqual(self._states(), {"e2": "active"})
+
+    def test_lapsed_while_the_store_was_away(self):
+        """All servers would be lost after an outage, or stay for ever."""
+        self._start()
+        self.feed._note_failure(gone())
+        self.now_s += 4.0
+        self._servers(11, as_row("e1", None, 11), as_row("e2", None, 12))
+        self.assertEqual(sorted(self._states()), ["e1", "e2"])
+        self._servers(12, as_row("e1", make_entry(), 13))
+        self.now_s += RETURN_S
+        self._servers(14)
+        self.assertEqual(sorted(self._states()), ["e1"])
+
+    def test_unreadable_entry(self):
+        """Another writer's entry would take a server out of service."""
+        self._start()
+        self._servers(11, Row("e1", b"\xff", 11), as_row("x", {"a": 1}, 12))
+        self.assertEqual(sorted(self._states()), ["e1", "e2"])
+
+    def test_cold(self):
+        """A server in cold start would count as warm."""
+        self._start()
+        self._servers(11, as_row("e1", make_entry(cold_remaining_ms=2500), 11))
+        self.assertEqual(self.cold["e1"], 2.5)
+
+    def test_beats_change_nothing(self):
+        """Each heartbeat of a server would rebuild the whole configuration."""
+        self._start()
+        before = len(self.applied)
+        self._servers(11, as_row("e1", make_entry(sequence=5), 11))
+        self.assertEqual(len(self.applied), before)
+
+
+class StoreTest(unittest.TestCase):
+    """Guards against calls of the store that are misread."""
+
+    def setUp(self):
+        self.standin = StoreStandIn()
+        self.addCleanup(self.standin.close)
+        self.client = StoreClient(self.standin.address)
+        self.client.start()
+        self.addCleanup(self.client.close)
+
+    def test_pages(self):
+        """Rows after the first page would be missing."""
+        for number in range(1203):
+            self.standin.put("t", f"k{number:04}", {})
+        rows = self.client.read("t")
+        self.assertEqual(len({row.key for row in rows.rows}), 1203)
+
+    def test_changes(self):
+        """A change would be missed, or the wait for one never end."""
+        version = self.client.read("t").version
+        task = gevent.spawn(self.client.changes, "t", version, 2.0)
+        wait_for(lambda: "rows-feed" in self.standin.calls, LIMIT_S, "call")
+        self.standin.put("t", "k", {"a": 1})
+        rows = task.get(timeout=LIMIT_S)
+        self.assertEqual([row.key for row in rows.rows], ["k"])
+        self.standin.remove("t", "k")
+        self.assertTrue(self.client.changes("t", rows.version, 0.0).rows[0].removed)
+        self.assertEqual(self.client.changes("t", rows.version + 1, 0.1).rows, ())
+
+    def test_history_gone(self):
+        """A gap in the history would pass unnoticed."""
+        version = self.client.read("t").version
+        self.standin.put("t", "k", {})
+        self.standin.forget_history()
+        with self.assertRaises(HistoryGoneError):
+            self.client.changes("t", version, 0.0)
+
+    def test_faults(self):
+        """A node would wait for a store that does not answer."""
+        for mode in ("busy", "many", "silent", "reset"):
+            self.standin.faults = StoreFaults(mode)
+            begun_s = time.monotonic()
+            with self.assertRaises(StoreError):
+                self.client.read("t")
+            self.assertLess(time.monotonic() - begun_s, 1.5)
+        self.standin.faults = StoreFaults()
+        self.assertEqual(self.client.read("t").rows, ())
+
+
+class RosterTest(unittest.TestCase):
+    """Guards against nodes that do not know one another."""
+
+    def test_found(self):
+        """Nodes that start together would not find each other."""
+        standin = StoreStandIn()
+        self.addCleanup(standin.close)
+        standin.put("nodes", "broken", {"other": 1})
+        found: dict[str, dict] = {"n1": {}, "n2": {}}
+        for number, name in enumerate(found):
+            client = StoreClient(standin.address)
+            client.start()
+            self.addCleanup(client.close)
+            roster = Roster(
+                client,
+                name,
+                f"10.0.0.{number}:7340",
+                found[name].__setitem__,
+                random.Random(1),
+            )
+            roster.start()
+            self.addCleanup(roster.close)
+        for name, other in (("n1", "n2"), ("n2", "n1")):
+            wait_for(lambda n=name, o=other: o in found[n], LIMIT_S, other)
+        self.assertEqual(found["n1"]["n2"], ("10.0.0.1", 7340))
