Read long parts only where the streams of an engine bear it

Cause: a second long prompt took engines with streams as soon as the empty ones were reading. Change: nodes also tell the shortest pause that the streams on an engine bear. A part goes to an engine only if its pass stays within 0.8 of that, unless the prompt is late otherwise and in time with it. A prompt is split into the fewest parts that are expected within a quarter of its target, at most 17.

--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
@@ -109,6 +110,14 @@
             reads=len(unread),
             reading_s=reading_s,
             tokens=sum(each.tokens for each in self.work),
+            pause_s=min(
+                (
+                    each.cost.gap_target_s
+                    for each in self.work
+                    if not each.part and each.cost.gap_target_s
+                ),
+                default=math.inf,
+            ),
         )
 
     def is_cold(self, now_s: float) -> bool:
--- a/papayarelay/nodes/board.py
+++ b/papayarelay/nodes/board.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import socket
 from collections.abc import Callable, Mapping
@@ -29,13 +30,31 @@
 
 
 class _Figures(msgspec.Struct, array_like=True):
-    """Work on one backend server; ``reading_ms`` is what is left to read."""
+    """Work on one backend server, as ``EngineWork``; no writer has ``pause_ms`` 0."""
 
     backend: str
     writers: int
     reads: int
     reading_ms: int
     tokens: int
+    pause_ms: int = 0
+
+    @classmethod
+    def of(cls, backend: str, work: EngineWork) -> _Figures:
+        """Return the figures that stand for some work."""
+        pause_ms = 0 if math.isinf(work.pause_s) else int(work.pause_s * 1000)
+        reading_ms = int(work.reading_s * 1000)
+        return cls(backend, work.writers, work.reads, reading_ms, work.tokens, pause_ms)
+
+    def work(self) -> EngineWork:
+        """Return the work that the figures stand for."""
+        return EngineWork(
+            self.writers,
+            self.reads,
+            self.reading_ms / 1000,
+            self.tokens,
+            self.pause_ms / 1000 if self.pause_ms else math.inf,
+        )
 
 
 class _Message(msgspec.Struct, array_like=True):
@@ -144,16 +163,7 @@
     def _send_all(self) -> None:
         if not self._peers:
             return
-        work = [
-            _Figures(
-                backend_id,
-                each.writers,
-                each.reads,
-                int(each.reading_s * 1000),
-                each.tokens,
-            )
-            for backend_id, each in self._own_work().items()
-        ]
+        work = [_Figures.of(name, each) for name, each in self._own_work().items()]
         self._number += 1
         message = _Message(self._name, self._start, self._number, self._leaving, work)
         data = _ENCODER.encode(message)
@@ -194,12 +204,7 @@
             del self._peers[message.sender]
             self._drop(message.sender)
         else:
-            work = {
-                each.backend: EngineWork(
-                    each.writers, each.reads, each.reading_ms / 1000, each.tokens
-                )
-                for each in message.work
-            }
+            work = {each.backend: each.work() for each in message.work}
             self._take(message.sender, work)
         self._recount()
 
--- a/papayarelay/placing.py
+++ b/papayarelay/placing.py
@@ -44,7 +44,8 @@
     A step takes nearly the same time for one stream as for eight, so packing
     leaves engines without streams, which read long parts at full speed.
 
-    A prompt over ``part_tokens`` is split.  Short prompts leave ``spare_slots``
+    A prompt over ``part_tokens`` is split into as many parts as bring the expected
+    time below ``split_part`` of the target.  Short prompts leave ``spare_slots``
     free.  ``writer_s`` is the weight of a stream on an engine that is to read a
     long part.  An expected time to the first event above ``target_part`` of the
     target, or a pass longer than ``gap_part`` of the longest pause, is avoided.
@@ -53,7 +54,8 @@
     """
 
     part_tokens: int = 20_000
-    max_parts: int = 8
+    max_parts: int = MAX_HELPERS + 1
+    split_part: float = 0.25
     spare_slots: int = 2
     writer_s: float = 0.05
     target_part: float = 0.7
@@ -117,7 +119,11 @@
 def _split(
     policy: Packed, cost: Cost, views: Sequence[BackendView], rng: random.Random
 ) -> Placement | None:
-    """Return the emptiest engines that together read a long prompt in time."""
+    """Return the engines that read a long prompt, and do no harm with it.
+
+    An engine whose streams would pause for too long takes part only where the
+    prompt would be late without it and is in time with it.
+    """
     ranked = sorted(
         views,
         key=lambda view: (
@@ -126,26 +132,70 @@
             rng.random(),
         ),
     )
-    timing = views[0].timing
+    calm = _best_split(policy, cost, ranked, harmless=True)
+    if calm is not None and calm.expected_s <= policy.target_part * cost.target_s:
+        return calm
+    fastest = _best_split(policy, cost, ranked, harmless=False)
+    if fastest is None or fastest.expected_s <= policy.target_part * cost.target_s:
+        return fastest
+    return calm or fastest
+
+
+def _best_split(
+    policy: Packed, cost: Cost, ranked: Sequence[BackendView], *, harmless: bool
+) -> Placement | None:
+    """Return the smallest split that meets the target well, or else the fastest.
+
+    ``harmless`` leaves out the engines whose streams would pause for too long.
+    """
+    timing = ranked[0].timing
     shares = _memory_shares(policy, cost, timing.kv_tokens)
-    wanted = max(shares, -(-cost.prefill_tokens // policy.part_tokens))
-    parts = max(1, min(wanted, policy.max_parts, len(ranked)))
+    best = None
+    for parts in range(shares, max(shares, min(policy.max_parts, len(ranked))) + 1):
+        read_s = timing.read_s(cost.prefill_tokens, parts)
+        chosen = ranked
+        if harmless:
+            chosen = [view for view in ranked if _bears(policy, cost, view, read_s)]
+        placement = _spread(cost, chosen, parts, shares, read_s)
+        if placement is None:
+            continue
+        if best is None or placement.expected_s < best.expected_s:
+            best = placement
+        if placement.expected_s <= policy.split_part * cost.target_s:
+            break
+    return best
+
+
+def _bears(policy: Packed, cost: Cost, view: BackendView, read_s: float) -> bool:
+    """Return whether the streams on an engine bear the pause of one more part."""
+    pause_s = _pass_s(view, cost) + view.work.reading_s + read_s
+    return pause_s <= policy.gap_part * view.work.pause_s
+
+
+def _spread(
+    cost: Cost, ranked: Sequence[BackendView], parts: int, shares: int, read_s: float
+) -> Placement | None:
+    """Return a placement on the first engines, those with memory before others."""
     tokens = -(-cost.kv_tokens // shares)
     holders = [view for view in ranked if _free_tokens(view) >= tokens][:shares]
-    if len(holders) < shares:
+    if len(holders) < shares or len(ranked) < parts:
         return None
     others = [view for view in ranked if view not in holders]
-    chosen = [*holders, *others][: max(parts, shares)]
-    read_s = timing.read_s(cost.prefill_tokens, len(chosen))
+    chosen = [*holders, *others][:parts]
     return Placement(
         chosen[0].id,
         helpers=tuple(view.id for view in chosen[1:]),
         reserved=(tokens,) * (shares - 1),
         read_s=read_s,
-        expected_s=max(_first_event_s(view, cost, read_s) for view in chosen),
+        expected_s=_last_part_s(cost, chosen, read_s),
     )
 
 
+def _last_part_s(cost: Cost, chosen: Sequence[BackendView], read_s: float) -> float:
+    """Return the expected time to the first event after the last part."""
+    return max(_first_event_s(view, cost, read_s) for view in chosen)
+
+
 def _memory_shares(policy: Packed, cost: Cost, kv_tokens: int) -> int:
     """Return on how many engines the memory of a prompt is kept."""
     if cost.kv_tokens <= policy.memory_part * kv_tokens:
--- a/papayarelay/routing.py
+++ b/papayarelay/routing.py
@@ -6,7 +6,7 @@
 import random
 import zlib
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatch
 
 from .cost import Cost
@@ -19,13 +19,15 @@
 
     ``writers`` are requests whose answers are being produced, ``reads`` parts of
     prompts that are still to be read, which takes ``reading_s``; ``tokens`` is
-    the memory that all of these hold.
+    the memory that all of these hold.  ``pause_s`` is the longest pause that the
+    most impatient writer bears.
     """
 
     writers: int = 0
     reads: int = 0
     reading_s: float = 0.0
     tokens: int = 0
+    pause_s: float = math.inf
 
     def __add__(self, other: EngineWork) -> EngineWork:
         return EngineWork(
@@ -33,12 +35,13 @@
             self.reads + other.reads,
             self.reading_s + other.reading_s,
             self.tokens + other.tokens,
+            min(self.pause_s, other.pause_s),
         )
 
     def after(self, elapsed_s: float) -> EngineWork:
         """Return what is left of the work after some time."""
         left_s = max(0.0, self.reading_s - elapsed_s)
-        return EngineWork(self.writers, self.reads, left_s, self.tokens)
+        return replace(self, reading_s=left_s)
 
 
 @dataclass(frozen=True)
