Count what an engine has to read as one queue, and tell long reads at once

Cause: each node let the reading time of its own work run down on its own, though an engine reads one prompt after the other, so all nodes together believed a queue several times shorter than it was; and a long read was known to the others only 20 ms later, while streams bear 250 ms. Change: bench/fleet.py plays the users' load against a model of engines that work in passes, with the product's own placing; each piece of work remembers how long it waits behind others; a long read is told without delay; a part no longer goes where streams do not bear it, only because the prompt would be late.

--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -33,7 +33,8 @@
 class Work:
     """A request of this node, or a part of one, on a backend server.
 
-    ``read_s`` is the time that reading it takes.  A part (``part``) is read for
+    ``read_s`` is the time that reading it takes, and ``wait_s`` that for which
+    the server reads other prompts before.  A part (``part``) is read for
     an engine that writes the answer, and may hold ``tokens`` of memory for it.
     """
 
@@ -44,14 +45,21 @@
         read_s: float = 0.0,
         part: bool = False,
         tokens: int | None = None,
+        wait_s: float = 0.0,
     ):
         self.cost = cost
         self.sent_s = sent_s
+        self._starts_s = sent_s + wait_s
         self.read_s = read_s
         self.part = part
         self.tokens = cost.kv_tokens if tokens is None else tokens
         self.prefilled = False
 
+    def left_s(self, now_s: float) -> float:
+        """Return the time that the server still reads it, as expected."""
+        done_s = max(0.0, now_s - self._starts_s)
+        return max(0.0, self.read_s - done_s)
+
     @property
     def prefill_tokens(self) -> int:
         """Return the prompt tokens that the server may still have to compute."""
@@ -85,7 +93,6 @@
     service: Service | None = None
     cold_until_s: float = 0.0
     cold_rate: TokenBucket | None = None
-    last_read_s: float = 0.0
     _figures: WorkFigures | None = None
 
     @property
@@ -101,14 +108,10 @@
     def own_work(self, now_s: float) -> EngineWork:
         """Return the unfinished work that this node has sent."""
         unread = [each for each in self.work if not each.prefilled]
-        reading_s = sum(each.read_s for each in unread)
-        if unread:
-            begun_s = max(self.last_read_s, min(each.sent_s for each in unread))
-            reading_s = max(0.0, reading_s - max(0.0, now_s - begun_s))
         return EngineWork(
             writers=sum(not each.part for each in self.work),
             reads=len(unread),
-            reading_s=reading_s,
+            reading_s=sum(each.left_s(now_s) for each in unread),
             tokens=sum(each.tokens for each in self.work),
             pause_s=min(
                 (
@@ -339,7 +342,10 @@
         tokens: int | None = None,
     ) -> Work:
         """Count a request as own work on a server until it is released."""
-        work = Work(cost, now_s, read_s, part, tokens)
+        wait_s = 0.0
+        if read_s:
+            wait_s = self.work_on(entry.id, now_s)[0].reading_s
+        work = Work(cost, now_s, read_s, part, tokens, wait_s)
         entry.work.add(work)
         entry.forget_figures()
         return work
@@ -349,13 +355,10 @@
         if entry.is_cold(now_s) and entry.cold_rate is not None:
             entry.cold_rate.take(now_s)
 
-    def mark_prefilled(
-        self, entry: BackendEntry, work: Work, now_s: float = 0.0
-    ) -> None:
+    def mark_prefilled(self, entry: BackendEntry, work: Work) -> None:
         """Note that a server has computed the prompt of a request."""
         if not work.prefilled:
             work.prefilled = True
-            entry.last_read_s = now_s
             entry.forget_figures()
 
     def release(self, entry: BackendEntry, work: Work) -> None:
--- /dev/null
+++ b/papayarelay/bench/fleet.py
@@ -0,0 +1,328 @@
+"""Load of unlike prompts on a fleet of engines, in virtual time.
+
+The nodes decide with the product's own code (``place`` and ``BackendTable``), and
+know of one another's work as late as their datagrams arrive.  There are no
+faults: this is for queueing and placing.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from ..backends.table import BackendTable
+from ..config import Backend, Config, DataCentre, Service
+from ..cost import Cost
+from ..nodes.board import BATCH_S
+from ..placing import place
+from ..scheduler import RETRY_INTERVAL_S, URGENT_READ_S, Grant, hold_placement
+from ..timing import EngineTiming
+from .fleet_engine import FleetEngine, Run, split
+
+SERVICE = "model"
+# One way between a node and an engine, or between two nodes.
+LINK_S = 0.001
+CALLER_S = 0.003
+
+
+@dataclass(frozen=True)
+class LoadKind:
+    """A kind of request: its sizes are log-normal, ``late`` is its late worth."""
+
+    name: str
+    per_s: float
+    prompt_tokens: float
+    prompt_spread: float
+    prompt_most: float
+    events: float
+    events_spread: float
+    target_s: float
+    pause_s: float
+    deadline_s: float
+    worth: float
+    late: float
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """A deployment; ``phases`` are (seconds, factor by kind)."""
+
+    nodes: int
+    engines: int
+    timing: EngineTiming
+    kinds: tuple[LoadKind, ...]
+    phases: tuple[tuple[float, tuple[float, ...]], ...]
+    event_tokens: int
+
+
+@dataclass
+class Outcome:
+    """What a caller got."""
+
+    kind: LoadKind
+    prompt_tokens: int
+    sent_s: float
+    first_s: float = math.inf
+    pause_s: float = 0.0
+    last_s: float = math.inf
+
+    @property
+    def in_time(self) -> bool:
+        """Return whether the answer was whole and in time."""
+        whole = self.last_s - self.sent_s <= self.kind.deadline_s
+        first = self.first_s - self.sent_s <= self.kind.target_s
+        return whole and first and self.pause_s <= self.kind.pause_s
+
+    def worth(self, mean_tokens: float) -> tuple[float, float]:
+        """Return the worth that was earned and that was owed."""
+        size = min(4.0, 0.3 + 0.7 * self.prompt_tokens / mean_tokens)
+        owed = self.kind.worth * size
+        if self.in_time:
+            return owed, owed
+        whole = self.last_s - self.sent_s <= self.kind.deadline_s
+        return (self.kind.late * size if whole else 0.0), owed
+
+
+@dataclass
+class _Node:
+    name: str
+    table: BackendTable
+    rng: random.Random
+    told: bool = False
+    queue: list = field(default_factory=list)
+
+
+class FleetReplay:
+    """Plays a load once."""
+
+    def __init__(self, fleet: Fleet, policy: object, seed: int):
+        self.outcomes: list[Outcome] = []
+        self._fleet = fleet
+        self._policy = policy
+        self._rng = random.Random(seed)
+        self._now_s = 0.0
+        self._order = itertools.count()
+        self._events: list = []
+        self._engines = {
+            f"e{number}": FleetEngine(f"e{number}", fleet.timing, self._schedule)
+            for number in range(fleet.engines)
+        }
+        config = _make_config(fleet)
+        self._nodes = []
+        for number in range(fleet.nodes):
+            table = BackendTable(random.Random(number))
+            table.apply(config)
+            rng = random.Random(self._rng.random())
+            self._nodes.append(_Node(f"n{number}", table, rng))
+
+    def run(self) -> list[Outcome]:
+        """Play the load to its end and return what each caller got."""
+        start_s = 0.0
+        for length_s, factors in self._fleet.phases:
+            for kind, factor in zip(self._fleet.kinds, factors, strict=True):
+                self._add_arrivals(kind, kind.per_s * factor, start_s, length_s)
+            start_s += length_s
+        while self._events:
+            self._now_s, _, action = heapq.heappop(self._events)
+            action(self._now_s)
+        return self.outcomes
+
+    def _schedule(self, at_s: float, action: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (at_s, next(self._order), action))
+
+    def _add_arrivals(
+        self, kind: LoadKind, per_s: float, start_s: float, length_s: float
+    ) -> None:
+        at_s = start_s
+        while per_s > 0:
+            at_s += self._rng.expovariate(per_s)
+            if at_s >= start_s + length_s:
+                return
+            outcome = Outcome(kind, _draw_tokens(kind, self._rng), at_s)
+            events = _draw_events(kind, self._rng)
+            self.outcomes.append(outcome)
+            self._schedule(
+                at_s + CALLER_S, lambda now_s, o=outcome, e=events: self._arrive(o, e)
+            )
+
+    def _arrive(self, outcome: Outcome, events: int) -> None:
+        node = self._rng.choice(self._nodes)
+        kind = outcome.kind
+        tokens = (events - 1) * self._fleet.event_tokens + 1
+        cost = Cost(outcome.prompt_tokens, tokens, kind.target_s, kind.pause_s)
+        self._try(node, outcome, cost)
+
+    def _try(self, node: _Node, outcome: Outcome, cost: Cost) -> None:
+        if self._now_s - outcome.sent_s > outcome.kind.deadline_s:
+            return
+        views = node.table.views("engine", SERVICE, self._now_s)
+        placement = place(self._policy, cost, views, self._now_s, node.rng)
+        if placement is None:
+            self._schedule(
+                self._now_s + RETRY_INTERVAL_S,
+                lambda now_s: self._try(node, outcome, cost),
+            )
+            return
+        grant = hold_placement(node.table, cost, placement, self._now_s)
+        self._tell(node, placement.read_s > URGENT_READ_S)
+        self._send(node, outcome, cost, grant)
+
+    def _send(self, node: _Node, outcome: Outcome, cost: Cost, grant: Grant) -> None:
+        helpers = [entry.id for entry, _ in grant.helpers]
+        context = cost.prefill_tokens // (1 + len(grant.placement.reserved))
+        run = Run(
+            f"r{next(self._order)}",
+            cost.prefill_tokens,
+            cost.decode_tokens,
+            1 + len(helpers),
+            context,
+        )
+        run.on_event = lambda now_s, last: self._schedule(
+            now_s + LINK_S, lambda at_s: self._receive(node, outcome, grant, last)
+        )
+        parts = split(self._fleet.timing, run, 1 + len(helpers))
+        first = self._engines[grant.entry.id]
+
+        def arrive(now_s: float) -> None:
+            for part, name in zip(parts[1:], helpers, strict=True):
+                self._engines[name].help(part, now_s)
+            first.offer(run, parts[0], now_s)
+
+        self._schedule(self._now_s + LINK_S, arrive)
+
+    def _receive(self, node: _Node, outcome: Outcome, grant: Grant, last: bool) -> None:
+        at_s = self._now_s + CALLER_S
+        table = node.table
+        if outcome.first_s is math.inf:
+            outcome.first_s = at_s
+            table.mark_prefilled(grant.entry, grant.work)
+            for entry, work in grant.helpers:
+                table.mark_prefilled(entry, work)
+            self._tell(node)
+        else:
+            outcome.pause_s = max(outcome.pause_s, at_s - outcome.last_s)
+        outcome.last_s = at_s
+        if last:
+            table.release(grant.entry, grant.work)
+            for entry, work in grant.helpers:
+                table.release(entry, work)
+            self._tell(node)
+        else:
+            # Not the end: a stream that stops here was never finished.
+            return
+
+    def _tell(self, node: _Node, urgent: bool = False) -> None:
+        """Let the other nodes know the work of a node, a little later."""
+        if node.told and not urgent:
+            return
+        node.told = True
+
+        def send(now_s: float) -> None:
+            node.told = False
+            work = node.table.own_work(now_s)
+            for other in self._nodes:
+                if other is not node:
+                    other.table.set_peer_work(node.name, work, now_s + LINK_S)
+
+        self._schedule(self._now_s + (0.0 if urgent else BATCH_S), send)
+
+
+def score(outcomes: Sequence[Outcome]) -> dict[str, float]:
+    """Return the earned part of the worth, in all and by kind."""
+    totals: dict[str, list[float]] = {}
+    kinds = {each.kind.name: each.kind for each in outcomes}
+    means = {
+        name: _mean([o.prompt_tokens for o in outcomes if o.kind.name == name])
+        for name in kinds
+    }
+    for outcome in outcomes:
+        earned, owed = outcome.worth(means[outcome.kind.name])
+        for name in ("all", outcome.kind.name):
+            total = totals.setdefault(name, [0.0, 0.0])
+            total[0] += earned
+            total[1] += owed
+    return {name: earned / owed for name, (earned, owed) in totals.items()}
+
+
+def _mean(numbers: Sequence[float]) -> float:
+    return sum(numbers) / len(numbers)
+
+
+def _make_config(fleet: Fleet) -> Config:
+    backends = {
+        f"e{number}": Backend(
+            f"e{number}",
+            "engine",
+            "dc1",
+            f"http://127.0.0.1:{9000 + number}",
+            service=SERVICE,
+            slots=fleet.timing.slots,
+        )
+        for number in range(fleet.engines)
+    }
+    return Config(
+        data_centres={"dc1": DataCentre("dc1", "r1")},
+        backends=backends,
+        services={SERVICE: Service(SERVICE, timing=fleet.timing)},
+    )
+
+
+def _draw_tokens(kind: LoadKind, rng: random.Random) -> int:
+    drawn = _draw(kind.prompt_tokens, kind.prompt_spread, rng)
+    return max(1, int(min(kind.prompt_most, drawn)))
+
+
+def _draw_events(kind: LoadKind, rng: random.Random) -> int:
+    drawn = _draw(kind.events, kind.events_spread, rng)
+    return max(1, round(min(2.5 * kind.events, drawn)))
+
+
+def _draw(mean: float, spread: float, rng: random.Random) -> float:
+    """Draw from a log-normal distribution with a mean and a relative spread."""
+    sigma = math.sqrt(math.log(1 + spread * spread))
+    return rng.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)
+
+
+TODAY_TIMING = EngineTiming(
+    kv_tokens=315_000,
+    slots=8,
+    stride=51,
+    step_s=0.00085,
+    sequence_s=0.0000085,
+    context_s=0.00285e-6,
+    read_tokens_per_s=177_000,
+    pair_s=0.184e-9,
+    chunk_tokens=2048,
+    hop_s=0.00005,
+)
+
+
+def _kinds(short: float, medium: float, long: float) -> tuple[LoadKind, ...]:
+    return (
+        LoadKind(
+            "short", short, 4_960, 0.9, 23_800, 32.9, 0.7, 0.3, 0.25, 10, 1.3, 0.33
+        ),
+        LoadKind(
+            "medium", medium, 45_000, 0.5, 110_000, 19.7, 0.6, 1.5, 0.6, 10, 4.2, 1.0
+        ),
+        LoadKind(
+            "long", long, 154_000, 0.55, 700_000, 16.5, 0.5, 3.0, 1.0, 15, 21.0, 5.2
+        ),
+    )
+
+
+# Phases of the users' days: long prompts come while short ones are few, then
+# the other way round.
+PHASES = (
+    (2.0, (1.0, 1.0, 1.0)),
+    (10.0, (0.33, 1.3, 2.8)),
+    (10.0, (2.45, 0.5, 0.05)),
+    (10.0, (0.33, 1.3, 2.7)),
+)
+ENGRAVERS = Fleet(6, 18, TODAY_TIMING, _kinds(18.4, 0.935, 0.565), PHASES, 51)
+DENTISTS = Fleet(7, 23, TODAY_TIMING, _kinds(23.5, 1.2, 0.72), PHASES, 51)
+FLEETS = {"engravers": ENGRAVERS, "dentists": DENTISTS}
--- a/papayarelay/nodes/board.py
+++ b/papayarelay/nodes/board.py
@@ -115,6 +115,7 @@
         self._count = 1
         self._sock: socket.socket | None = None
         self._changed = gevent.event.Event()
+        self._urgent = gevent.event.Event()
         self._tasks: list[gevent.Greenlet] = []
 
     @property
@@ -148,15 +149,18 @@
             self._peers[name] = _Peer(address)
             self._changed.set()
 
-    def changed(self) -> None:
-        """Note that the work of this node has changed."""
+    def changed(self, urgent: bool = False) -> None:
+        """Note that the work of this node has changed; tell it now if urgent."""
         self._changed.set()
+        if urgent:
+            self._urgent.set()
 
     def _send(self) -> None:
         while True:
             self._changed.wait(HEARTBEAT_S)
-            gevent.sleep(BATCH_S)
+            self._urgent.wait(BATCH_S)
             self._changed.clear()
+            self._urgent.clear()
             run_step(self._send_all)
             run_step(self._check_peers)
 
--- a/papayarelay/placing.py
+++ b/papayarelay/placing.py
@@ -121,8 +121,8 @@
 ) -> Placement | None:
     """Return the engines that read a long prompt, and do no harm with it.
 
-    An engine whose streams would pause for too long takes part only where the
-    prompt would be late without it and is in time with it.
+    An engine whose streams would pause for too long takes part only where there
+    are not enough others to hold the prompt.
     """
     ranked = sorted(
         views,
@@ -133,12 +133,7 @@
         ),
     )
     calm = _best_split(policy, cost, ranked, harmless=True)
-    if calm is not None and calm.expected_s <= policy.target_part * cost.target_s:
-        return calm
-    fastest = _best_split(policy, cost, ranked, harmless=False)
-    if fastest is None or fastest.expected_s <= policy.target_part * cost.target_s:
-        return fastest
-    return calm or fastest
+    return calm or _best_split(policy, cost, ranked, harmless=False)
 
 
 def _best_split(
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -157,8 +157,8 @@
     def _record_cold(self, backend_id: str, left_s: float) -> None:
         self._serving.backends.record_cold(backend_id, left_s, self._clock())
 
-    def _tell_work(self) -> None:
-        self._board.changed()
+    def _tell_work(self, urgent: bool) -> None:
+        self._board.changed(urgent)
 
     def _take_work(self, peer: str, work: Mapping[str, EngineWork]) -> None:
         self._serving.backends.set_peer_work(peer, work, self._clock())
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -24,6 +24,8 @@
 # Estimates of waiting times change with time alone, so queued requests are
 # tried again even when nothing was reported.
 RETRY_INTERVAL_S = 0.05
+# Streams on the same engine bear no pause that is longer than a few of these.
+URGENT_READ_S = 0.06
 
 
 @dataclass(frozen=True)
@@ -62,7 +64,8 @@
 class Scheduler:
     """Owns the admission queue of a node and the task that empties it.
 
-    ``on_work`` is called when the work of this node on a server has changed.
+    ``on_work`` is called when the work of this node on a server has changed, with
+    whether the other nodes must know at once, because a long read begins.
     """
 
     def __init__(
@@ -72,7 +75,7 @@
         queue: AdmissionQueue,
         rng: random.Random,
         clock: Callable[[], float],
-        on_work: Callable[[], None] = lambda: None,
+        on_work: Callable[[bool], None] = lambda urgent: None,
     ):
         self.queue = queue
         self._on_work = on_work
@@ -131,15 +134,14 @@
             for entry, work in grant.helpers:
                 self._table.release(entry, work)
             self._wake.set()
-            self._on_work()
+            self._on_work(False)
 
     def mark_prefilled(self, grant: Grant) -> None:
         """Note that the server has answered, so its prefill is done."""
-        now_s = self._clock()
-        self._table.mark_prefilled(grant.entry, grant.work, now_s)
+        self._table.mark_prefilled(grant.entry, grant.work)
         for entry, work in grant.helpers:
-            self._table.mark_prefilled(entry, work, now_s)
-        self._on_work()
+            self._table.mark_prefilled(entry, work)
+        self._on_work(False)
 
     def wake(self) -> None:
         """Try the queue again: a backend server may have room."""
@@ -185,8 +187,8 @@
         ticket = self._tickets.pop(request.id)
         placement = chosen[-1]
         self._log_placement(ticket, placement, now_s)
-        ticket.granted.set(self._hold(ticket.cost, placement, now_s))
-        self._on_work()
+        ticket.granted.set(hold_placement(self._table, ticket.cost, placement, now_s))
+        self._on_work(placement.read_s > URGENT_READ_S)
         return True
 
     def _log_placement(
@@ -208,26 +210,6 @@
             peers_age_s=round(age_s, 3),
         )
 
-    def _hold(self, cost: Cost, placement: Placement, now_s: float) -> Grant:
-        """Count the work of a placement on its servers."""
-        table = self._table
-        entry = table.get(placement.backend_id)
-        entry.circuit.allow(now_s)
-        table.take_cold_room(entry, now_s)
-        read_s = placement.read_s
-        kept = cost.kv_tokens - sum(placement.reserved)
-        work = table.hold(entry, cost, now_s, read_s=read_s, tokens=kept)
-        helpers = []
-        for backend_id, tokens in itertools.zip_longest(
-            placement.helpers, placement.reserved, fillvalue=0
-        ):
-            helper = table.get(backend_id)
-            part = table.hold(
-                helper, cost, now_s, read_s=read_s, part=True, tokens=tokens
-            )
-            helpers.append((helper, part))
-        return Grant(entry, work, placement, tuple(helpers))
-
     def _place(self, ticket: Ticket, cost: Cost, now_s: float) -> Placement | None:
         request = ticket.request
         views = self._table.views(request.kind.target, _service_name(request), now_s)
@@ -240,3 +222,23 @@
     if request.service:
         return request.service
     return request.model if request.kind.target == "engine" else request.kind.name
+
+
+def hold_placement(
+    table: BackendTable, cost: Cost, placement: Placement, now_s: float
+) -> Grant:
+    """Count the work of a placement on its servers."""
+    entry = table.get(placement.backend_id)
+    entry.circuit.allow(now_s)
+    table.take_cold_room(entry, now_s)
+    read_s = placement.read_s
+    kept = cost.kv_tokens - sum(placement.reserved)
+    work = table.hold(entry, cost, now_s, read_s=read_s, tokens=kept)
+    helpers = []
+    for backend_id, tokens in itertools.zip_longest(
+        placement.helpers, placement.reserved, fillvalue=0
+    ):
+        helper = table.get(backend_id)
+        part = table.hold(helper, cost, now_s, read_s=read_s, part=True, tokens=tokens)
+        helpers.append((helper, part))
+    return Grant(entry, work, placement, tuple(helpers))
--- a/papayarelay/serving.py
+++ b/papayarelay/serving.py
@@ -19,7 +19,8 @@
     """Owns and connects the parts between callers and backend servers.
 
     ``on_failure`` is called with the id of a server that failed an attempt,
-    ``on_work`` when the work of this node on a server has changed.
+    ``on_work`` when the work of this node on a server has changed, with whether
+    the other nodes must know at once.
     """
 
     def __init__(
@@ -31,7 +32,7 @@
         clock: Callable[[], float],
         protocol: Protocol = CHAT,
         on_failure: Callable[[str], None] = lambda backend_id: None,
-        on_work: Callable[[], None] = lambda: None,
+        on_work: Callable[[bool], None] = lambda urgent: None,
     ):
         self.budget = budget
         self.backends = BackendTable(rng, protocol)
