Send long parts to engines that read nothing, or wait for these

What engines reported beside the beliefs of a node (trial) fits one rule: an engine reads the newest part first, so each further part delays the earlier prompts. Change: a long prompt goes to engines with less than 0.05 s to read; if these cannot meet the target, but more engines will soon and can, it waits in the node's queue. The time it has waited counts against its target. The model of the engine reads the newest part first.

--- a/papayarelay/bench/fleet.py
+++ b/papayarelay/bench/fleet.py
@@ -12,7 +12,7 @@
 import math
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..backends.table import BackendTable
 from ..config import Backend, Config, DataCentre, Service
@@ -160,6 +160,9 @@
         if self._now_s - outcome.sent_s > outcome.kind.deadline_s:
             return
         views = node.table.views("engine", SERVICE, self._now_s)
+        waited_s = self._now_s - outcome.sent_s
+        left_s = max(0.0, outcome.kind.target_s - waited_s)
+        cost = replace(cost, target_s=left_s)
         placement = place(self._policy, cost, views, self._now_s, node.rng)
         if placement is None:
             self._schedule(
--- a/papayarelay/bench/fleet_engine.py
+++ b/papayarelay/bench/fleet_engine.py
@@ -2,7 +2,7 @@
 
 A pass with streams that are being written runs ``stride`` steps, any other one
 step.  In each step at most ``chunk_tokens`` of prompts are read, parts for other
-engines first.  What a pass has done shows at its end.
+engines first, of these the newest.  What a pass has done shows at its end.
 """
 
 from __future__ import annotations
@@ -73,7 +73,7 @@
         """Take a part of another engine's request; return whether it is taken."""
         if len(self._helped) >= HELPED_PER_SLOT * self._timing.slots:
             return False
-        self._helped.append(part)
+        self._helped.appendleft(part)
         self._begin(now_s)
         return True
 
--- a/papayarelay/logs.py
+++ b/papayarelay/logs.py
@@ -35,6 +35,7 @@
         "data_centre",
         "editor",
         "from_state",
+        "helpers",
         "host",
         "kind",
         "member",
@@ -76,6 +77,7 @@
 # Text with spaces is never an identifier, and a prompt or answer has spaces.
 IDENTIFIER_PATTERN = re.compile(r"[A-Za-z0-9_.:/@<>\[\]+-]{0,128}", re.ASCII)
 WITHHELD = "<withheld>"
+IDENTIFIERS_LIMIT = 20
 # A pipe that poll reports as ready takes this many bytes without blocking.
 LINE_LIMIT_BYTES = 4096
 # Lines that name a request.
@@ -134,6 +136,8 @@
 
 
 def _filter_identifier(value: object) -> object:
+    if isinstance(value, tuple) and len(value) <= IDENTIFIERS_LIMIT:
+        return [_filter_identifier(each) for each in value]
     if value is None or isinstance(value, bool | int | float):
         return value
     if isinstance(value, Outcome):
--- a/papayarelay/placing.py
+++ b/papayarelay/placing.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatch
 
 from .cost import Cost
@@ -49,6 +49,7 @@
     free.  ``writer_s`` is the weight of a stream on an engine that is to read a
     long part.  An expected time to the first event above ``target_part`` of the
     target, or a pass longer than ``gap_part`` of the longest pause, is avoided.
+    An engine that has less than ``idle_s`` to read counts as idle.
     A prompt that needs over ``memory_part`` of an engine's memory is kept on
     several engines.
     """
@@ -61,6 +62,7 @@
     target_part: float = 0.7
     gap_part: float = 0.8
     memory_part: float = 0.6
+    idle_s: float = 0.05
 
 
 @singledispatch
@@ -119,10 +121,11 @@
 def _split(
     policy: Packed, cost: Cost, views: Sequence[BackendView], rng: random.Random
 ) -> Placement | None:
-    """Return the engines that read a long prompt, and do no harm with it.
+    """Return the engines that read a long prompt, None to wait for better ones.
 
-    An engine whose streams would pause for too long takes part only where there
-    are not enough others to hold the prompt.
+    An engine reads the newest part first, so a part on an engine that is reading
+    delays an earlier prompt.  Engines whose streams would pause for too long take
+    part only where there are not enough others to hold the prompt.
     """
     ranked = sorted(
         views,
@@ -132,8 +135,37 @@
             rng.random(),
         ),
     )
-    calm = _best_split(policy, cost, ranked, harmless=True)
-    return calm or _best_split(policy, cost, ranked, harmless=False)
+    idle = [view for view in ranked if view.work.reading_s <= policy.idle_s]
+    placement = _best_split(policy, cost, idle, harmless=True)
+    good_s = policy.target_part * cost.target_s
+    if placement is not None and placement.expected_s <= good_s:
+        return placement
+    if _expect_after_wait(policy, cost, ranked) <= good_s:
+        return None
+    return (
+        placement
+        or _best_split(policy, cost, ranked, harmless=True)
+        or _best_split(policy, cost, ranked, harmless=False)
+    )
+
+
+def _expect_after_wait(
+    policy: Packed, cost: Cost, ranked: Sequence[BackendView]
+) -> float:
+    """Return the earliest expected first event when more engines are idle again."""
+    best_s = math.inf
+    for wait_s in sorted({view.work.reading_s for view in ranked}):
+        if wait_s <= policy.idle_s:
+            continue
+        free = [
+            replace(view, work=view.work.after(wait_s))
+            for view in ranked
+            if view.work.reading_s <= wait_s
+        ]
+        placement = _best_split(policy, cost, free, harmless=True)
+        if placement is not None:
+            best_s = min(best_s, wait_s + placement.expected_s)
+    return best_s
 
 
 def _best_split(
@@ -143,6 +175,8 @@
 
     ``harmless`` leaves out the engines whose streams would pause for too long.
     """
+    if not ranked:
+        return None
     timing = ranked[0].timing
     shares = _memory_shares(policy, cost, timing.kv_tokens)
     best = None
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -206,7 +206,7 @@
             backend=placement.backend_id,
             attempt=len(ticket.tried) + 1,
             waited_s=round(now_s - ticket.request.received_s, 4),
-            helpers_count=len(placement.helpers),
+            helpers=placement.helpers,
             reserved_tokens=sum(placement.reserved),
             expected_s=round(placement.expected_s, 4),
             writers_count=work.writers,
@@ -216,6 +216,8 @@
 
     def _place(self, ticket: Ticket, cost: Cost, now_s: float) -> Placement | None:
         request = ticket.request
+        waited_s = now_s - request.received_s
+        cost = replace(cost, target_s=max(0.0, cost.target_s - waited_s))
         views = self._table.views(request.kind.target, _service_name(request), now_s)
         fresh = [view for view in views if view.id not in ticket.tried] or views
         return place(self._policy, cost, fresh, now_s, self._rng)
--- a/papayarelay/tests/test_logs.py
+++ b/papayarelay/tests/test_logs.py
@@ -124,6 +124,11 @@
             (kept,) = filter_fields({name: sent}).values()
             self.assertIn(kept, (WITHHELD, 1))
 
+    def test_several_identifiers(self):
+        """Guards against a prompt as one of several identifiers."""
+        fields = filter_fields({"helpers": ("e1", "two words"), "peer": ("x",) * 99})
+        self.assertEqual(fields, {"helpers": ["e1", WITHHELD], "peer": WITHHELD})
+
     def test_unlisted_names_are_withheld(self):
         """Guards against fields that nobody checked, even with short values."""
         fields = {"api_key": "k1", "prompt": "x", "idempotency_key": 5, "status": 200}
