Never hold up streams for a long part, and use cold engines when warm ones are full

Change: a long prompt takes no engine whose streams do not bear its part, and waits in the queue for twice its target instead; streams are given up after 1.5 s of silence, as callers wait for 2 s; cold engines, which bear a bounded rate, take short prompts when no warm engine has room.

--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -35,9 +35,10 @@
 RETRY_WAIT_S = 2.0
 RETRY_TICK_S = 0.1
 # An engine that is silent for this many times the longest pause of a stream has
-# failed, but no sooner than after the least silence: a long read may hold it up.
+# failed, but no sooner than after the least silence: a long read may hold it up,
+# and callers wait for 2 s at least.
 SILENT_PAUSES = 3.0
-LEAST_SILENCE_S = 1.0
+LEAST_SILENCE_S = 1.5
 # The same for the first event, in times that were expected and in targets.
 SILENT_EXPECTATIONS = 2.0
 SILENT_TARGETS = 3.0
--- a/papayarelay/placing.py
+++ b/papayarelay/placing.py
@@ -82,13 +82,12 @@
 def _(policy: Packed, cost, views, now_s, rng):
     if not views:
         return None
-    warm = [view for view in views if not view.cold] or views
-    if warm[0].timing is None:
-        view = min(warm, key=lambda each: (_fill(each), rng.random()))
+    if views[0].timing is None:
+        view = min(views, key=lambda each: (each.cold, _fill(each), rng.random()))
         return Placement(view.id)
     if cost.prefill_tokens > policy.part_tokens:
-        return _split(policy, cost, warm, rng)
-    return _pack(policy, cost, warm, rng)
+        return _split(policy, cost, views, rng)
+    return _pack(policy, cost, views, rng)
 
 
 def _fill(view: BackendView) -> float:
@@ -114,7 +113,7 @@
             full = work.writers >= view.slots
             others.append((full, expected_s, rng.random(), placement))
         else:
-            good.append((-work.writers, rng.random(), placement))
+            good.append((view.cold, -work.writers, rng.random(), placement))
     return min(good)[-1] if good else min(others)[-1]
 
 
@@ -125,28 +124,25 @@
 
     An engine reads the newest part first, so a part on an engine that is reading
     delays an earlier prompt.  Engines whose streams would pause for too long take
-    part only where there are not enough others to hold the prompt.
+    no part: a prompt that is late costs its caller less than all of these.
     """
     ranked = sorted(
         views,
         key=lambda view: (
             view.work.writers >= view.slots,
+            view.cold,
             view.work.reading_s + policy.writer_s * view.work.writers,
             rng.random(),
         ),
     )
     idle = [view for view in ranked if view.work.reading_s <= policy.idle_s]
-    placement = _best_split(policy, cost, idle, harmless=True)
+    placement = _best_split(policy, cost, idle)
     good_s = policy.target_part * cost.target_s
     if placement is not None and placement.expected_s <= good_s:
         return placement
     if _expect_after_wait(policy, cost, ranked) <= good_s:
         return None
-    return (
-        placement
-        or _best_split(policy, cost, ranked, harmless=True)
-        or _best_split(policy, cost, ranked, harmless=False)
-    )
+    return placement or _best_split(policy, cost, ranked)
 
 
 def _expect_after_wait(
@@ -162,18 +158,18 @@
             for view in ranked
             if view.work.reading_s <= wait_s
         ]
-        placement = _best_split(policy, cost, free, harmless=True)
+        placement = _best_split(policy, cost, free)
         if placement is not None:
             best_s = min(best_s, wait_s + placement.expected_s)
     return best_s
 
 
 def _best_split(
-    policy: Packed, cost: Cost, ranked: Sequence[BackendView], *, harmless: bool
+    policy: Packed, cost: Cost, ranked: Sequence[BackendView]
 ) -> Placement | None:
     """Return the smallest split that meets the target well, or else the fastest.
 
-    ``harmless`` leaves out the engines whose streams would pause for too long.
+    Engines whose streams would pause for too long are left out.
     """
     if not ranked:
         return None
@@ -182,9 +178,7 @@
     best = None
     for parts in range(shares, max(shares, min(policy.max_parts, len(ranked))) + 1):
         read_s = timing.read_s(cost.prefill_tokens, parts)
-        chosen = ranked
-        if harmless:
-            chosen = [view for view in ranked if _bears(policy, cost, view, read_s)]
+        chosen = [view for view in ranked if _bears(policy, cost, view, read_s)]
         placement = _spread(cost, chosen, parts, shares, read_s)
         if placement is None:
             continue
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -45,6 +45,8 @@
 # Requests that are still running this long before the kill are cut off.
 KILL_MARGIN_S = 0.5
 METRICS_PORT = 9464
+# A request waits in the queue for this many of its targets, at least this long.
+QUEUE_TARGETS = 2.0
 LEAST_QUEUE_S = 1.2
 
 
@@ -226,7 +228,7 @@
 
     Its caller can do more with a refusal after that.
     """
-    return max(LEAST_QUEUE_S, request.kind.target_s)
+    return max(LEAST_QUEUE_S, QUEUE_TARGETS * request.kind.target_s)
 
 
 def _create_server(address: str, app: Callable) -> pywsgi.WSGIServer:
