--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -14,6 +14,7 @@
 from ..circuit import Circuit
 from ..config import Backend, Config, Service
 from ..cost import Cost
+from ..nodes.groups import Group, engines_of, may_use_cold
 from ..routing import BackendView, EngineWork, assign_homes, size_class
 from ..warmup import WarmUp
 from .load import LoadReport
@@ -27,6 +28,8 @@
 LOAD_VALID_S = 20.0
 # Part of a server's connections that all nodes together keep idle.
 IDLE_PART = 0.5
+# A group that has lost more than the rest of its engines uses all engines.
+LEAST_SCOPE_PART = 0.5
 # Part of a cold server's bound that all nodes together use.
 COLD_PART = 0.8
 
@@ -147,7 +150,10 @@
     def __init__(self, rng: random.Random, protocol: Protocol = CHAT):
         self._rng = rng
         self._protocol = protocol
-        self._nodes = 1
+        self._own = ""
+        self._group = Group("all", "", ("",))
+        self._groups: tuple[Group, ...] = (self._group,)
+        self._scope: frozenset[str] | None = None
         self._peers = PeerWork()
         self._entries: dict[str, BackendEntry] = {}
         self._config = Config()
@@ -201,9 +207,11 @@
             entry.service = config.services.get(backend.service)
         self._share_bounds()
 
-    def set_node_count(self, nodes: int) -> None:
-        """Divide the bounds of each server among that many nodes."""
-        self._nodes = max(1, nodes)
+    def set_groups(self, own: str, groups: tuple[Group, ...]) -> None:
+        """Divide the servers and their bounds among the nodes of the fleet."""
+        self._own = own
+        self._groups = groups
+        self._group = next(group for group in groups if own in group.nodes)
         self._share_bounds()
 
     def set_peer_work(
@@ -242,20 +250,50 @@
             entry.cold_until_s = now_s + left_s if left_s > 0 else 0.0
 
     def _share_bounds(self) -> None:
+        """Take this node's part of the engines and of what is bounded for all."""
+        engines = {
+            entry.id: entry.config.data_centre
+            for entry in self._entries.values()
+            if entry.service is not None
+            and entry.service.timing
+            and not self._is_drained(entry.config)
+        }
+        self._scope = engines_of(self._group, self._groups, engines)
         for entry in self._entries.values():
-            service = entry.service
-            if service is None:
-                continue
-            if service.max_connections:
-                share = service.max_connections * IDLE_PART / self._nodes
-                entry.pool.idle_limit = min(IDLE_CONNECTIONS, int(share))
-            if service.cold_per_s:
-                # The bucket lets its capacity and its rate pass in one second.
-                share = service.cold_per_s * COLD_PART / self._nodes / 2
-                if entry.cold_rate is None:
-                    entry.cold_rate = TokenBucket(share, max(1.0, share))
-                entry.cold_rate.rate_per_s = share
-                entry.cold_rate.burst = max(1.0, share)
+            if entry.service is not None:
+                self._share_connections(entry)
+                self._share_cold_rate(entry)
+
+    def _sharers(self, entry: BackendEntry) -> tuple[str, ...]:
+        """Return the nodes that send to a server."""
+        if entry.service.timing:
+            return self._group.nodes
+        return tuple(name for group in self._groups for name in group.nodes)
+
+    def _share_connections(self, entry: BackendEntry) -> None:
+        most = entry.service.max_connections
+        if most:
+            share = int(most * IDLE_PART / len(self._sharers(entry)))
+            entry.pool.idle_limit = min(IDLE_CONNECTIONS, share)
+
+    def _share_cold_rate(self, entry: BackendEntry) -> None:
+        """Bound what this node sends to a server while that is cold.
+
+        A bucket lets its capacity and its rate pass in one second, and a capacity
+        below one request would let nothing pass; so few nodes share a low rate.
+        """
+        per_s = entry.service.cold_per_s
+        if not per_s:
+            return
+        names = self._sharers(entry)
+        most = max(1, int(per_s * COLD_PART / 2))
+        share = max(1.0, per_s * COLD_PART / 2 / min(most, len(names)))
+        if not may_use_cold(self._own, names, entry.id, most):
+            share = 0.0
+        if entry.cold_rate is None:
+            entry.cold_rate = TokenBucket(share, share)
+        entry.cold_rate.rate_per_s = share
+        entry.cold_rate.burst = share
 
     def mark_drained(self, target: str, drained: bool) -> None:
         """Drain a target besides those that the configuration drains.
@@ -394,14 +432,22 @@
         circuit = Circuit(random.Random(self._rng.random()))
         return BackendEntry(backend_id, backend, pool, warm_up, circuit)
 
-    def _available(
-        self, target: str, name: str, now_s: float
-    ) -> Iterator[BackendEntry]:
-        return (
+    def _available(self, target: str, name: str, now_s: float) -> list[BackendEntry]:
+        found = [
             entry
             for entry in self._in_service(target, name, now_s)
-            if not entry.absence.is_out(now_s) and _has_cold_room(entry, now_s)
+            if not entry.absence.is_out(now_s) and self._has_cold_room(entry, now_s)
+        ]
+        if self._scope is None:
+            return found
+        # The work of other groups on their engines is not known here, so these
+        # serve only where the own ones are gone.
+        own = [entry for entry in found if entry.id in self._scope]
+        listed = sum(
+            each.config.service == name and each.id in self._scope
+            for each in self._entries.values()
         )
+        return own if listed and len(own) >= LEAST_SCOPE_PART * listed else found
 
     def _in_service(
         self, target: str, name: str, now_s: float
@@ -413,6 +459,14 @@
             and entry.circuit.is_ready(now_s)
         )
 
+    def _has_cold_room(self, entry: BackendEntry, now_s: float) -> bool:
+        """Return whether this node may send one more request to a cold server."""
+        if entry.cold_rate is None or not entry.is_cold(now_s):
+            return True
+        if self._scope is not None and entry.id not in self._scope:
+            return False
+        return entry.cold_rate.wait_s(now_s) <= 0
+
     def _serves(self, backend: Backend, target: str, name: str) -> bool:
         if self._is_drained(backend):
             return False
@@ -504,13 +558,6 @@
     return (old.url, old.started) == (new.url, new.started)
 
 
-def _has_cold_room(entry: BackendEntry, now_s: float) -> bool:
-    """Return whether this node may send one more request to a cold server."""
-    if entry.cold_rate is None or not entry.is_cold(now_s):
-        return True
-    return entry.cold_rate.wait_s(now_s) <= 0
-
-
 def _without_queue(load: LoadReport) -> LoadReport:
     """Return what an old report still says: capacity, speed and state."""
     return msgspec.structs.replace(
--- a/papayarelay/nodes/board.py
+++ b/papayarelay/nodes/board.py
@@ -1,9 +1,9 @@
-"""Tells the other nodes at once which work this node has on the engines.
+"""Tells the nodes of a group at once which work this node has on the engines.
 
-Each node sends the whole of its unfinished work, and its use of the retry budget,
-in one datagram, soon after a
-change and at least every heartbeat.  A datagram that is lost is made good by
-the next one, and there are no connections that could go silent.
+Each node sends the whole of its unfinished work, its use of the retry budget, and
+how far it knows the tables of the store, in one datagram: soon after a change and
+at least every heartbeat.  A datagram that is lost is made good by the next one,
+and there are no connections that could go silent.
 """
 
 from __future__ import annotations
@@ -21,14 +21,18 @@
 from ..guard import run_step
 from ..retry import RetryUse
 from ..routing import EngineWork
+from .groups import Group, divide
+from .knowledge import Word
 
 # Changes within this time share a datagram.
 BATCH_S = 0.02
-HEARTBEAT_S = 0.5
+HEARTBEAT_S = 0.25
+# Work that has not changed is told again after this time.
+REPEAT_S = 1.0
 # A node that is silent for this long has no work any more.
 SILENCE_S = 2.0
-# A node that is silent for this long does not count as live.
-GONE_S = 5.0
+# A node that is silent for this long takes no duties.
+LIVE_S = 1.0
 DATAGRAM_BYTES = 60_000
 
 
@@ -68,85 +72,141 @@
     repeats: int
 
 
+class _Word(msgspec.Struct, array_like=True):
+    """How far a node knows a table, as ``Word``."""
+
+    table: str
+    version: int
+    changed: int
+    age_ms: int
+
+
 class _Message(msgspec.Struct, array_like=True):
-    """The figures of a node; ``start`` tells its starts apart, ``number`` orders."""
+    """What a node tells; ``start`` tells its starts apart, ``number`` orders.
+
+    ``work`` is None where it has not changed since the message before.
+    """
 
     sender: str
+    data_centre: str
     start: int
     number: int
     leaving: bool
-    work: list[_Figures]
-    retries: list[_Retries] = []
+    stamp_ms: int
+    work: list[_Figures] | None
+    retries: list[_Retries]
+    words: list[_Word]
+    notices: list[bytes] = []
+
+
+class _Envelope(msgspec.Struct, array_like=True):
+    """A message with the start and the stamp of the last one from its receiver."""
+
+    echo_start: int
+    echo_ms: int
+    message: msgspec.Raw
 
 
 @dataclass(frozen=True)
 class NodeFigures:
-    """What a node tells: its work by server id, its retries by service."""
+    """What a node tells: its work by server id, its retries by service.
 
-    work: Mapping[str, EngineWork] = field(default_factory=dict)
+    ``work`` is None where it has not changed; ``words`` are by table.
+    """
+
+    work: Mapping[str, EngineWork] | None = field(default_factory=dict)
     retries: Mapping[str, RetryUse] = field(default_factory=dict)
+    words: Mapping[str, Word] = field(default_factory=dict)
 
 
-_DECODER = msgspec.msgpack.Decoder(_Message)
+_ENVELOPES = msgspec.msgpack.Decoder(_Envelope)
+_MESSAGES = msgspec.msgpack.Decoder(_Message)
 _ENCODER = msgspec.msgpack.Encoder()
 
 
 class _Peer:
     """What is known of another node."""
 
-    def __init__(self, address: tuple[str, int]):
+    def __init__(self, address: tuple[str, int], data_centre: str):
         self.address = address
+        self.data_centre = data_centre
         self.start = 0
         self.number = -1
+        self.stamp_ms = 0
         self.heard_s: float | None = None
 
 
+class BoardListener:
+    """Takes what other nodes tell; the default takes nothing."""
+
+    def take(self, peer: str, figures: NodeFigures, stamp_s: float | None) -> None:
+        """Take the figures of a peer.
+
+        Its words answer to what this node sent at ``stamp_s`` on its age clock.
+        """
+
+    def take_notice(self, notice: bytes) -> None:
+        """Take a notice that a peer has published."""
+
+    def drop(self, peer: str) -> None:
+        """Drop the work of a peer that is gone."""
+
+    def regroup(self, groups: tuple[Group, ...]) -> None:
+        """Take the groups into which the nodes are divided."""
+
+
 class WorkBoard:
-    """Sends the work of this node to its peers, and takes theirs.
+    """Sends the figures of this node to its group, and takes theirs.
 
-    ``own`` returns the figures to tell; ``take`` is called with a peer's name and
-    its figures, ``drop`` with the name of a peer that is gone, ``on_count`` when
-    the number of live nodes has changed.
+    ``own`` returns the figures to tell; ``age_clock`` also runs while the VM is
+    suspended.
     """
 
     def __init__(
         self,
         name: str,
+        data_centre: str,
         address: tuple[str, int],
         own: Callable[[], NodeFigures],
-        take: Callable[[str, NodeFigures], None],
-        drop: Callable[[str], None],
-        on_count: Callable[[int], None],
+        listener: BoardListener,
         rng: random.Random,
         clock: Callable[[], float],
+        age_clock: Callable[[], float],
     ):
         self.malformed = 0
         self._name = name
+        self._data_centre = data_centre
         self._address = address
         self._own = own
-        self._take = take
-        self._drop = drop
-        self._on_count = on_count
+        self._listener = listener
         self._clock = clock
+        self._age_clock = age_clock
         self._start = rng.getrandbits(62)
         self._number = 0
         self._leaving = False
         self._peers: dict[str, _Peer] = {}
-        self._count = 1
+        self._group = divide({name: data_centre})[0]
+        self._notices: list[bytes] = []
+        self._told_s = -math.inf
         self._sock: socket.socket | None = None
         self._changed = gevent.event.Event()
         self._urgent = gevent.event.Event()
         self._tasks: list[gevent.Greenlet] = []
 
     @property
-    def live_names(self) -> list[str]:
-        """Return the peers that were heard lately."""
+    def rank(self) -> int:
+        """Return the place of this node among the live ones of its group.
+
+        The first takes the duties of the group.
+        """
         now_s = self._clock()
-        return sorted(
-            name
-            for name, peer in self._peers.items()
-            if peer.heard_s is not None and now_s - peer.heard_s < GONE_S
-        )
+        rank = 0
+        for name in self._group.nodes:
+            if name == self._name:
+                return rank
+            heard_s = self._peers[name].heard_s if name in self._peers else None
+            rank += heard_s is not None and now_s - heard_s < LIVE_S
+        return rank
 
     def start(self) -> None:
         """Begin to send and receive."""
@@ -163,18 +223,32 @@
         if self._sock is not None:
             self._sock.close()
 
-    def add_peer(self, name: str, address: tuple[str, int]) -> None:
-        """Send to a node from now on."""
+    def add_peer(self, name: str, address: tuple[str, int], data_centre: str) -> None:
+        """Take a node into the division into groups."""
         if name != self._name and name not in self._peers:
-            self._peers[name] = _Peer(address)
-            self._changed.set()
+            self._peers[name] = _Peer(address, data_centre)
+            self._regroup()
 
     def changed(self, urgent: bool = False) -> None:
         """Note that the work of this node has changed; tell it now if urgent."""
+        self._told_s = -math.inf
         self._changed.set()
         if urgent:
             self._urgent.set()
 
+    def publish(self, notice: bytes) -> None:
+        """Send a notice to the group now, once; it may be lost."""
+        self._notices.append(notice)
+        self._changed.set()
+        self._urgent.set()
+
+    def _regroup(self) -> None:
+        places = {name: peer.data_centre for name, peer in self._peers.items()}
+        groups = divide({**places, self._name: self._data_centre})
+        self._group = next(group for group in groups if self._name in group.nodes)
+        self._listener.regroup(groups)
+        self._changed.set()
+
     def _send(self) -> None:
         while True:
             self._changed.wait(HEARTBEAT_S)
@@ -185,24 +259,38 @@
             run_step(self._check_peers)
 
     def _send_all(self) -> None:
-        if not self._peers:
+        members = [self._peers[n] for n in self._group.nodes if n in self._peers]
+        if not members:
             return
+        data = _ENCODER.encode(self._make_message())
+        for peer in members:
+            envelope = _Envelope(peer.start, peer.stamp_ms, msgspec.Raw(data))
+            self._send_to(_ENCODER.encode(envelope), peer.address)
+
+    def _make_message(self) -> _Message:
         own = self._own()
+        now_s = self._clock()
+        work = None
+        if now_s - self._told_s >= REPEAT_S:
+            self._told_s = now_s
+            work = [_Figures.of(name, each) for name, each in own.work.items()]
         self._number += 1
-        message = _Message(
+        notices, self._notices = self._notices, []
+        return _Message(
             self._name,
+            self._data_centre,
             self._start,
             self._number,
             self._leaving,
-            [_Figures.of(name, each) for name, each in own.work.items()],
+            int(self._age_clock() * 1000),
+            work,
+            [_Retries(n, u.requests, u.repeats) for n, u in own.retries.items()],
             [
-                _Retries(name, each.requests, each.repeats)
-                for name, each in own.retries.items()
+                _Word(n, w.version, w.changed, math.ceil(w.age_s * 1000))
+                for n, w in own.words.items()
             ],
+            notices,
         )
-        data = _ENCODER.encode(message)
-        for peer in list(self._peers.values()):
-            self._send_to(data, peer.address)
 
     def _send_to(self, data: bytes, address: tuple[str, int]) -> None:
         try:
@@ -216,45 +304,59 @@
         while True:
             data, address = self._sock.recvfrom(DATAGRAM_BYTES)
             try:
-                message = _DECODER.decode(data)
+                envelope = _ENVELOPES.decode(data)
+                message = _MESSAGES.decode(envelope.message)
             except msgspec.MsgspecError:
                 self.malformed += 1
                 continue
-            run_step(self._accept, message, address)
-
-    def _accept(self, message: _Message, address: tuple[str, int]) -> None:
+            stamp_s = None
+            if envelope.echo_start == self._start:
+                # A stamp of an earlier start may be from another clock.
+                stamp_s = envelope.echo_ms / 1000
+            run_step(self._accept, message, address, stamp_s)
+
+    def _accept(
+        self, message: _Message, address: tuple[str, int], stamp_s: float | None
+    ) -> None:
         if message.sender == self._name:
             return
         peer = self._peers.get(message.sender)
         if peer is None:
-            peer = self._peers[message.sender] = _Peer(address)
-            self._changed.set()
+            if message.leaving:
+                return
+            peer = self._peers[message.sender] = _Peer(address, message.data_centre)
+            self._regroup()
         if message.start == peer.start and message.number <= peer.number:
             return
         peer.address = address
         peer.start, peer.number = message.start, message.number
+        peer.stamp_ms = message.stamp_ms
         peer.heard_s = self._clock()
         if message.leaving:
             del self._peers[message.sender]
-            self._drop(message.sender)
-        else:
+            self._listener.drop(message.sender)
+            self._regroup()
+            return
+        self._take(message, stamp_s)
+
+    def _take(self, message: _Message, stamp_s: float | None) -> None:
+        for notice in message.notices:
+            self._listener.take_notice(notice)
+        work = None
+        if message.work is not None:
             work = {each.backend: each.work() for each in message.work}
-            retries = {
-                each.service: RetryUse(each.requests, each.repeats)
-                for each in message.retries
-            }
-            self._take(message.sender, NodeFigures(work, retries))
-        self._recount()
+        figures = NodeFigures(
+            work,
+            {r.service: RetryUse(r.requests, r.repeats) for r in message.retries},
+            {
+                w.table: Word(w.version, w.changed, w.age_ms / 1000)
+                for w in message.words
+            },
+        )
+        self._listener.take(message.sender, figures, stamp_s)
 
     def _check_peers(self) -> None:
         now_s = self._clock()
         for name, peer in self._peers.items():
             if peer.heard_s is not None and now_s - peer.heard_s > SILENCE_S:
-                self._drop(name)
-        self._recount()
-
-    def _recount(self) -> None:
-        count = 1 + len(self.live_names)
-        if count != self._count:
-            self._count = count
-            self._on_count(count)
+                self._listener.drop(name)
--- /dev/null
+++ b/papayarelay/nodes/groups.py
@@ -0,0 +1,75 @@
+"""Divides a large fleet: nodes that tell one another their work, and their engines.
+
+Telling all others costs each node time and bytes that grow with the fleet.  So
+nodes of a data centre form groups, and each engine serves one of them.  A small
+fleet is one group.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ..routing import assign_homes
+
+GROUP_NODES = 12
+# A fleet of up to this many nodes is one group, over all data centres.
+LARGEST_FLEET = 16
+
+
+@dataclass(frozen=True)
+class Group:
+    """Nodes that share engines, in the order in which they take duties."""
+
+    name: str
+    data_centre: str
+    nodes: tuple[str, ...]
+
+
+def divide(nodes: Mapping[str, str]) -> tuple[Group, ...]:
+    """Return the groups of nodes, given as data centres by name.
+
+    All nodes come to the same groups from the same list, and a node more or less
+    moves few of the others.
+    """
+    if len(nodes) <= LARGEST_FLEET:
+        return (Group("all", "", _ranked(nodes)),)
+    groups = []
+    for data_centre in sorted(set(nodes.values())):
+        names = _ranked({n for n, place in nodes.items() if place == data_centre})
+        count = max(1, round(len(names) / GROUP_NODES))
+        for index in range(count):
+            first = index * len(names) // count
+            last = (index + 1) * len(names) // count
+            name = f"{data_centre}/{index}"
+            groups.append(Group(name, data_centre, names[first:last]))
+    return tuple(groups)
+
+
+def engines_of(
+    own: Group, groups: tuple[Group, ...], engines: Mapping[str, str]
+) -> frozenset[str] | None:
+    """Return the engines of a group, given as data centres by id, None for all.
+
+    An engine serves a group of its data centre; where there is none, any group.
+    """
+    if len(groups) == 1:
+        return None
+    found: set[str] = set()
+    for data_centre in set(engines.values()):
+        ids = [each for each, place in engines.items() if place == data_centre]
+        names = [g.name for g in groups if g.data_centre == data_centre]
+        homes = assign_homes(ids, names or [g.name for g in groups], 1)
+        found |= {each for each, homed in homes.items() if own.name in homed}
+    return frozenset(found)
+
+
+def may_use_cold(own: str, nodes: tuple[str, ...], server_id: str, most: int) -> bool:
+    """Return whether a node is among the ``most`` that send to a cold server."""
+    ranked = sorted(nodes, key=lambda name: zlib.crc32(f"{server_id}/{name}".encode()))
+    return own in ranked[:most]
+
+
+def _ranked(names) -> tuple[str, ...]:
+    return tuple(sorted(names, key=lambda name: (zlib.crc32(name.encode()), name)))
--- a/papayarelay/platform/feed.py
+++ b/papayarelay/platform/feed.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import gevent
+import gevent.event
 import msgspec
 
 from ..config import Config
@@ -13,6 +15,7 @@
 from ..events import Event
 from ..guard import run_step
 from ..logs import log
+from ..nodes.knowledge import Knowledge, Word
 from .config import DOCUMENTS, Document, ServerEntry, read_entry, to_config
 from .settings import PlatformSettings
 from .store import HistoryGoneError, Row, Rows, StoreClient
@@ -22,15 +25,40 @@
 CONFIG_KEY = "config"
 EVACUATE_PREFIX = "evacuate/"
 # A read of the configuration waits this long for a change.
-CONFIG_WAIT_S = 1.0
-# Part of the time in which a leaving server must be known.
-SERVER_INTERVAL_PART = 0.4
+CONFIG_WAIT_S = 0.5
+# Ages, as parts of the time in which a change must be known, at which the first
+# node of a group reads, and at which the others do because it has not.
+FIRST_PART = 0.4
+OTHERS_PART = 0.6
+RANK_PART = 0.05
+# A table that is known this recently is one that can be read, by whomever.
+REGAINED_S = 0.6
+MOST_RANKS = 4
+# Rows of servers that are told in one notice.
+NOTICE_ROWS = 10
 RETRY_S = 0.1
 MOST_RETRY_S = 0.4
 # Entries that lapsed while the store was away come back within this time.
 RETURN_S = 2.0
-# An outage may be noticed this long after entries began to lapse.
-OUTAGE_MEMORY_S = 1.0
+LAPSED_CHECK_S = 0.2
+
+
+class _NoticeRow(msgspec.Struct, array_like=True):
+    key: str
+    value: bytes | None
+    version: int
+    removed: bool
+
+
+class _Notice(msgspec.Struct, array_like=True):
+    """All changes of servers after one version and up to another."""
+
+    after: int
+    version: int
+    rows: list[_NoticeRow]
+
+
+NOTICES = msgspec.msgpack.Decoder(_Notice)
 
 
 def suspended_clock() -> float:
@@ -42,7 +70,8 @@
     """Keeps the newest configuration; ``apply`` is called with each change.
 
     ``cold`` is called with the id of a server and the seconds for which it is
-    still in cold start.
+    still in cold start.  ``rank`` returns the place of this node among those that
+    share what they read, and ``publish`` sends them a notice.
     """
 
     def __init__(
@@ -54,6 +83,8 @@
         data_centres: Iterable[str] = (),
         clock: Callable[[], float] = time.monotonic,
         age_clock: Callable[[], float] = suspended_clock,
+        rank: Callable[[], int] = lambda: 0,
+        publish: Callable[[bytes], None] = lambda notice: None,
     ):
         self.config = Config()
         self._store = store
@@ -67,8 +98,10 @@
         self._evacuated: frozenset[str] = frozenset()
         self._entries: dict[str, ServerEntry] = {}
         self._lapsed: dict[str, float] = {}
-        self._confirmed_s: float | None = None
-        self._versions: dict[str, int] = {}
+        self._known = {CONFIG_TABLE: Knowledge(), SERVER_TABLE: Knowledge()}
+        self._due = {name: gevent.event.Event() for name in self._known}
+        self._rank = rank
+        self._publish_notice = publish
         self._failed_s: float | None = None
         self._returned_s = 0.0
         self._up = True
@@ -77,101 +110,165 @@
     @property
     def known(self) -> bool:
         """Return whether there are a configuration and a list of servers."""
-        return self._document is not None and SERVER_TABLE in self._versions
+        listed = self._known[SERVER_TABLE].version is not None
+        return self._document is not None and listed
 
     def config_age_s(self) -> float:
         """Return how old the newest confirmed reading of the configuration is.
 
         The age counts from before the reading was asked for.
         """
-        if self._confirmed_s is None:
-            return float("inf")
-        return self._age_clock() - self._confirmed_s
+        return self._known[CONFIG_TABLE].age_s(self._age_clock())
+
+    def words(self) -> dict[str, Word]:
+        """Return what this node tells the others of the tables."""
+        now_s = self._age_clock()
+        words = {name: each.word(now_s) for name, each in self._known.items()}
+        return {name: word for name, word in words.items() if word is not None}
+
+    def take_words(self, words: Mapping[str, Word], stamp_s: float) -> None:
+        """Take another node's words to what this one sent at ``stamp_s``."""
+        for name, word in words.items():
+            known = self._known.get(name)
+            if known is None:
+                continue
+            if known.told(word, stamp_s):
+                self._due[name].set()
+            elif known.age_s(self._age_clock()) < REGAINED_S:
+                self._note_success()
+
+    def take_notice(self, notice: bytes) -> None:
+        """Take rows of servers that another node has read, or nothing."""
+        if not notice:
+            return
+        told = NOTICES.decode(notice)
+        known = self._known[SERVER_TABLE]
+        if known.version is None or told.after > known.version:
+            # Changes before these are missing here.
+            self._due[SERVER_TABLE].set()
+            return
+        rows = [Row(r.key, r.value, r.version, r.removed) for r in told.rows]
+        self._take_servers(Rows(tuple(rows), told.version), False)
+        known.read(told.version, _newest(rows), -math.inf)
 
     def start(self) -> None:
         """Begin to read."""
         self._tasks = [
-            gevent.spawn(self._run, self._read_config, 0.0),
-            gevent.spawn(self._run, self._read_servers, self._server_interval_s),
+            gevent.spawn(self._run, CONFIG_TABLE, self._read_config),
+            gevent.spawn(self._run, SERVER_TABLE, self._read_servers),
         ]
 
     def close(self) -> None:
         """Stop reading."""
         gevent.killall(self._tasks)
 
-    @property
-    def _server_interval_s(self) -> float:
-        return SERVER_INTERVAL_PART * self._settings.bounds.drain_s
-
-    def _run(self, read: Callable[[], None], interval_s: float) -> None:
+    def _run(self, table: str, read: Callable[[], None]) -> None:
         failures = 0
         while True:
+            wait_s = self._wait_s(table)
+            if table == SERVER_TABLE and self._lapsed:
+                run_step(self._check_lapsed)
+                wait_s = min(wait_s, LAPSED_CHECK_S)
+            if wait_s > 0:
+                self._due[table].wait(wait_s)
+                self._due[table].clear()
+                continue
             try:
                 read()
                 failures = 0
-                pause_s = interval_s
             except StoreError as error:
                 failures += 1
-                pause_s = min(MOST_RETRY_S, RETRY_S * failures)
                 self._note_failure(error)
-            if pause_s:
-                gevent.sleep(pause_s)
+                gevent.sleep(min(MOST_RETRY_S, RETRY_S * failures))
+
+    def _wait_s(self, table: str) -> float:
+        """Return for how long a table need not be read."""
+        known = self._known[table]
+        if known.version is None or known.is_behind:
+            return 0.0
+        rank = min(MOST_RANKS, self._rank())
+        bounds = self._settings.bounds
+        if table == CONFIG_TABLE:
+            # The first node of a group always waits for a change at the store.
+            limit_s = bounds.config_s
+            part = 0.0 if rank == 0 else OTHERS_PART
+        else:
+            limit_s = bounds.drain_s
+            part = FIRST_PART if rank == 0 else OTHERS_PART
+        due_s = (part + RANK_PART * rank) * limit_s
+        return due_s - known.age_s(self._age_clock())
 
     def _read_config(self) -> None:
-        sent_s = self._age_clock()
-        rows, whole = self._read_table(CONFIG_TABLE, CONFIG_WAIT_S)
-        if rows is None:
-            return
-        run_step(self._take_config, rows, whole)
-        self._confirmed_s = sent_s
-        self._note_success()
+        wait_s = CONFIG_WAIT_S if self._rank() == 0 else 0.0
+        self._read(CONFIG_TABLE, wait_s, self._take_config)
 
     def _read_servers(self) -> None:
-        rows, whole = self._read_table(SERVER_TABLE, 0.0)
+        self._read(SERVER_TABLE, 0.0, self._take_servers)
+
+    def _read(
+        self, table: str, wait_s: float, take: Callable[[Rows, bool], int]
+    ) -> None:
+        """Read what is new in a table, and tell the others of a change."""
+        known = self._known[table]
+        before = known.version
+        asked_s = self._age_clock()
+        rows, whole = self._read_table(table, wait_s)
         if rows is None:
             return
         self._note_success()
-        run_step(self._take_servers, rows, whole)
+        changed = take(rows, whole)
+        known.read(rows.version, _newest(changed), asked_s)
+        if changed:
+            self._tell(table, before, rows.version, changed)
+
+    def _tell(
+        self, table: str, after: int | None, version: int, changed: list[Row]
+    ) -> None:
+        """Tell the other nodes of a change; they read it where it is not told."""
+        notice = b""
+        if table == SERVER_TABLE and after and len(changed) <= NOTICE_ROWS:
+            rows = [_NoticeRow(r.key, r.value, r.version, r.removed) for r in changed]
+            notice = msgspec.msgpack.encode(_Notice(after, version, rows))
+        self._publish_notice(notice)
 
     def _read_table(self, table: str, wait_s: float) -> tuple[Rows | None, bool]:
         """Return new rows of a table and whether these are all rows.
 
         Returns no rows for an answer that is older than one before.
         """
-        known = self._versions.get(table)
+        known = self._known[table].version
         try:
-            if known is not None and known >= 0:
-                rows = self._store.changes(table, known, wait_s)
-                self._versions[table] = rows.version
-                return rows, False
+            if known is not None:
+                return self._store.changes(table, known, wait_s), False
         except HistoryGoneError:
             log(Event.STORE_HISTORY_GONE, section=table, version=known)
         rows = self._store.read(table)
-        if known is not None and rows.version < abs(known):
+        if known is not None and rows.version < known:
             log(Event.STORE_READ_OLD, section=table, version=rows.version)
             gevent.sleep(RETRY_S)
             return None, True
-        self._versions[table] = rows.version
         return rows, True
 
-    def _take_config(self, rows: Rows, whole: bool) -> None:
-        changed = False
+    def _take_config(self, rows: Rows, whole: bool) -> list[Row]:
+        """Take rows of the configuration; return those that changed anything."""
+        changed = []
         evacuated = set() if whole else set(self._evacuated)
         for row in rows.rows:
             if row.key == CONFIG_KEY:
-                changed |= self._take_document(row)
+                changed += [row] if self._take_document(row) else []
             elif row.key.startswith(EVACUATE_PREFIX):
                 name = row.key.removeprefix(EVACUATE_PREFIX)
                 (evacuated.discard if row.removed else evacuated.add)(name)
-        if evacuated != self._evacuated:
-            for name in sorted(evacuated ^ self._evacuated):
-                gone = name in evacuated
-                event = Event.DRAIN_APPLIED if gone else Event.RETURN_APPLIED
-                log(event, target=f"data_centre/{name}", version=rows.version)
-            self._evacuated = frozenset(evacuated)
-            changed = True
-        if changed:
+                changed += [row] if row.removed is (name in self._evacuated) else []
+        for name in sorted(evacuated ^ self._evacuated):
+            gone = name in evacuated
+            event = Event.DRAIN_APPLIED if gone else Event.RETURN_APPLIED
+            log(event, target=f"data_centre/{name}", version=rows.version)
+        moved = evacuated != self._evacuated
+        self._evacuated = frozenset(evacuated)
+        if changed or moved:
             self._publish()
+        return changed
 
     def _take_document(self, row: Row) -> bool:
         """Take over a configuration that is newer than the one in force."""
@@ -188,48 +285,47 @@
         log(Event.CONFIG_APPLIED, version=document.version)
         return True
 
-    def _take_servers(self, rows: Rows, whole: bool) -> None:
+    def _take_servers(self, rows: Rows, whole: bool) -> list[Row]:
+        """Take rows of servers; return those that changed anything."""
         now_s = self._clock()
-        before = dict(self._entries)
-        named = set()
-        for row in rows.rows:
-            named.add(row.key)
-            self._take_server(row, now_s)
+        before = _material(self._entries)
+        changed = [row for row in rows.rows if self._take_server(row, now_s)]
         if whole:
-            for server_id in set(self._entries) - named:
+            for server_id in set(self._entries) - {row.key for row in rows.rows}:
                 self._lose_server(server_id, now_s)
-        for server_id, gone_s in list(self._lapsed.items()):
-            if now_s >= gone_s:
-                del self._lapsed[server_id]
-                self._entries.pop(server_id, None)
-                log(Event.BACKEND_REMOVED, backend=server_id)
-        if _material(before) != _material(self._entries):
+        self._drop_lapsed(now_s)
+        if _material(self._entries) != before:
             self._publish()
         for row in rows.rows:
             entry = self._entries.get(row.key)
             if entry is not None:
                 self._cold(row.key, entry.cold_remaining_ms / 1000)
+        return changed
 
-    def _take_server(self, row: Row, now_s: float) -> None:
+    def _take_server(self, row: Row, now_s: float) -> bool:
+        """Take the row of a server; return whether it says anything new."""
+        before = self._entries.get(row.key)
         if row.removed:
             self._lose_server(row.key, now_s)
-            return
+            return before is not None
         entry = read_entry(row.value) if row.value is not None else None
         if entry is None:
             # Another writer's entry names no server; the last own one holds.
             log(Event.BACKEND_ENTRY_UNREADABLE, version=row.version)
-            return
-        before = self._entries.get(row.key)
-        self._lapsed.pop(row.key, None)
+            return False
+        lapsed = self._lapsed.pop(row.key, None) is not None
         self._entries[row.key] = entry
-        if before is None or before.state != entry.state:
-            log(
-                Event.BACKEND_STATE,
-                backend=row.key,
-                state=entry.state,
-                version=row.version,
-                address=entry.address,
-            )
+        if before is not None and _figures(before) == _figures(entry):
+            return lapsed
+        log(
+            Event.BACKEND_STATE,
+            backend=row.key,
+            state=entry.state,
+            version=row.version,
+            address=entry.address,
+            left_s=entry.cold_remaining_ms / 1000,
+        )
+        return True
 
     def _lose_server(self, server_id: str, now_s: float) -> None:
         """Drop an entry, at once unless it may have lapsed in an outage."""
@@ -237,10 +333,25 @@
         if entry is None or server_id in self._lapsed:
             return
         gone_s = now_s
-        if entry.state == "ready" and now_s < self._returned_s + RETURN_S:
-            gone_s = self._returned_s + RETURN_S
+        if entry.state == "ready":
+            returned_s = self._returned_s if self._up else now_s
+            gone_s = max(now_s, returned_s + RETURN_S)
         self._lapsed[server_id] = gone_s
 
+    def _drop_lapsed(self, now_s: float) -> None:
+        for server_id, gone_s in list(self._lapsed.items()):
+            if now_s >= gone_s:
+                del self._lapsed[server_id]
+                self._entries.pop(server_id, None)
+                log(Event.BACKEND_REMOVED, backend=server_id)
+
+    def _check_lapsed(self) -> None:
+        """Drop the entries whose time to come back has passed."""
+        before = _material(self._entries)
+        self._drop_lapsed(self._clock())
+        if _material(self._entries) != before:
+            self._publish()
+
     def _publish(self) -> None:
         if self._document is None:
             return
@@ -262,9 +373,22 @@
             log(Event.STORE_BACK)
 
 
+def _figures(entry: ServerEntry) -> tuple:
+    """Return what of an entry decides where requests may go."""
+    return (
+        entry.address,
+        entry.state,
+        entry.service,
+        entry.zone,
+        entry.born,
+        entry.cold_remaining_ms > 0,
+    )
+
+
 def _material(entries: dict[str, ServerEntry]) -> dict[str, tuple]:
-    """Return what of the entries decides where requests may go."""
-    return {
-        server_id: (entry.address, entry.state, entry.service, entry.zone, entry.born)
-        for server_id, entry in entries.items()
-    }
+    return {server_id: _figures(entry) for server_id, entry in entries.items()}
+
+
+def _newest(rows: list[Row]) -> int:
+    """Return the version of the newest of some rows, 0 for none."""
+    return max((row.version for row in rows), default=0)
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -21,13 +21,14 @@
 from ..events import Event as LogEvent
 from ..logs import log
 from ..metrics import Metrics
-from ..nodes.board import NodeFigures, WorkBoard
+from ..nodes.board import BoardListener, NodeFigures, WorkBoard
+from ..nodes.groups import Group, divide
 from ..placing import Packed
 from ..request import Request
 from ..retry import SharedRetryBudget
 from ..serving import Serving
 from . import orders  # noqa: F401  (registers the orders)
-from .feed import Feed
+from .feed import Feed, suspended_clock
 from .roster import Roster
 from .settings import PlatformSettings
 from .store import StoreClient
@@ -50,7 +51,7 @@
 LEAST_QUEUE_S = 1.2
 
 
-class PlatformNode:
+class PlatformNode(BoardListener):
     """One node; ``start`` serves callers, ``close`` ends everything."""
 
     def __init__(
@@ -85,21 +86,25 @@
             self._record_cold,
             (settings.data_centre,),
             clock,
+            suspended_clock,
+            rank=self._rank,
+            publish=self._publish,
         )
         self._board = WorkBoard(
             settings.name,
+            settings.data_centre,
             (settings.ip, settings.first_port),
             self._own_figures,
-            self._take_figures,
-            self._forget_peer,
-            self._share_bounds,
+            self,
             self._rng,
             clock,
+            suspended_clock,
         )
         self._roster = Roster(
             self.store,
             settings.name,
             f"{settings.ip}:{settings.first_port}",
+            settings.data_centre,
             self._board.add_peer,
             self._rng,
         )
@@ -120,7 +125,7 @@
         self._metrics_server = _create_server(
             f"{settings.ip}:{METRICS_PORT}", self._serve_metrics
         )
-        self._share_bounds(1)
+        self.regroup(divide({settings.name: settings.data_centre}))
 
     def start(self) -> None:
         """Start all parts; the node is ready once it has a configuration."""
@@ -169,23 +174,44 @@
 
     def _own_figures(self) -> NodeFigures:
         now_s = self._clock()
-        work = self._serving.backends.own_work(now_s)
-        return NodeFigures(work, self._budget.own_use(now_s))
+        return NodeFigures(
+            self._serving.backends.own_work(now_s),
+            self._budget.own_use(now_s),
+            self.feed.words(),
+        )
 
-    def _take_figures(self, peer: str, figures: NodeFigures) -> None:
+    def take(self, peer: str, figures: NodeFigures, stamp_s: float | None) -> None:
+        """Take what another node tells."""
         now_s = self._clock()
-        self._serving.backends.set_peer_work(peer, figures.work, now_s)
+        if figures.work is not None:
+            self._serving.backends.set_peer_work(peer, figures.work, now_s)
+            self._serving.scheduler.wake()
         self._budget.set_peer_use(peer, figures.retries, now_s)
-        self._serving.scheduler.wake()
+        if stamp_s is not None:
+            self.feed.take_words(figures.words, stamp_s)
+
+    def take_notice(self, notice: bytes) -> None:
+        """Take rows that another node has read."""
+        self.feed.take_notice(notice)
 
-    def _forget_peer(self, peer: str) -> None:
+    def drop(self, peer: str) -> None:
+        """Forget the work of a node that is gone."""
         self._serving.backends.forget_peer(peer)
         self._budget.forget_peer(peer)
 
-    def _share_bounds(self, nodes: int) -> None:
-        """Take this node's part of what is divided among the live nodes."""
-        self._serving.backends.set_node_count(nodes)
-        self._budget.set_node_count(nodes)
+    def regroup(self, groups: tuple[Group, ...]) -> None:
+        """Take this node's part of what is divided among the nodes."""
+        name = self.settings.name
+        self._serving.backends.set_groups(name, groups)
+        group = next(group for group in groups if name in group.nodes)
+        total = sum(len(each.nodes) for each in groups)
+        self._budget.set_nodes(len(group.nodes), total)
+
+    def _rank(self) -> int:
+        return self._board.rank
+
+    def _publish(self, notice: bytes) -> None:
+        self._board.publish(notice)
 
     def _keys_valid(self) -> bool:
         bounds = self.settings.bounds
--- a/papayarelay/platform/program.py
+++ b/papayarelay/platform/program.py
@@ -9,22 +9,37 @@
 
 from .. import logs
 from ..events import Event
-from ..operators.command import ExitCode, add_parser
 from ..process import log_task_failure, tune_collector
 from .settings import PlatformSettingsError, load, settings_path
 
+FAILED = 1
+SUMMARY = "run a node with the settings that the platform gives"
+
 
 def add_arguments(subparsers) -> None:
     """Add the command to the command line."""
-    parser = add_parser(
-        subparsers,
+    parser = subparsers.add_parser(
         "platform-node",
-        "run a node with the settings that the platform gives",
-        "papayarelay platform-node",
+        help=SUMMARY,
+        description=f"{SUMMARY}.",
+        epilog="example:\n  papayarelay platform-node --settings node.toml",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    parser.add_argument(
-        "--settings", metavar="FILE", help="settings of the node, if not the platform's"
+    _add_options(parser)
+
+
+def parse_arguments(argv: list[str] | None = None) -> argparse.Namespace:
+    """Parse the command line of this entry point."""
+    parser = argparse.ArgumentParser(
+        prog="python3 -m papayarelay.platform", description=f"{SUMMARY}."
     )
+    _add_options(parser)
+    return parser.parse_args(argv)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the entry point; return the process exit code."""
+    return run(parse_arguments(argv))
 
 
 def run(namespace: argparse.Namespace) -> int:
@@ -36,8 +51,14 @@
     except (OSError, KeyError, PlatformSettingsError) as error:
         logs.set_up_logs("", stream=sys.stdout)
         logs.log(Event.SETTINGS_REJECTED, error=error)
-        return int(ExitCode.FAILED)
+        return FAILED
     logs.set_up_logs(settings.name, "debug", stream=sys.stdout)
     tune_collector()
     gevent.get_hub().print_exception = log_task_failure
     return run_node(settings)
+
+
+def _add_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--settings", metavar="FILE", help="settings of the node, if not the platform's"
+    )
--- a/papayarelay/platform/roster.py
+++ b/papayarelay/platform/roster.py
@@ -15,12 +15,13 @@
 TABLE = "nodes"
 # Nodes that start together have all written their rows after this time.
 SECOND_READ_S = 1.5
-INTERVAL_S = 20.0
+INTERVAL_S = 60.0
 RETRY_S = 0.5
 
 
 class _Row(msgspec.Struct):
     address: str
+    data_centre: str = ""
 
 
 class Roster:
@@ -31,12 +32,14 @@
         store: StoreClient,
         name: str,
         address: str,
-        found: Callable[[str, tuple[str, int]], None],
+        data_centre: str,
+        found: Callable[[str, tuple[str, int], str], None],
         rng: random.Random,
     ):
         self._store = store
         self._name = name
         self._address = address
+        self._data_centre = data_centre
         self._found = found
         self._rng = rng
         self._entered = False
@@ -63,7 +66,7 @@
         while True:
             try:
                 if not self._entered:
-                    row = msgspec.json.encode(_Row(self._address))
+                    row = msgspec.json.encode(_Row(self._address, self._data_centre))
                     self._store.write(TABLE, self._name, row)
                     self._entered = True
                 run_step(self._read)
@@ -81,4 +84,4 @@
                 continue
             host, _, port = entry.address.rpartition(":")
             if port.isdigit():
-                self._found(row.key, (host, int(port)))
+                self._found(row.key, (host, int(port)), entry.data_centre)
--- a/papayarelay/retry.py
+++ b/papayarelay/retry.py
@@ -96,22 +96,24 @@
 
     In any window, all nodes may repeat ``ratio`` of the requests and ``reserve``
     besides.  Each node has its part of ``OWN_PART`` of that in any case.  While it
-    hears the others it may also use what they leave, as long as all repeats stay
-    below ``POOL_PART``.  Both parts together are less than the limit, so it holds
-    also when what a node knows of the others is late.
+    hears the others of its group it may also use what they leave, as long as their
+    repeats stay below their ``POOL_PART``.  Both parts together are less than the
+    limit, so it holds also when what a node knows of the others is late.
     """
 
     def __init__(self, ratio: float, window_s: float, reserve: float):
         self._ratio = ratio
         self._window_s = window_s
         self._reserve = reserve
-        self._nodes = 1
+        self._group = 1
+        self._total = 1
         self._own: dict[str, _Window] = {}
         self._peers: dict[str, tuple[float, Mapping[str, RetryUse]]] = {}
 
-    def set_node_count(self, nodes: int) -> None:
-        """Set among how many nodes the limit is divided."""
-        self._nodes = max(1, nodes)
+    def set_nodes(self, group: int, total: int) -> None:
+        """Set how many nodes hear one another, and how many there are."""
+        self._group = max(1, group)
+        self._total = max(self._group, total)
 
     def set_peer_use(
         self, peer: str, use: Mapping[str, RetryUse], now_s: float
@@ -136,7 +138,7 @@
         """Return whether a repeat may be sent now; a permitted one is counted."""
         window = self._window(service)
         own = window.use(now_s)
-        limit = self._ratio * own.requests + self._reserve / self._nodes
+        limit = self._ratio * own.requests + self._reserve / self._total
         allowed = own.repeats + 1 <= OWN_PART * limit
         if not allowed:
             told = [
@@ -145,11 +147,12 @@
                 if now_s - told_s <= TOLD_LIMIT_S
             ]
             total = sum(told, own)
-            limit = self._ratio * total.requests + self._reserve
-            heard = len(told) + 1 >= self._nodes
+            reserve = self._reserve * self._group / self._total
+            limit = self._ratio * total.requests + reserve
+            heard = len(told) + 1 >= self._group
             # Each of the others may have done as much since it was heard.
-            unheard = (self._nodes - 1) * window.use(now_s, TOLD_LIMIT_S).repeats
-            most = total.repeats + unheard + self._nodes
+            unheard = (self._group - 1) * window.use(now_s, TOLD_LIMIT_S).repeats
+            most = total.repeats + unheard + self._group
             allowed = heard and most <= POOL_PART * limit
         if allowed:
             window.add(now_s, RetryUse(0, 1))
--- a/papayarelay/routing.py
+++ b/papayarelay/routing.py
@@ -221,7 +221,9 @@
 
 
 def assign_homes(
-    engine_ids: Iterable[str], node_names: Collection[str]
+    engine_ids: Iterable[str],
+    node_names: Collection[str],
+    most_homes: int = HOMES_PER_ENGINE,
 ) -> dict[str, tuple[str, ...]]:
     """Return the nodes that prefer each engine, with like numbers of engines.
 
@@ -230,7 +232,7 @@
     Loads, 2018).
     """
     engine_ids = sorted(engine_ids)
-    copies = min(HOMES_PER_ENGINE, len(node_names))
+    copies = min(most_homes, len(node_names))
     limit = math.ceil(copies * len(engine_ids) / max(1, len(node_names)))
     counts = dict.fromkeys(node_names, 0)
     homes = {}
--- a/papayarelay/tests/raw_server.py
+++ b/papayarelay/tests/raw_server.py
@@ -43,11 +43,12 @@
     The script returns False to end the connection.  ``requests`` has them all.
     """
 
-    def __init__(self, script: Script):
+    def __init__(self, script: Script, port: int = 0):
         self.script = script
         self.requests: list[Received] = []
         self.connections = 0
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.sockets: set[socket.socket] = set()
+        self._server = StreamServer(("127.0.0.1", port), self._serve)
         self._server.start()
 
     @property
@@ -61,7 +62,14 @@
 
     def _serve(self, sock, address) -> None:
         self.connections += 1
-        number = self.connections
+        self.sockets.add(sock)
+        try:
+            self._serve_all(sock, self.connections)
+        finally:
+            self.sockets.discard(sock)
+            sock.close()
+
+    def _serve_all(self, sock, number: int) -> None:
         protocol = h11.Connection(h11.SERVER)
         while (request := self._read(protocol, sock, number)) is not None:
             self.requests.append(request)
@@ -73,7 +81,6 @@
                 break
             # The script has written the answer itself.
             protocol = self._next(protocol)
-        sock.close()
 
     @staticmethod
     def _next(protocol):
--- /dev/null
+++ b/papayarelay/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real node processes; see docs/soak.md."""
--- /dev/null
+++ b/papayarelay/tests/soak/backend.py
@@ -0,0 +1,320 @@
+"""Stand-ins of engines and plain services that keep a record of what they ran."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import gevent
+import gevent.event
+from gevent.server import StreamServer
+
+from ..gateway_system import END, chunk, event, sealed, stream_head
+from ..raw_server import RawServer, Received, reset
+
+EVENT_INTERVAL_S = 0.02
+BEAT_S = 0.4
+# A server that leaves goes on for this long after it has said so.
+LINGER_S = 2.5
+
+
+@dataclass
+class Ledger:
+    """What all backend servers have run, for the checks of the soak."""
+
+    runs: Counter = field(default_factory=Counter)
+    where: dict[str, str] = field(default_factory=dict)
+    faults: list[str] = field(default_factory=list)
+    active: Counter = field(default_factory=Counter)
+    left_s: dict[str, float] = field(default_factory=dict)
+
+    def note(self, text: str) -> None:
+        """Record a broken promise."""
+        self.faults.append(text)
+
+
+@dataclass
+class Ticket:
+    """Memory that an engine holds for a name."""
+
+    tokens: int
+    until_s: float
+    used_s: float
+    uses: int = 0
+
+
+class BackendStandIn:
+    """One server of a service, listed in the store.
+
+    ``kind`` is ``engine`` or ``plain``.  ``mode`` makes it fail: ``hang``,
+    ``refuse``, ``cut`` (after it has run), ``torn``, ``extra``, or nothing.
+    """
+
+    def __init__(self, world, server_id: str, service: str, kind: str, zone: str):
+        self.id = server_id
+        self.service = service
+        self.kind = kind
+        self.zone = zone
+        self.mode = ""
+        self.draining_s: float | None = None
+        self.tickets: dict[str, Ticket] = {}
+        self.born = int(time.time() * 1000)
+        self._world = world
+        self._server = RawServer(self._serve)
+        self._port = int(self._server.address.rpartition(":")[2])
+        self._beat = gevent.spawn(self._run)
+
+    @property
+    def address(self) -> str:
+        """Return the address as ``host:port``."""
+        return f"127.0.0.1:{self._port}"
+
+    def crash(self) -> None:
+        """End at once, without a word to the store."""
+        self._beat.kill()
+        self._server.close()
+        for sock in list(self._server.sockets):
+            reset(sock)
+
+    def restart(self, server_id: str) -> None:
+        """Start again at the same address."""
+        self.id = server_id
+        self.born = int(time.time() * 1000)
+        self.tickets.clear()
+        self.draining_s = None
+        self.mode = ""
+        self._server = RawServer(self._serve, self._port)
+        self._beat = gevent.spawn(self._run)
+
+    def drain(self) -> None:
+        """Say that this server is leaving."""
+        self.draining_s = time.monotonic()
+        self._tell()
+
+    def close(self) -> None:
+        """End."""
+        self._beat.kill()
+        self._server.close()
+
+    def _run(self) -> None:
+        sequence = 0
+        while True:
+            sequence += 1
+            self._tell(sequence)
+            gevent.sleep(BEAT_S)
+
+    def _tell(self, sequence: int = 0) -> None:
+        self._world.store.put(
+            "servers",
+            self.id,
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": self.zone,
+                "version": "v1",
+                "slots": 8,
+                "state": "ready" if self.draining_s is None else "draining",
+                "cold_remaining_ms": 0,
+                "sequence": sequence,
+                "born": self.born,
+            },
+        )
+
+    def _serve(self, request: Received) -> bool | None:
+        path = request.target.decode()
+        if path == "/papayarelay/report":
+            names = [{"id": name} for name in self._live_tickets()]
+            return self._reply(request, 200, {"tickets": names})
+        if path == "/papayarelay/order":
+            return self._order(request)
+        if request.get(b"X-Expect-Instance") != self.id.encode():
+            return self._reply(request, 421, {})
+        if self.mode == "refuse":
+            return self._reply(request, 503, {}, b"X-Not-Executed: 1\r\n")
+        self._check_arrival(request)
+        if self.mode == "hang":
+            gevent.sleep(30)
+            return False
+        return self._answer(request)
+
+    def _check_arrival(self, request: Received) -> None:
+        world = self._world
+        now_s = time.monotonic()
+        attempt = request.get(b"X-Attempt-Id").decode()
+        ledger = world.ledger
+        world.check_arrival(self, attempt, request, now_s)
+        ledger.runs[attempt] += 1
+        ledger.where[attempt] = self.service
+        if ledger.runs[attempt] > 1 and attempt in world.once:
+            ledger.note(f"TWICE {attempt} ran {ledger.runs[attempt]} times")
+        if attempt in world.refused:
+            ledger.note(f"REFUSED {attempt} ran after its refusal")
+
+    def _answer(self, request: Received) -> bool | None:
+        attempt = request.get(b"X-Attempt-Id").decode()
+        if self.kind == "plain":
+            gevent.sleep(self._world.rng.uniform(0.005, 0.05))
+            if self.mode == "cut":
+                reset(request.sock)
+                return False
+            body = f"answer to {attempt}".encode()
+            data = sealed(request, body)
+            if self.mode == "torn":
+                request.sock.sendall(data[:-3])
+                return False
+            request.sock.sendall(data + (data if self.mode == "extra" else b""))
+            return None
+        return self._stream(request, attempt)
+
+    def _stream(self, request: Received, attempt: str) -> bool | None:
+        events = self._world.events_of(attempt)
+        tickets = self._use_tickets(request)
+        try:
+            first = int(request.get(b"Last-Event-Id") or 0) + 1
+            request.sock.sendall(stream_head(request, self.id.encode()))
+            for number in range(first, events + 1):
+                gevent.sleep(EVENT_INTERVAL_S)
+                if self.mode == "cut" and number > first + 1:
+                    reset(request.sock)
+                    return False
+                request.sock.sendall(chunk(event(number)))
+            request.sock.sendall(END)
+        finally:
+            now_s = time.monotonic()
+            for ticket in tickets:
+                ticket.uses -= 1
+                ticket.used_s = now_s
+        return None
+
+    def _use_tickets(self, request: Received) -> list[Ticket]:
+        used = []
+        for item in (request.get(b"X-Helpers") or b"").decode().split(","):
+            address, _, name = item.partition("/")
+            helper = self._world.backend_at(address)
+            if name and helper is not None and name in helper.tickets:
+                ticket = helper.tickets[name]
+                if ticket.uses:
+                    self._world.ledger.note(f"LIMIT {name} used twice at once")
+                ticket.uses += 1
+                used.append(ticket)
+        return used
+
+    def _order(self, request: Received) -> None:
+        fields = json.loads(request.body)
+        name = fields["id"]
+        fate = self._world.order_fate()
+        if fate == "lost":
+            gevent.sleep(30)
+            return
+        if fate == "late":
+            gevent.spawn_later(self._world.rng.uniform(1, 4), self._carry_out, fields)
+            gevent.sleep(30)
+            return
+        status = self._carry_out(fields)
+        self._reply(request, status, {"free": 1, "id": name})
+
+    def _carry_out(self, fields: dict) -> int:
+        now_s = time.monotonic()
+        if fields["operation"] == "release":
+            self.tickets.pop(fields["id"], None)
+            return 200
+        ticket = self.tickets.get(fields["id"])
+        until_s = now_s + fields["hold_ms"] / 1000
+        if ticket is None:
+            self.tickets[fields["id"]] = Ticket(fields["tokens"], until_s, now_s)
+        else:
+            ticket.until_s = until_s
+        return 200
+
+    def _live_tickets(self) -> list[str]:
+        now_s = time.monotonic()
+        for name, ticket in list(self.tickets.items()):
+            if ticket.until_s < now_s:
+                del self.tickets[name]
+        return list(self.tickets)
+
+    def leaked(self, limit_s: float) -> list[str]:
+        """Return the names of memory held longer than it may be without use."""
+        now_s = time.monotonic()
+        self._live_tickets()
+        return [
+            name
+            for name, ticket in self.tickets.items()
+            if not ticket.uses and now_s - ticket.used_s > limit_s
+        ]
+
+    @staticmethod
+    def _reply(
+        request: Received, status: int, fields: dict, extra: bytes = b""
+    ) -> None:
+        body = json.dumps(fields).encode()
+        attempt = request.get(b"X-Attempt-Id") or b"-"
+        request.sock.sendall(
+            b"HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s"
+            % (status, attempt, extra, len(body), body)
+        )
+
+
+class Proxy:
+    """A loopback link that can be delayed, cut one way, silenced or reset.
+
+    ``mode`` is ``""``, ``silent`` (nothing passes, connections stay open),
+    ``one_way`` (answers do not pass) or ``refuse``.
+    """
+
+    def __init__(self, target: str):
+        self.mode = ""
+        self.delay_s = 0.0
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._pairs: set = set()
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Return the address as ``host:port``."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def reset_all(self) -> None:
+        """Reset all open connections."""
+        for pair in list(self._pairs):
+            for sock in pair:
+                reset(sock)
+
+    def close(self) -> None:
+        """Stop listening and end the connections."""
+        self._server.stop(timeout=0)
+        self.reset_all()
+
+    def _serve(self, sock, address) -> None:
+        if self.mode == "refuse":
+            reset(sock)
+            return
+        try:
+            other = gevent.socket.create_connection(self._target, 2.0)
+        except OSError:
+            reset(sock)
+            return
+        pair = (sock, other)
+        self._pairs.add(pair)
+        back = gevent.spawn(self._pump, other, sock, True)
+        self._pump(sock, other, False)
+        back.join()
+        self._pairs.discard(pair)
+        for each in pair:
+            each.close()
+
+    def _pump(self, source, target, back: bool) -> None:
+        try:
+            while data := source.recv(65536):
+                if self.delay_s:
+                    gevent.sleep(self.delay_s)
+                while self.mode == "silent" or (self.mode == "one_way" and back):
+                    gevent.sleep(0.05)
+                target.sendall(data)
+            target.shutdown(1)
+        except OSError:
+            return
--- /dev/null
+++ b/papayarelay/tests/soak/client.py
@@ -0,0 +1,129 @@
+"""Callers of the soak; each checks what it gets."""
+
+from __future__ import annotations
+
+import http.client
+import time
+from collections import Counter
+
+import gevent
+
+from ..gateway_system import event
+from ..platform_documents import HOST
+from .world import CONTACT_S, KEYS, STOP_S, NodeProcess, World
+
+KINDS = ("stream", "once", "job", "call")
+DEADLINES_S = {"stream": 4.0, "once": 4.0, "job": 1.5, "call": 1.5}
+# An answer may come this much after its deadline.
+LATE_S = 0.5
+LONG_PROMPT_TOKENS = 400_000
+
+
+class Client:
+    """Sends requests of all kinds, one after the other, until it is stopped."""
+
+    def __init__(self, world: World, number: int):
+        self.ends: Counter = Counter()
+        self._world = world
+        self._number = number
+        self._count = 0
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to send."""
+        self._task = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.kill()
+
+    def _run(self) -> None:
+        rng = self._world.rng
+        while True:
+            self._send(rng.choice(KINDS), rng.choice(self._world.nodes))
+            gevent.sleep(rng.uniform(0.0, 0.08))
+
+    def _send(self, kind: str, node: NodeProcess) -> None:
+        world = self._world
+        self._count += 1
+        attempt = f"{world.rng.getrandbits(32):08x}{self._number:02x}{self._count:06x}"
+        key = world.rng.choice(KEYS)
+        now_s = time.monotonic()
+        world.sent_s[attempt] = now_s
+        world.sent_key[attempt] = key
+        world.sent_to[attempt] = node
+        if kind in ("once", "job"):
+            world.once.add(attempt)
+        tokens = LONG_PROMPT_TOKENS if world.rng.random() < 0.05 else 1000
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": attempt,
+            "X-Key": key,
+            "X-Deadline-Ms": str(int(DEADLINES_S[kind] * 1000)),
+            "X-Token-Counts": f"{tokens},50",
+        }
+        connection = http.client.HTTPConnection(node.ip, 8227, timeout=10)
+        try:
+            connection.request("POST", f"/{kind}/x", b"prompt" * 20, headers)
+            answer = connection.getresponse()
+            body, whole = answer.read(), True
+        except http.client.IncompleteRead as error:
+            body, whole = error.partial, False
+        except (OSError, http.client.HTTPException):
+            self.ends["cut"] += 1
+            self._check_cut(attempt, node, now_s)
+            return
+        finally:
+            connection.close()
+        self._check(kind, attempt, node, now_s, answer, body, whole)
+
+    def _check(self, kind, attempt, node, sent_s, answer, body, whole) -> None:
+        world = self._world
+        note = world.ledger.note
+        status = answer.status
+        self.ends[status if whole else "torn"] += 1
+        took_s = time.monotonic() - sent_s
+        late = took_s > DEADLINES_S[kind] + LATE_S
+        if late and node.in_touch(time.monotonic()) and node.in_touch(sent_s):
+            note(f"LATE {attempt} {kind} {status} after {took_s:.2f} s by {node.name}")
+        if status == 200:
+            self._check_body(kind, attempt, answer, body, whole)
+        elif status in (408, 421, 429, 503):
+            world.refused.add(attempt)
+            if attempt in world.ledger.runs:
+                note(f"REFUSED {attempt} {kind} has run, refused by {node.name}")
+        elif status in (401, 404):
+            version = world.versions[-1]
+            denied = world.sent_key[attempt] not in version.keys
+            if not denied and f"r-{kind}" in version.routes and self._is_settled():
+                note(f"DENIED {attempt} {kind} {status} by {node.name}")
+        elif status not in (502, 504):
+            note(f"MIXED {attempt} {kind} got {status} by {node.name}")
+
+    def _check_body(self, kind, attempt, answer, body, whole) -> None:
+        world = self._world
+        if kind in ("stream", "once"):
+            wanted = b"".join(event(n + 1) for n in range(world.events_of(attempt)))
+        else:
+            wanted = f"answer to {attempt}".encode()
+        fits = body == wanted if whole else wanted.startswith(body)
+        sealed = answer.getheader("X-Response-Seal") is not None
+        if not fits or not sealed:
+            world.ledger.note(f"MIXED {attempt} {kind} got {len(body)} bytes")
+
+    def _check_cut(self, attempt: str, node: NodeProcess, sent_s: float) -> None:
+        """Note a request that a planned stop has cut."""
+        world = self._world
+        now_s = time.monotonic()
+        planned = node.stopping_s is not None and now_s - node.stopping_s < STOP_S
+        calm = node.disturbed_s <= (node.stopping_s or 0.0)
+        if planned and calm and attempt in world.ledger.runs:
+            early = sent_s < node.stopping_s + 2.0
+            faults = now_s - world.store_disturbed_s < CONTACT_S
+            if early and not faults:
+                world.ledger.note(f"LOST {attempt} cut by the stop of {node.name}")
+
+    def _is_settled(self) -> bool:
+        confirmed_s = self._world.versions[-1].confirmed_s
+        return time.monotonic() - confirmed_s > 2 * CONTACT_S
--- /dev/null
+++ b/papayarelay/tests/soak/faults.py
@@ -0,0 +1,204 @@
+"""The faults of the soak, drawn from a seed; several may hold at once."""
+
+from __future__ import annotations
+
+import signal
+import time
+
+import gevent
+
+from ..store_standin import StoreFaults
+from .world import DATA_CENTRES, KEYS, NodeProcess, World
+
+# Backend servers that are never disturbed, so that requests can be served.
+SOUND = frozenset({"e0", "p0", "m0"})
+
+
+class Injector:
+    """Plays a random series of faults; ``log`` has what was injected."""
+
+    def __init__(self, world: World):
+        self.log: list[str] = []
+        self._world = world
+        self._begun_s = time.monotonic()
+        self._faults = (
+            self._kill,
+            self._pause,
+            self._stop,
+            self._hang_up,
+            self._store_fault,
+            self._cut_from_store,
+            self._forget_history,
+            self._unreadable_rows,
+            self._crash_backend,
+            self._drain_backend,
+            self._break_backend,
+            self._lose_orders,
+            self._change_config,
+            self._take_keys,
+            self._evacuate,
+        )
+
+    def run(self, length_s: float) -> None:
+        """Inject faults for some time, then let all of them end."""
+        tasks = []
+        rng = self._world.rng
+        end_s = time.monotonic() + length_s
+        while time.monotonic() < end_s:
+            tasks.append(gevent.spawn(rng.choice(self._faults)))
+            gevent.sleep(rng.uniform(0.1, 1.5))
+        gevent.joinall(tasks)
+
+    def _note(self, text: str) -> None:
+        self.log.append(f"{time.monotonic() - self._begun_s:.2f} {text}")
+
+    def _node(self) -> NodeProcess:
+        return self._world.rng.choice(self._world.nodes)
+
+    def _some_s(self, most_s: float) -> float:
+        return self._world.rng.uniform(0.2, most_s)
+
+    def _kill(self) -> None:
+        node = self._node()
+        self._note(f"kill {node.name}")
+        node.end()
+        node.disturb()
+        gevent.sleep(self._some_s(1.0))
+        if not node.running:
+            node.start()
+
+    def _pause(self) -> None:
+        node = self._node()
+        length_s = self._some_s(4.0)
+        self._note(f"pause {node.name} for {length_s:.1f} s")
+        node.signal(signal.SIGSTOP)
+        node.paused = True
+        gevent.sleep(length_s)
+        node.signal(signal.SIGCONT)
+        node.paused = False
+        node.disturb()
+
+    def _stop(self) -> None:
+        node = self._node()
+        if node.stopping_s is not None or not node.running:
+            return
+        self._note(f"stop {node.name}")
+        popen = node.popen
+        node.signal(signal.SIGTERM)
+        node.stopping_s = time.monotonic()
+        with gevent.Timeout(8.0, False):
+            while popen.poll() is None:
+                gevent.sleep(0.05)
+        if popen is not node.popen:
+            return
+        if popen.poll() is None:
+            self._world.ledger.note(f"STOP {node.name} still runs 8 s after SIGTERM")
+        node.end()
+        node.start()
+
+    def _hang_up(self) -> None:
+        node = self._node()
+        self._note(f"SIGHUP {node.name}")
+        node.signal(signal.SIGHUP)
+
+    def _store_fault(self) -> None:
+        world = self._world
+        mode = world.rng.choice(("busy", "many", "silent", "reset", "lost"))
+        length_s = self._some_s(6.0)
+        self._note(f"store {mode} for {length_s:.1f} s")
+        world.store.faults = StoreFaults(mode, world.rng.choice((0.0, 0.3)))
+        self._hold_store(length_s)
+        world.store.faults = StoreFaults()
+
+    def _hold_store(self, length_s: float) -> None:
+        end_s = time.monotonic() + length_s
+        while time.monotonic() < end_s:
+            self._world.store_disturbed_s = time.monotonic()
+            gevent.sleep(0.1)
+        self._world.store_disturbed_s = time.monotonic()
+
+    def _cut_from_store(self) -> None:
+        node = self._node()
+        mode = self._world.rng.choice(("silent", "one_way", "refuse"))
+        length_s = self._some_s(8.0)
+        self._note(f"{node.name} cut from the store ({mode}) for {length_s:.1f} s")
+        node.store.mode = mode
+        if mode == "refuse":
+            node.store.reset_all()
+        end_s = time.monotonic() + length_s
+        while time.monotonic() < end_s:
+            node.disturb()
+            gevent.sleep(0.1)
+        node.store.mode = ""
+        node.store.reset_all()
+        node.disturb()
+
+    def _forget_history(self) -> None:
+        self._note("store forgets its history")
+        self._world.store.forget_history()
+
+    def _unreadable_rows(self) -> None:
+        self._note("rows of another writer")
+        rows = self._world.store.rows
+        rows.put("servers", "x", b"\xff\x00")
+        rows.put("servers", "y", b'{"service": "model", "state": "odd"}')
+        rows.put("op", "other", b"[]")
+
+    def _backend(self):
+        world = self._world
+        some = [b for b in world.backends if b.id not in SOUND]
+        return world.rng.choice(some)
+
+    def _crash_backend(self) -> None:
+        backend = self._backend()
+        again = self._world.rng.choice((backend.id, f"{backend.id}x"))
+        self._note(f"crash {backend.id}, again as {again}")
+        backend.crash()
+        if again != backend.id:
+            self._world.store.remove("servers", backend.id)
+        gevent.sleep(self._some_s(3.0))
+        try:
+            backend.restart(again)
+        except OSError:
+            self._note(f"{again} could not listen again")
+
+    def _drain_backend(self) -> None:
+        backend = self._backend()
+        self._note(f"drain {backend.id}")
+        backend.drain()
+        gevent.sleep(self._some_s(6.0))
+        backend.draining_s = None
+
+    def _break_backend(self) -> None:
+        backend = self._backend()
+        mode = self._world.rng.choice(("hang", "refuse", "cut", "torn", "extra"))
+        self._note(f"{backend.id} {mode}")
+        backend.mode = mode
+        gevent.sleep(self._some_s(4.0))
+        backend.mode = ""
+
+    def _lose_orders(self) -> None:
+        self._world.orders = self._world.rng.choice(("lost", "late"))
+        self._note(f"orders {self._world.orders}")
+        gevent.sleep(self._some_s(4.0))
+        self._world.orders = ""
+
+    def _change_config(self) -> None:
+        without = self._world.rng.choice(("", "", "r-call"))
+        self._note(f"configuration without {without or 'nothing'}")
+        self._world.put_config(KEYS, without)
+
+    def _take_keys(self) -> None:
+        self._note("a key is taken away")
+        self._world.put_config(KEYS[:1])
+        gevent.sleep(self._some_s(9.0))
+        self._world.put_config(KEYS)
+
+    def _evacuate(self) -> None:
+        zone = self._world.rng.choice(DATA_CENTRES)
+        if self._world.evacuated_s:
+            return
+        self._note(f"evacuate {zone}")
+        self._world.evacuate(zone, True)
+        gevent.sleep(self._some_s(8.0))
+        self._world.evacuate(zone, False)
--- /dev/null
+++ b/papayarelay/tests/soak/world.py
@@ -0,0 +1,295 @@
+"""The world of a soak: store, backend servers, node processes and promises."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import gevent
+
+from ..platform_documents import make_document
+from ..raw_server import Received
+from ..store_standin import StoreStandIn
+from .backend import BackendStandIn, Ledger, Proxy
+
+DATA_CENTRES = ("a", "b")
+KEYS = ("k1", "k2")
+CONTACT_S = 3.0
+# Time limits of the settings below, with the time that a loaded machine takes.
+DRAIN_S, REVOKE_S, EVACUATE_S, CONFIG_S, STOP_S = 2.0, 5.0, 5.0, 2.0, 8.0
+FREE_S = 4.0
+SLACK_S = 0.6
+SETTINGS = """
+node_name = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+region = "r"
+internal_ports = [7340, 7355]
+[listen]
+front = "{ip}:8227"
+readiness = "{ip}:8220"
+[bounds]
+drain_ms = 2000
+grace_s = 8
+config_ms = 2000
+revoke_ms = 5000
+revoke_when_partitioned = true
+budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 100
+[platform]
+address = "{store}"
+"""
+
+
+@dataclass
+class Version:
+    """A configuration and when the store had accepted it."""
+
+    document: dict
+    confirmed_s: float
+    keys: frozenset[str]
+    routes: frozenset[str]
+
+
+@dataclass
+class NodeProcess:
+    """A node as a process of its own, and when it was last disturbed."""
+
+    name: str
+    ip: str
+    zone: str
+    store: Proxy
+    log_path: Path
+    settings_path: Path
+    popen: subprocess.Popen | None = None
+    disturbed_s: float = 0.0
+    stopping_s: float | None = None
+    paused: bool = False
+    _log: object = None
+
+    def start(self) -> None:
+        """Start the process."""
+        text = SETTINGS.format(
+            name=self.name, ip=self.ip, zone=self.zone, store=self.store.address
+        )
+        self.settings_path.write_text(text)
+        self._log = self.log_path.open("ab")
+        self.popen = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "papayarelay.platform",
+                "--settings",
+                str(self.settings_path),
+            ],
+            stdout=self._log,
+            stderr=self._log,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        self.stopping_s = None
+        self.paused = False
+        self.disturb()
+
+    def disturb(self) -> None:
+        """Note that this node or its links are not sound now."""
+        self.disturbed_s = time.monotonic()
+
+    def in_touch(self, now_s: float) -> bool:
+        """Return whether the time limits bind this node."""
+        calm = now_s - self.disturbed_s > CONTACT_S
+        return calm and not self.paused and self.running
+
+    @property
+    def running(self) -> bool:
+        """Return whether the process lives."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        if self.running:
+            self.popen.send_signal(number)
+            self.disturb()
+
+    def end(self) -> None:
+        """Kill the process."""
+        if self.running:
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.kill()
+            self.popen.wait()
+
+
+@dataclass
+class World:
+    """Everything outside the nodes; ``check_*`` note broken promises."""
+
+    seed: int
+    directory: Path
+    nodes: list[NodeProcess] = field(default_factory=list)
+    backends: list[BackendStandIn] = field(default_factory=list)
+    proxies: dict[str, Proxy] = field(default_factory=dict)
+    once: set[str] = field(default_factory=set)
+    refused: set[str] = field(default_factory=set)
+    sent_s: dict[str, float] = field(default_factory=dict)
+    sent_key: dict[str, str] = field(default_factory=dict)
+    sent_to: dict[str, NodeProcess] = field(default_factory=dict)
+    versions: list[Version] = field(default_factory=list)
+    evacuated_s: dict[str, float] = field(default_factory=dict)
+    orders: str = ""
+    store_disturbed_s: float = 0.0
+
+    def __post_init__(self):
+        self.rng = random.Random(self.seed)
+        self.ledger = Ledger()
+        self.store = StoreStandIn()
+
+    def start(self, nodes: int) -> None:
+        """Start the store, the backend servers and the nodes."""
+        self.put_config(KEYS)
+        for number in range(4):
+            self.add_backend(f"e{number}", "model", "engine")
+        for number in range(2):
+            self.add_backend(f"p{number}", "plain", "plain")
+            self.add_backend(f"m{number}", "model-2", "engine")
+        for number in range(nodes):
+            node = NodeProcess(
+                f"n{number}",
+                f"127.0.{1 + self.seed % 200}.{number + 1}",
+                DATA_CENTRES[number % 2],
+                Proxy(self.store.address),
+                self.directory / f"n{number}.log",
+                self.directory / f"n{number}.toml",
+            )
+            node.start()
+            self.nodes.append(node)
+
+    def close(self) -> None:
+        """End all processes and stand-ins."""
+        for node in self.nodes:
+            node.end()
+            node.store.close()
+        for backend in self.backends:
+            backend.close()
+        for proxy in self.proxies.values():
+            proxy.close()
+        self.store.close()
+
+    def add_backend(self, name: str, service: str, kind: str) -> None:
+        """Start a backend server behind a proxy."""
+        zone = DATA_CENTRES[len(self.backends) % 2]
+        backend = BackendStandIn(self, name, service, kind, zone)
+        self.backends.append(backend)
+
+    def backend_at(self, address: str) -> BackendStandIn | None:
+        """Return the server that is listed with an address."""
+        return next((b for b in self.backends if b.address == address), None)
+
+    def put_config(self, keys: tuple[str, ...], without: str = "") -> None:
+        """Put a configuration with these keys, perhaps without a route."""
+        version = (self.versions[-1].document["version"] if self.versions else 0) + 3
+        fields = make_document(version, tenants=[{"name": "office", "api_keys": keys}])
+        fields["services"].append({**fields["services"][0], "name": "model-2"})
+        job = fields["routes"][1]
+        call = {**job, "name": "r-call", "prefix": "/call/", "kind": "idempotent"}
+        once = {**fields["routes"][0], "name": "r-once", "prefix": "/once/"}
+        fields["routes"] += [
+            {**call, "max_attempts": 2},
+            {**once, "resumable": False},
+        ]
+        fields["routes"] = [r for r in fields["routes"] if r["name"] != without]
+        self.store.put("op", "config", fields)
+        names = frozenset(r["name"] for r in fields["routes"])
+        now_s = time.monotonic()
+        self.versions.append(Version(fields, now_s, frozenset(keys), names))
+
+    def evacuate(self, zone: str, on: bool) -> None:
+        """Take a data centre out, or back."""
+        if on:
+            self.store.put("op", f"evacuate/{zone}", {})
+            self.evacuated_s[zone] = time.monotonic()
+        else:
+            self.store.remove("op", f"evacuate/{zone}")
+            self.evacuated_s.pop(zone, None)
+
+    def events_of(self, attempt: str) -> int:
+        """Return how many events the stream of a request has."""
+        return 3 + int(attempt[:4], 16) % 25
+
+    def order_fate(self) -> str:
+        """Return what happens to an order to an engine."""
+        return self.orders if self.orders and self.rng.random() < 0.5 else ""
+
+    def check_arrival(
+        self, backend: BackendStandIn, attempt: str, request: Received, now_s: float
+    ) -> None:
+        """Check what must hold for a request when it reaches a server."""
+        note = self.ledger.note
+        if attempt not in self.sent_s:
+            note(f"UNASKED {attempt} was never sent")
+            return
+        if request.get(b"X-Key") is not None:
+            note(f"UNASKED {attempt} carries its key")
+        if request.get(b"X-Tenant") != b"office":
+            note(f"UNASKED {attempt} names {request.get(b'X-Tenant')}")
+        node = self.sent_to[attempt]
+        sent_s = self.sent_s[attempt]
+        self._check_key(attempt, sent_s)
+        if not node.in_touch(now_s) or not node.in_touch(sent_s):
+            return
+        if now_s - self.store_disturbed_s < CONTACT_S + SLACK_S:
+            return
+        drained_s = backend.draining_s
+        if drained_s is not None and min(now_s, sent_s) - drained_s > DRAIN_S + SLACK_S:
+            note(f"DRAIN {attempt} reached {backend.id} by {node.name}")
+        gone_s = self.evacuated_s.get(backend.zone)
+        if gone_s is not None and sent_s - gone_s > EVACUATE_S + SLACK_S:
+            note(f"EVAC {attempt} reached {backend.zone} by {node.name}")
+        self._check_route(attempt, request.target.decode(), sent_s, node)
+
+    def _check_key(self, attempt: str, sent_s: float) -> None:
+        """Keys are bound by their time limit on all nodes, whatever happens."""
+        allowed = any(
+            self.sent_key[attempt] in version.keys
+            for number, version in enumerate(self.versions)
+            if number + 1 == len(self.versions)
+            or sent_s < self.versions[number + 1].confirmed_s + REVOKE_S
+        )
+        if not allowed:
+            self.ledger.note(f"REVOKED {attempt} ran by {self.sent_to[attempt].name}")
+
+    def _check_route(self, attempt: str, path: str, sent_s: float, node) -> None:
+        kind = path.split("/")[1]
+        allowed = any(
+            f"r-{kind}" in version.routes
+            for number, version in enumerate(self.versions)
+            if number + 1 == len(self.versions)
+            or sent_s < self.versions[number + 1].confirmed_s + CONFIG_S + SLACK_S
+        )
+        if not allowed:
+            self.ledger.note(f"CONFIG {attempt} ran on {kind} by {node.name}")
+
+    def ready(self, node: NodeProcess) -> bool:
+        """Return whether a node says that it is ready."""
+        try:
+            with gevent.Timeout(1.0, TimeoutError):
+                sock = socket.create_connection((node.ip, 8220), 1.0)
+                sock.sendall(b"GET /papayarelay/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = sock.recv(100)
+                sock.close()
+        except OSError:
+            return False
+        return b" 200 " in line
+
+    def describe(self) -> str:
+        """Return the figures of a run in one line."""
+        return json.dumps(
+            {"seed": self.seed, "ran": len(self.ledger.runs), "sent": len(self.sent_s)}
+        )
--- a/papayarelay/tests/test_board.py
+++ b/papayarelay/tests/test_board.py
@@ -7,7 +7,8 @@
 
 from ..local import wait_for
 from ..nodes import board as board_module
-from ..nodes.board import NodeFigures, WorkBoard
+from ..nodes.board import BoardListener, NodeFigures, WorkBoard
+from ..nodes.knowledge import Word
 from ..retry import RetryUse
 from ..routing import EngineWork
 
@@ -22,33 +23,55 @@
         return sock.getsockname()[1]
 
 
-class Member:
+class Member(BoardListener):
     """A board with what it has learned."""
 
-    def __init__(self, name: str, seed: int, clock=time.monotonic):
+    def __init__(self, name: str, seed: int, data_centre: str = "a"):
         self.address = ("127.0.0.1", free_port())
-        self.own: dict = {}
+        self.own = NodeFigures()
         self.work: dict = {}
-        self.retries: dict = {}
-        self.told_retries: dict = {}
-        self.count = 1
+        self.told: dict = {}
+        self.stamps: list = []
+        self.notices: list[bytes] = []
+        self.groups: tuple = ()
+        self.age_s = 1000.0 * seed
         self.board = WorkBoard(
             name,
+            data_centre,
             self.address,
-            lambda: NodeFigures(self.own, self.retries),
-            self._take,
-            lambda peer: self.work.pop(peer, None),
-            self._set_count,
+            lambda: self.own,
+            self,
             random.Random(seed),
-            clock,
+            time.monotonic,
+            lambda: self.age_s,
         )
 
-    def _take(self, peer: str, figures: NodeFigures) -> None:
-        self.work[peer] = figures.work
-        self.told_retries[peer] = figures.retries
+    def take(self, peer, figures, stamp_s):
+        """Keep the figures of a peer."""
+        if figures.work is not None:
+            self.work[peer] = figures.work
+        self.told[peer] = figures
+        self.stamps.append(stamp_s)
 
-    def _set_count(self, count: int) -> None:
-        self.count = count
+    def take_notice(self, notice):
+        """Keep a notice."""
+        self.notices.append(notice)
+
+    def drop(self, peer):
+        """Forget a peer."""
+        self.work.pop(peer, None)
+
+    def regroup(self, groups):
+        """Keep the groups."""
+        self.groups = groups
+
+
+FIGURES = [board_module._Figures("e", 1, 0, 0, 0)]
+
+
+def message(start: int, number: int, work: list):
+    """Return a message of a node that is not there."""
+    return board_module._Message("n9", "a", start, number, False, 0, work, [], [], [])
 
 
 class BoardTest(unittest.TestCase):
@@ -59,39 +82,80 @@
         for member in (self.first, self.second):
             member.board.start()
             self.addCleanup(member.board.close)
-        self.first.board.add_peer("n2", self.second.address)
+        self.first.board.add_peer("n2", self.second.address, "a")
 
     def test_told_soon(self):
         """Two nodes would choose the same engine at the same time."""
-        self.first.own = WORK
+        self.first.own = NodeFigures(WORK)
         self.first.board.changed()
         wait_for(lambda: self.second.work.get("n1") == WORK, LIMIT_S, "work")
 
     def test_retries_told(self):
         """Nodes would repeat requests without knowing how often others do."""
-        self.first.retries = {"model": RetryUse(10, 2)}
+        self.first.own = NodeFigures(retries={"model": RetryUse(10, 2)})
         self.first.board.changed()
-        wait_for(lambda: self.second.told_retries.get("n1"), LIMIT_S, "retries")
-        self.assertEqual(self.second.told_retries["n1"], self.first.retries)
+        wait_for(
+            lambda: (
+                "n1" in self.second.told
+                and self.second.told["n1"].retries == self.first.own.retries
+            ),
+            LIMIT_S,
+            "retries",
+        )
+
+    def test_words_answer_to_a_stamp(self):
+        """What a peer has read would seem fresher than it is."""
+        self.first.own = NodeFigures(words={"op": Word(9, 7, 0.5)})
+        wait_for(lambda: 2000.0 in self.second.stamps, LIMIT_S, "echo of the stamp")
+        self.assertEqual(self.second.told["n1"].words, self.first.own.words)
+
+    def test_stamp_of_an_earlier_start(self):
+        """A stamp from another clock would make old words seem fresh."""
+        wait_for(lambda: 2000.0 in self.second.stamps, LIMIT_S, "echo of the stamp")
+        # The first node goes on to answer the old start.
+        self.second.board._tasks[1].kill()
+        self.second.board._start += 1
+        self.second.stamps.clear()
+        wait_for(lambda: self.second.stamps, LIMIT_S, "message")
+        self.assertIsNone(self.second.stamps[0])
+
+    def test_notice(self):
+        """A change that one node has read would reach the others late."""
+        wait_for(lambda: self.second.told, LIMIT_S, "first message")
+        self.first.board.publish(b"rows")
+        wait_for(lambda: self.second.notices == [b"rows"], LIMIT_S, "notice")
+
+    def test_rank(self):
+        """Two nodes, or none, would take the duties of the group."""
+        wait_for(lambda: self.first.told and self.second.told, LIMIT_S, "messages")
+        ranks = {self.first.board.rank, self.second.board.rank}
+        self.assertEqual(ranks, {0, 1})
+        leader, other = self.first, self.second
+        if leader.board.rank:
+            leader, other = other, leader
+        for task in leader.board._tasks:
+            task.kill()
+        wait_for(lambda: other.board.rank == 0, LIMIT_S, "new rank")
 
     def test_unlisted_peer(self):
         """A node that is in no list yet would never be told anything."""
-        self.second.own = WORK
+        self.second.own = NodeFigures(WORK)
         wait_for(lambda: self.first.work.get("n2") == WORK, LIMIT_S, "answer")
-        self.assertEqual((self.first.count, self.second.count), (2, 2))
+        self.assertEqual(self.first.groups, self.second.groups)
+        self.assertEqual(len(self.first.groups[0].nodes), 2)
 
     def test_leaving(self):
         """The work of a node that has left would count for seconds."""
-        self.first.own = WORK
+        self.first.own = NodeFigures(WORK)
         self.first.board.changed()
         wait_for(lambda: "n1" in self.second.work, LIMIT_S, "work")
         self.first.board.close()
         wait_for(lambda: "n1" not in self.second.work, LIMIT_S, "leave")
-        self.assertEqual(self.second.count, 1)
+        self.assertEqual(self.second.groups[0].nodes, ("n2",))
 
     def test_silent_peer(self):
         """The work of a node that has died would count for ever."""
-        self.first.own = WORK
+        self.first.own = NodeFigures(WORK)
         self.first.board.changed()
         wait_for(lambda: "n1" in self.second.work, LIMIT_S, "work")
         for task in self.first.board._tasks:
@@ -109,18 +173,12 @@
 
     def test_old_message(self):
         """An old datagram that arrives late would undo a newer one."""
-        message = board_module._Message("n9", 7, 5, False, [])
-        work = [board_module._Figures("e", 1, 0, 0, 0)]
-        late = board_module._Message("n9", 7, 4, False, work)
-        for each in (message, late):
-            self.second.board._accept(each, ("127.0.0.1", 9))
+        for each in (message(7, 5, []), message(7, 4, FIGURES)):
+            self.second.board._accept(each, ("127.0.0.1", 9), None)
         self.assertEqual(self.second.work["n9"], {})
 
     def test_restarted_peer(self):
         """A node that has started again would not be believed."""
-        old = board_module._Message("n9", 7, 500, False, [])
-        work = [board_module._Figures("e", 1, 0, 0, 0)]
-        new = board_module._Message("n9", 8, 1, False, work)
-        for each in (old, new):
-            self.second.board._accept(each, ("127.0.0.1", 9))
+        for each in (message(7, 500, []), message(8, 1, FIGURES)):
+            self.second.board._accept(each, ("127.0.0.1", 9), None)
         self.assertEqual(self.second.work["n9"], {"e": EngineWork(1)})
--- /dev/null
+++ b/papayarelay/tests/test_groups.py
@@ -0,0 +1,66 @@
+"""Tests of the division of large fleets."""
+
+import unittest
+
+from ..nodes.groups import GROUP_NODES, LARGEST_FLEET, divide, engines_of, may_use_cold
+
+PLACES = ("a", "b", "c")
+
+
+def fleet(count: int) -> dict[str, str]:
+    """Return nodes in three data centres."""
+    return {f"n{number}": PLACES[number % 3] for number in range(count)}
+
+
+class GroupsTest(unittest.TestCase):
+    """Guards against nodes that do not agree, and engines that nobody uses."""
+
+    def test_small_fleet(self):
+        """A small fleet would be divided."""
+        (group,) = divide(fleet(LARGEST_FLEET))
+        self.assertEqual(len(group.nodes), LARGEST_FLEET)
+        self.assertIsNone(engines_of(group, (group,), {"e1": "a"}))
+
+    def test_large_fleet(self):
+        """A node would tell ever more others as the fleet grows."""
+        for count in (30, 81, 300, 370):
+            groups = divide(fleet(count))
+            names = [name for group in groups for name in group.nodes]
+            self.assertEqual(sorted(names), sorted(fleet(count)))
+            most = max(len(group.nodes) for group in groups)
+            self.assertLessEqual(most, 1.5 * GROUP_NODES)
+
+    def test_any_order(self):
+        """Two nodes would see different groups of the same fleet."""
+        nodes = fleet(81)
+        backwards = dict(reversed(list(nodes.items())))
+        self.assertEqual(divide(nodes), divide(backwards))
+
+    def test_one_more_node(self):
+        """A node that comes would move most others to other groups."""
+        before = {n: g.name for g in divide(fleet(81)) for n in g.nodes}
+        after = {n: g.name for g in divide(fleet(82)) for n in g.nodes}
+        moved = sum(after[name] != group for name, group in before.items())
+        self.assertLess(moved, 8)
+
+    def test_engines(self):
+        """An engine would serve no group, or two."""
+        groups = divide(fleet(81))
+        engines = {f"e{number}": PLACES[number % 3] for number in range(60)}
+        parts = [engines_of(group, groups, engines) for group in groups]
+        self.assertEqual(sorted(e for part in parts for e in part), sorted(engines))
+        sizes = [len(part) for part in parts]
+        self.assertLessEqual(max(sizes) - min(sizes), 2)
+
+    def test_data_centre_without_nodes(self):
+        """Engines would stand idle because no node is near them."""
+        groups = divide({n: p for n, p in fleet(81).items() if p != "c"})
+        engines = {f"e{number}": PLACES[number % 3] for number in range(60)}
+        parts = [engines_of(group, groups, engines) for group in groups]
+        self.assertEqual(sorted(e for part in parts for e in part), sorted(engines))
+
+    def test_cold_engine(self):
+        """More nodes would send to a cold engine than it bears."""
+        (group,) = divide(fleet(12))
+        users = [n for n in group.nodes if may_use_cold(n, group.nodes, "e1", 3)]
+        self.assertEqual(len(users), 3)
--- a/papayarelay/tests/test_platform.py
+++ b/papayarelay/tests/test_platform.py
@@ -11,6 +11,7 @@
 
 from ..errors import StoreError
 from ..local import wait_for
+from ..nodes.knowledge import Word
 from ..platform import config as platform_config
 from ..platform import settings as platform_settings
 from ..platform.feed import RETURN_S, Feed
@@ -207,6 +208,70 @@
         self.assertEqual(self.feed.config.version, 3)
         self.assertEqual(self.feed.config_age_s(), 4.0)
 
+    def _word(self, version: int, changed: int, age_s: float = 0.0) -> dict:
+        return {"op": Word(version, changed, age_s)}
+
+    def test_lent_age(self):
+        """A node that is told would not count on what another one has read."""
+        self._start()
+        self.now_s += 3.0
+        self.feed.take_words(self._word(30, 9, 0.5), self.now_s - 0.25)
+        self.assertEqual(self.feed.config_age_s(), 0.75)
+
+    def test_lent_age_with_a_change(self):
+        """A node would count as knowing a change that it was only told of."""
+        self._start()
+        self.now_s += 3.0
+        self.feed.take_words(self._word(30, 25), self.now_s)
+        self.assertEqual(self.feed.config_age_s(), 3.0)
+        self.assertEqual(self.feed._wait_s("op"), 0.0)
+        self._config(31, as_row("config", make_document(4), 25))
+        self.assertEqual(self.feed.config_age_s(), 0.0)
+        self.assertEqual(self.feed.config.version, 4)
+
+    def test_change_that_was_none(self):
+        """A node would read again and again for a change that is none to it."""
+        self._start()
+        self.feed.take_words(self._word(30, 25), self.now_s)
+        self._config(31)
+        self.assertFalse(self.feed._known["op"].is_behind)
+        self.feed.take_words(self._word(32, 25), self.now_s)
+        self.assertFalse(self.feed._known["op"].is_behind)
+
+    def test_lent_rows(self):
+        """A node that is told of a leaving server would still use it."""
+        self._start()
+        notice = self._tell(as_row("e1", make_entry(state="draining"), 11))
+        self.feed.take_notice(notice)
+        self.assertEqual(self._states(), {"e1": "leaving", "e2": "active"})
+
+    def test_lent_rows_with_a_gap(self):
+        """A node would not see the changes before those that it was told."""
+        self._start()
+        notice = self._tell(as_row("e1", None, 19), after=15)
+        self.feed.take_notice(notice)
+        self.assertEqual(self._states(), {"e1": "active", "e2": "active"})
+        self.assertTrue(self.feed._due["servers"].is_set())
+
+    def _tell(self, row: Row, after: int = 10) -> bytes:
+        """Return the notice of a node that has read a row."""
+        told = []
+        self.feed._publish_notice = told.append
+        self.feed._tell("servers", after, row.version, [row])
+        return told[0]
+
+    def test_few_reads(self):
+        """Each node of a group would read what one of them has just read."""
+        self._start()
+        self.feed._rank = lambda: 0
+        self.assertLessEqual(self.feed._wait_s("op"), 0.0)
+        for rank in (1, 2, 5):
+            self.feed._rank = lambda rank=rank: rank
+            self.assertGreater(self.feed._wait_s("op"), 1.0)
+            # A change must be in force within 2 s also when the first node fails.
+            self.assertLess(self.feed._wait_s("op"), 1.7)
+            self.assertLess(self.feed._wait_s("servers"), 1.7)
+
     def test_history_gone(self):
         """A server that left while nothing was heard would stay in use."""
         self._start()
@@ -262,9 +327,17 @@
         self.assertEqual(sorted(self._states()), ["e1", "e2"])
         self._servers(12, as_row("e1", make_entry(), 13))
         self.now_s += RETURN_S
-        self._servers(14)
+        self.feed._check_lapsed()
         self.assertEqual(sorted(self._states()), ["e1"])
 
+    def test_told_of_a_lapse(self):
+        """Rows that lapsed in an outage would be lost to a node that is told."""
+        self._start()
+        self.feed._note_failure(gone())
+        self.now_s += 4.0
+        self.feed.take_notice(self._tell(as_row("e1", None, 11)))
+        self.assertEqual(sorted(self._states()), ["e1", "e2"])
+
     def test_unreadable_entry(self):
         """Another writer's entry would take a server out of service."""
         self._start()
@@ -351,7 +424,8 @@
                 client,
                 name,
                 f"10.0.0.{number}:7340",
-                found[name].__setitem__,
+                "a",
+                lambda n, address, place, seen=found[name]: seen.update({n: address}),
                 random.Random(1),
             )
             roster.start()
--- a/papayarelay/tests/test_retry.py
+++ b/papayarelay/tests/test_retry.py
@@ -49,7 +49,7 @@
             for _ in range(count)
         ]
         for budget in budgets:
-            budget.set_node_count(count)
+            budget.set_nodes(count, count)
         return budgets
 
     def _play(self, budgets, told_every: int, seed: int) -> int:
