Read the settings file again at SIGHUP and when it changes

Cause: the node had no handler for SIGHUP, so the signal ended the process, and a changed settings file held only from the next start. Time limits, retry limits and the store's address are taken over now; a half-written file leaves the last settings in force. Shown by ReloadTest and SignalTest, which failed before (the process ended with -SIGHUP).

--- a/papayarelay/events.py
+++ b/papayarelay/events.py
@@ -62,6 +62,18 @@
         "task failed",
         "A background task stopped with an unexpected error and is started again.",
     )
+    SETTINGS_RELOADED = (
+        1010,
+        "info",
+        "settings reloaded",
+        "The settings file was read again; the node takes over what taken lists.",
+    )
+    SETTINGS_KEPT = (
+        1011,
+        "error",
+        "settings kept",
+        "The settings file cannot be read; the last settings stay in force.",
+    )
 
     CONFIG_APPLIED = (
         1101,
--- a/papayarelay/platform/__main__.py
+++ b/papayarelay/platform/__main__.py
@@ -1,5 +1,10 @@
 """Entry point of a node on the platform, without the other commands' imports."""
 
+import signal
+
+# Ends a process by default; there is nothing to reload before it has started.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from gevent import monkey
 
 monkey.patch_all()
--- a/papayarelay/platform/feed.py
+++ b/papayarelay/platform/feed.py
@@ -17,7 +17,7 @@
 from ..logs import log
 from ..nodes.knowledge import Knowledge, Word
 from .config import DOCUMENTS, Document, ServerEntry, read_entry, to_config
-from .settings import PlatformSettings
+from .settings import Bounds
 from .store import HistoryGoneError, Row, Rows, StoreClient
 
 CONFIG_TABLE = "op"
@@ -77,7 +77,7 @@
     def __init__(
         self,
         store: StoreClient,
-        settings: PlatformSettings,
+        bounds: Bounds,
         apply: Callable[[Config], None],
         cold: Callable[[str, float], None],
         data_centres: Iterable[str] = (),
@@ -88,7 +88,7 @@
     ):
         self.config = Config()
         self._store = store
-        self._settings = settings
+        self._bounds = bounds
         self._apply = apply
         self._cold = cold
         self._data_centres = tuple(data_centres)
@@ -151,6 +151,10 @@
         self._take_servers(Rows(tuple(rows), told.version), False)
         known.read(told.version, _newest(rows), -math.inf)
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Replace the times within which changes are known."""
+        self._bounds = bounds
+
     def start(self) -> None:
         """Begin to read."""
         self._tasks = [
@@ -187,13 +191,12 @@
         if known.version is None or known.is_behind:
             return 0.0
         rank = min(MOST_RANKS, self._rank())
-        bounds = self._settings.bounds
         if table == CONFIG_TABLE:
             # The first node of a group always waits for a change at the store.
-            limit_s = bounds.config_s
+            limit_s = self._bounds.config_s
             part = 0.0 if rank == 0 else OTHERS_PART
         else:
-            limit_s = bounds.drain_s
+            limit_s = self._bounds.drain_s
             part = FIRST_PART if rank == 0 else OTHERS_PART
         due_s = (part + RANK_PART * rank) * limit_s
         return due_s - known.age_s(self._age_clock())
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 import gevent
 from gevent import pywsgi
@@ -29,6 +30,7 @@
 from ..serving import Serving
 from . import orders  # noqa: F401  (registers the orders)
 from .feed import Feed, suspended_clock
+from .reload import SettingsWatch
 from .roster import Roster
 from .settings import PlatformSettings
 from .store import StoreClient
@@ -81,7 +83,7 @@
         self.store = StoreClient(settings.store_address)
         self.feed = Feed(
             self.store,
-            settings,
+            bounds,
             self._apply,
             self._record_cold,
             (settings.data_centre,),
@@ -161,6 +163,19 @@
         self._metrics_server.stop(timeout=0)
         self.store.close()
 
+    def take_settings(self, settings: PlatformSettings) -> None:
+        """Take over changed time limits, budgets and the store's address."""
+        moved = settings.store_address != self.settings.store_address
+        self.settings = replace(
+            self.settings, bounds=settings.bounds, store_address=settings.store_address
+        )
+        self.feed.set_bounds(settings.bounds)
+        self._budget.set_limits(
+            settings.bounds.retry_ratio, settings.bounds.retry_reserve
+        )
+        if moved:
+            self.store.move(settings.store_address)
+
     def _apply(self, config: Config) -> None:
         self._serving.backends.apply(config)
         self._gateway.apply(config)
@@ -262,15 +277,22 @@
     return pywsgi.WSGIServer((host, int(port)), app, log=None, error_log=None)
 
 
-def run(settings: PlatformSettings) -> int:
-    """Run a node until SIGTERM or SIGINT; return the process exit code."""
+def run(settings: PlatformSettings, path: str) -> int:
+    """Run a node until SIGTERM or SIGINT; return the process exit code.
+
+    The settings at ``path`` are read again at SIGHUP and when the file changes.
+    """
     node = PlatformNode(settings)
+    watch = SettingsWatch(path, settings, node.take_settings)
+    gevent.signal_handler(signal.SIGHUP, watch.wake)
     stopping = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopping.set)
     node.start()
+    watch.start()
     stopping.wait()
     log(LogEvent.SHUTDOWN_STARTED, requests_count=node.gate.inflight)
+    watch.close()
     node.stop()
     interrupted = node.gate.inflight
     node.close()
--- a/papayarelay/platform/program.py
+++ b/papayarelay/platform/program.py
@@ -47,7 +47,8 @@
     from .node import run as run_node  # noqa: PLC0415  (after the settings are read)
 
     try:
-        settings = load(namespace.settings or settings_path())
+        path = namespace.settings or settings_path()
+        settings = load(path)
     except (OSError, KeyError, PlatformSettingsError) as error:
         logs.set_up_logs("", stream=sys.stdout)
         logs.log(Event.SETTINGS_REJECTED, error=error)
@@ -55,7 +56,7 @@
     logs.set_up_logs(settings.name, "debug", stream=sys.stdout)
     tune_collector()
     gevent.get_hub().print_exception = log_task_failure
-    return run_node(settings)
+    return run_node(settings, path)
 
 
 def _add_options(parser: argparse.ArgumentParser) -> None:
--- a/papayarelay/platform/store.py
+++ b/papayarelay/platform/store.py
@@ -87,6 +87,12 @@
         if self._pool is not None:
             self._pool.close()
 
+    def move(self, address: str) -> None:
+        """Go on with the store at another address."""
+        self.close()
+        self._address = address
+        self.start()
+
     def read(self, table: str, timeout_s: float = TIMEOUT_S) -> Rows:
         """Return all rows of a table as of one version; raises ``StoreError``.
 
--- a/papayarelay/retry.py
+++ b/papayarelay/retry.py
@@ -110,6 +110,11 @@
         self._own: dict[str, _Window] = {}
         self._peers: dict[str, tuple[float, Mapping[str, RetryUse]]] = {}
 
+    def set_limits(self, ratio: float, reserve: float) -> None:
+        """Replace the limits of all nodes together."""
+        self._ratio = ratio
+        self._reserve = reserve
+
     def set_nodes(self, group: int, total: int) -> None:
         """Set how many nodes hear one another, and how many there are."""
         self._group = max(1, group)
--- a/papayarelay/tests/test_platform.py
+++ b/papayarelay/tests/test_platform.py
@@ -1,20 +1,27 @@
 """Tests of the translation between the platform's words and the product's."""
 
+import io
 import json
 import random
+import signal
+import subprocess
+import sys
 import tempfile
 import time
 import unittest
+from collections.abc import Iterator
 from pathlib import Path
 
 import gevent
 
 from ..errors import StoreError
 from ..local import wait_for
+from ..logs import JsonLinesHandler
 from ..nodes.knowledge import Word
 from ..platform import config as platform_config
 from ..platform import settings as platform_settings
 from ..platform.feed import RETURN_S, Feed
+from ..platform.reload import SettingsWatch
 from ..platform.roster import Roster
 from ..platform.store import HistoryGoneError, Row, Rows, StoreClient
 from .platform_documents import SETTINGS, make_document, make_entry
@@ -60,6 +67,85 @@
                 load_settings(SETTINGS.replace(old, new))
 
 
+class ReloadTest(unittest.TestCase):
+    """Guards against a settings file that changes under a running node."""
+
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = Path(directory.name, "node.toml")
+        self.path.write_text(SETTINGS)
+        self.taken = []
+        settings = platform_settings.load(str(self.path))
+        self.watch = SettingsWatch(str(self.path), settings, self.taken.append)
+        self.stream = io.StringIO()
+        handler = JsonLinesHandler(self.stream, "n1", "info")
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+        self.watch.start()
+        self.addCleanup(self.watch.close)
+
+    def _write(self, text: str) -> None:
+        """Replace the file as a whole."""
+        new = self.path.with_suffix(".new")
+        new.write_text(text)
+        new.replace(self.path)
+
+    def _events(self) -> list[dict]:
+        lines = [json.loads(line) for line in self.stream.getvalue().splitlines()]
+        return [{k: line.get(k) for k in ("event", "taken")} for line in lines]
+
+    def test_change_without_a_signal(self):
+        """Other time limits would not hold before the next start."""
+        self._write(SETTINGS.replace("revoke_ms = 5000", "revoke_ms = 3000"))
+        wait_for(lambda: self.taken, LIMIT_S, "settings")
+        self.assertEqual(self.taken[0].bounds.revocation_s, 3.0)
+        self.assertEqual(self._events(), [{"event": "PR1010", "taken": "bounds"}])
+
+    def test_signal_without_a_change(self):
+        """An engineer who asks for a reload would see no line."""
+        self.watch.wake()
+        wait_for(self._events, LIMIT_S, "a line")
+        self.assertEqual(self._events(), [{"event": "PR1010", "taken": ""}])
+        self.assertEqual(self.taken, [])
+
+    def test_half_written_file(self):
+        """A file in the middle of a change would end the node or its limits."""
+        self._write(SETTINGS[:60])
+        wait_for(self._events, LIMIT_S, "a line")
+        self._write(SETTINGS.replace("127.0.0.1:8223", "127.0.0.1:9999"))
+        wait_for(lambda: self.taken, LIMIT_S, "settings")
+        self.assertEqual(self._events()[0]["event"], "PR1011")
+        self.assertEqual(self.taken[0].store_address, "127.0.0.1:9999")
+
+
+class SignalTest(unittest.TestCase):
+    """Guards against a signal that ends the process."""
+
+    def test_hang_up(self):
+        """SIGHUP ends a process that does not handle it."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory, "node.toml")
+            path.write_text(SETTINGS.replace("127.0.0.1", "127.0.9.9"))
+            command = [sys.executable, "-m", "papayarelay.platform"]
+            with subprocess.Popen(
+                [*command, "--settings", str(path)],
+                stdout=subprocess.PIPE,
+                text=True,
+            ) as process:
+                self.addCleanup(process.kill)
+                lines = iter(process.stdout.readline, "")
+                self._find(lines, "PR1001")
+                process.send_signal(signal.SIGHUP)
+                self._find(lines, "PR1010")
+                self.assertIsNone(process.poll())
+                process.kill()
+
+    def _find(self, lines: Iterator[str], event: str) -> None:
+        with gevent.Timeout(20.0):
+            self.assertTrue(any(f'"{event}"' in line for line in lines), event)
+
+
 class ConfigTest(unittest.TestCase):
     """Guards against fields that are taken for something else."""
 
@@ -168,7 +254,7 @@
         self.cold = {}
         self.feed = Feed(
             self.store,
-            load_settings(),
+            load_settings().bounds,
             self.applied.append,
             self.cold.__setitem__,
             DATA_CENTRES,
