Publish a platform node's beliefs and counters on its metrics address

The node served only what requests had left. Now also: version and age of the configuration, backend servers, requests in flight and queued, its rank for the duties of the group, store calls, retries, chunks and datagrams left aside, the longest stall. Both kinds of node share Serving.observe. A gauge without a finite value is left out: the library reported each as a problem.

--- a/papayarelay/metrics.py
+++ b/papayarelay/metrics.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from bisect import bisect_left
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
@@ -148,10 +149,16 @@
     def observe_gauge(
         self, name: str, description: str, read: Callable[[], float]
     ) -> None:
-        """Publish the number that ``read`` returns at each scrape."""
-        self._meter.create_observable_gauge(
-            name, [lambda _: [Observation(read())]], description=description
-        )
+        """Publish the number that ``read`` returns at each scrape.
+
+        A number that is not finite, such as the age of nothing, is left out.
+        """
+
+        def observe(options: CallbackOptions) -> list[Observation]:
+            value = read()
+            return [Observation(value)] if math.isfinite(value) else []
+
+        self._meter.create_observable_gauge(name, [observe], description=description)
 
     def observe_counter(
         self, name: str, description: str, read: Callable[[], dict[str, int]]
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -269,10 +269,8 @@
 
     def _observe(self) -> None:
         """Publish the plain counters of the parts."""
-        counters = self.dispatcher.counters
         observe = self.metrics.observe_gauge
         observe("requests_in_flight", "Requests in flight", lambda: self.gate.inflight)
-        observe("requests_queued", "Requests queued", lambda: len(self.scheduler.queue))
         observe(
             "config_version",
             "Configuration version in force",
@@ -283,20 +281,7 @@
             "Longest time without a poll for events since the last scrape",
             self._stalls.take_longest_s,
         )
-        self.metrics.observe_counter(
-            "chunks_dropped",
-            "Chunks that were not passed on to a caller",
-            lambda: {
-                "other_request": counters.other_request,
-                "duplicate": counters.duplicate,
-                "malformed": counters.malformed,
-            },
-        )
-        self.metrics.observe_counter(
-            "retries",
-            "Attempts after the first",
-            lambda: {"failure": self.dispatcher.retries},
-        )
+        self._serving.observe(self.metrics)
 
     def _apply_config(self, config: Config) -> None:
         log(LogEvent.CONFIG_APPLIED, version=config.version)
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -28,6 +28,7 @@
 from ..request import Request
 from ..retry import SharedRetryBudget
 from ..serving import Serving
+from ..stalls import StallMeter
 from . import orders  # noqa: F401  (registers the orders)
 from .feed import Feed, suspended_clock
 from .reload import SettingsWatch
@@ -127,6 +128,8 @@
         self._metrics_server = _create_server(
             f"{settings.ip}:{METRICS_PORT}", self._serve_metrics
         )
+        self._stalls = StallMeter()
+        self._observe()
         self.regroup(divide({settings.name: settings.data_centre}))
 
     def start(self) -> None:
@@ -134,6 +137,7 @@
         self.store.start()
         self._ready_server.start()
         self._metrics_server.start()
+        self._stalls.start()
         self._serving.start()
         self._gateway.start()
         self._board.start()
@@ -161,6 +165,7 @@
         self._serving.close()
         self._ready_server.stop(timeout=0)
         self._metrics_server.stop(timeout=0)
+        self._stalls.close()
         self.store.close()
 
     def take_settings(self, settings: PlatformSettings) -> None:
@@ -176,6 +181,38 @@
         if moved:
             self.store.move(settings.store_address)
 
+    def _observe(self) -> None:
+        """Publish what this node believes, and how old that is."""
+        observe = self.metrics.observe_gauge
+        observe("requests_in_flight", "Requests in flight", lambda: self.gate.inflight)
+        observe("config_version", "Configuration version", self._config_version)
+        observe(
+            "config_age_seconds", "Age of the configuration", self.feed.config_age_s
+        )
+        observe(
+            "event_loop_stall_seconds",
+            "Longest time without a poll for events since the last scrape",
+            self._stalls.take_longest_s,
+        )
+        observe(
+            "backend_servers",
+            "Backend servers in the configuration",
+            lambda: len(self.feed.config.backends),
+        )
+        observe("node_rank", "Place for the duties of the group", self._rank)
+        self.metrics.observe_counter(
+            "store_calls", "Calls to the store", lambda: {"all": self.store.calls}
+        )
+        self.metrics.observe_counter(
+            "datagrams_left_aside",
+            "Datagrams of other nodes that were not used",
+            lambda: {"malformed": self._board.malformed},
+        )
+        self._serving.observe(self.metrics)
+
+    def _config_version(self) -> int:
+        return self.feed.config.version
+
     def _apply(self, config: Config) -> None:
         self._serving.backends.apply(config)
         self._gateway.apply(config)
--- a/papayarelay/serving.py
+++ b/papayarelay/serving.py
@@ -10,6 +10,7 @@
 from .backends.protocol import CHAT, Protocol
 from .backends.table import BackendTable
 from .dispatch import Dispatcher
+from .metrics import Metrics
 from .reservations import Reservations
 from .retry import RetryBudget, SharedRetryBudget
 from .scheduler import Scheduler
@@ -48,6 +49,26 @@
             clock,
         )
 
+    def observe(self, metrics: Metrics) -> None:
+        """Publish the plain counters of these parts."""
+        counters = self.dispatcher.counters
+        queue = self.scheduler.queue
+        metrics.observe_gauge("requests_queued", "Requests queued", lambda: len(queue))
+        metrics.observe_counter(
+            "chunks_dropped",
+            "Chunks that were not passed on to a caller",
+            lambda: {
+                "other_request": counters.other_request,
+                "duplicate": counters.duplicate,
+                "malformed": counters.malformed,
+            },
+        )
+        metrics.observe_counter(
+            "retries",
+            "Attempts after the first",
+            lambda: {"failure": self.dispatcher.retries},
+        )
+
     def start(self) -> None:
         """Begin to give out requests and to check streams."""
         self.scheduler.start()
--- a/papayarelay/tests/test_platform.py
+++ b/papayarelay/tests/test_platform.py
@@ -9,7 +9,7 @@
 import tempfile
 import time
 import unittest
-from collections.abc import Iterator
+import urllib.request
 from pathlib import Path
 
 import gevent
@@ -119,29 +119,40 @@
         self.assertEqual(self.taken[0].store_address, "127.0.0.1:9999")
 
 
-class SignalTest(unittest.TestCase):
-    """Guards against a signal that ends the process."""
+class ProcessTest(unittest.TestCase):
+    """Guards against a process that engineers cannot look into."""
+
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        path = Path(directory.name, "node.toml")
+        path.write_text(SETTINGS.replace("127.0.0.1", "127.0.9.9"))
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "papayarelay.platform", "--settings", str(path)],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(self.process.stdout.close)
+        self.addCleanup(self.process.wait)
+        self.addCleanup(self.process.kill)
+        self._find("PR1001")
 
     def test_hang_up(self):
         """SIGHUP ends a process that does not handle it."""
-        with tempfile.TemporaryDirectory() as directory:
-            path = Path(directory, "node.toml")
-            path.write_text(SETTINGS.replace("127.0.0.1", "127.0.9.9"))
-            command = [sys.executable, "-m", "papayarelay.platform"]
-            with subprocess.Popen(
-                [*command, "--settings", str(path)],
-                stdout=subprocess.PIPE,
-                text=True,
-            ) as process:
-                self.addCleanup(process.kill)
-                lines = iter(process.stdout.readline, "")
-                self._find(lines, "PR1001")
-                process.send_signal(signal.SIGHUP)
-                self._find(lines, "PR1010")
-                self.assertIsNone(process.poll())
-                process.kill()
-
-    def _find(self, lines: Iterator[str], event: str) -> None:
+        self.process.send_signal(signal.SIGHUP)
+        self._find("PR1010")
+        self.assertIsNone(self.process.poll())
+
+    def test_metrics(self):
+        """An engineer would see no figures, or figures that are none."""
+        with urllib.request.urlopen("http://127.0.9.9:9464/metrics") as answer:
+            text = answer.read().decode()
+        self.assertIn("papayarelay_store_calls_total", text)
+        self.assertIn("papayarelay_event_loop_stall_seconds", text)
+        self.assertNotIn("inf", text.lower().replace("+inf", "").replace("info", ""))
+
+    def _find(self, event: str) -> None:
+        lines = iter(self.process.stdout.readline, "")
         with gevent.Timeout(20.0):
             self.assertTrue(any(f'"{event}"' in line for line in lines), event)
 
