--- /dev/null
+++ b/papayarelay/operators/explain.py
@@ -0,0 +1,180 @@
+"""The ``explain`` command: the story of one request from the logs of all nodes."""
+
+from __future__ import annotations
+
+import argparse
+import datetime
+import json
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from .command import CommandError, add_json_option, add_parser, print_result
+
+# Lines this long before the first one of a request may say what a node believed.
+BEFORE_S = 5.0
+HEAD = frozenset({"time", "level", "event", "text", "node"})
+# What a node believes or lost, beside the servers that a request was sent to.
+BELIEFS = ("PR10", "PR11", "PR14", "PR15", "PR19")
+BACKENDS = "PR12"
+PLACED = "PR1307"
+ATTEMPT_FAILED = "PR1308"
+ENDS = {
+    "PR1301": "finished",
+    "PR1302": "failed",
+    "PR1303": "refused",
+    "PR1304": "caller gone",
+    "PR1305": "failed, and nobody knows whether it ran",
+    "PR1310": "not admitted",
+}
+NOT_IN_VERDICT = frozenset({"request", "member", "kind"})
+
+
+@dataclass(frozen=True)
+class Line:
+    """One log line; ``fields`` are those beside the head of each line."""
+
+    time_s: float
+    node: str
+    event: str
+    text: str
+    fields: dict[str, object] = field(default_factory=dict)
+
+    def describe(self, start_s: float) -> str:
+        """Return the line as text, its time counted from ``start_s``."""
+        values = " ".join(f"{name}={value}" for name, value in self.fields.items())
+        at = f"{self.time_s - start_s:+9.3f} s"
+        return f"{at}  {self.node}  {self.event} {self.text}  {values}".rstrip()
+
+
+@dataclass(frozen=True)
+class Story:
+    """The lines of a request, what its nodes believed meanwhile, and its end."""
+
+    request: str
+    lines: tuple[Line, ...]
+    beliefs: tuple[Line, ...]
+
+    @property
+    def end(self) -> str:
+        """Return how the request ended, and by what."""
+        ends = [line for line in self.lines if line.event in ENDS]
+        if not ends:
+            return "no end in these logs: the node was killed, or lines were left out"
+        last = ends[-1]
+        fields = {k: v for k, v in last.fields.items() if k not in NOT_IN_VERDICT}
+        values = " ".join(f"{name}={value}" for name, value in fields.items())
+        return f"{ENDS[last.event]} at {last.node}: {values}"
+
+    @property
+    def attempts(self) -> tuple[str, ...]:
+        """Return each server that the request was sent to, and how that failed."""
+        found = []
+        for line in self.lines:
+            if line.event == PLACED:
+                found.append(str(line.fields.get("backend")))
+            elif line.event == ATTEMPT_FAILED and found:
+                reason = line.fields.get("reason")
+                found[-1] += f" ({reason}, outcome {line.fields.get('outcome')})"
+        return tuple(found)
+
+
+def parse_line(text: str) -> Line | None:
+    """Return a log line, None for other text; what stands before it is skipped."""
+    start = text.find("{")
+    try:
+        values = json.loads(text[start:]) if start >= 0 else None
+        moment = datetime.datetime.fromisoformat(values["time"])
+        head = [str(values[name]) for name in ("node", "event", "text")]
+    except (ValueError, KeyError, TypeError):
+        return None
+    fields = {k: v for k, v in values.items() if k not in HEAD and v is not None}
+    return Line(moment.timestamp(), *head, fields)
+
+
+def explain(request: str, texts: Iterable[str]) -> Story | None:
+    """Return the story of a request, None if no line names it."""
+    lines = [line for text in texts if (line := parse_line(text)) is not None]
+    own = [line for line in lines if line.fields.get("request") == request]
+    if not own:
+        return None
+    own.sort(key=lambda line: line.time_s)
+    start_s, end_s = own[0].time_s - BEFORE_S, own[-1].time_s
+    nodes = {line.node for line in own}
+    backends = {line.fields.get("backend") for line in own} - {None}
+    beliefs = [
+        line
+        for line in lines
+        if line.node in nodes
+        and start_s <= line.time_s <= end_s
+        and "request" not in line.fields
+        and _matters(line, backends)
+    ]
+    beliefs.sort(key=lambda line: line.time_s)
+    return Story(request, tuple(own), tuple(beliefs))
+
+
+def _matters(line: Line, backends: set[object]) -> bool:
+    if line.event.startswith(BACKENDS):
+        return line.fields.get("backend") in backends
+    return line.event.startswith(BELIEFS)
+
+
+def describe(story: Story) -> Iterator[str]:
+    """Yield a story as lines of text."""
+    start_s = story.lines[0].time_s
+    yield f"request {story.request}"
+    for line in story.lines:
+        yield line.describe(start_s)
+    if story.beliefs:
+        yield f"what its nodes noted from {BEFORE_S:g} s before"
+        for line in story.beliefs:
+            yield line.describe(start_s)
+    yield f"sent to: {', '.join(story.attempts) or 'no server'}"
+    yield f"end: {story.end}"
+
+
+def add_arguments(subparsers) -> None:
+    """Add the command to the command line."""
+    parser = add_parser(
+        subparsers,
+        "explain",
+        "tell the story of one request from the logs of all nodes",
+        "papayarelay explain 5f0c2a91 n1.log n2.log",
+    )
+    parser.add_argument("request", metavar="ID", help="id of the request")
+    parser.add_argument(
+        "logs", metavar="LOG", nargs="*", help="logs of nodes; standard input if none"
+    )
+    add_json_option(parser)
+
+
+def run(namespace: argparse.Namespace) -> int:
+    """Run the command; return its exit code."""
+    story = explain(namespace.request, _read(namespace.logs))
+    if story is None:
+        raise CommandError(
+            f"no line names the request {namespace.request}",
+            "Give the logs of all nodes, and look for PR1903: lines left out.",
+        )
+    result = {
+        "request": story.request,
+        "end": story.end,
+        "attempts": story.attempts,
+        "lines": [line.describe(story.lines[0].time_s) for line in story.lines],
+        "beliefs": [line.describe(story.lines[0].time_s) for line in story.beliefs],
+    }
+    print_result(namespace, result, describe(story))
+    return 0
+
+
+def _read(paths: Iterable[str]) -> Iterator[str]:
+    if not paths:
+        yield from sys.stdin
+    for path in paths:
+        try:
+            with Path(path).open(errors="replace") as file:
+                yield from file
+        except OSError as error:
+            raise CommandError(f"{path} cannot be read", "Correct its name.") from error
--- a/papayarelay/program.py
+++ b/papayarelay/program.py
@@ -37,6 +37,7 @@
     "bench": ("bench.program", "run the benchmarks"),
     "capacity": ("bench.capacity", "compute the capacity page from measured slopes"),
     "platform-node": ("platform.program", "run a node on the users' platform"),
+    "explain": ("operators.explain", "tell the story of one request from logs"),
     "config": ("operators.config_commands", "check, show and change configuration"),
 }
 NODE_COMMANDS = ("status", "drain", "return", "job")
--- /dev/null
+++ b/papayarelay/tests/test_explain.py
@@ -0,0 +1,88 @@
+"""Tests of the story of a request."""
+
+import contextlib
+import io
+import tempfile
+import unittest
+from pathlib import Path
+
+from ..errors import BackendError, Outcome
+from ..events import Event
+from ..logs import JsonLinesHandler, log
+from ..operators.explain import explain, parse_line
+from ..program import main
+
+
+def write_lines(node: str, *lines: tuple) -> list[str]:
+    """Return the lines that a node writes for (event, fields)."""
+    stream = io.StringIO()
+    with JsonLinesHandler(stream, node, "debug").applicationbound():
+        for event, fields in lines:
+            log(event, **fields)
+    return stream.getvalue().splitlines()
+
+
+ERROR = BackendError(
+    "connection failed", step="connect", peer="e1", outcome=Outcome.NOT_RUN
+)
+
+
+class ExplainTest(unittest.TestCase):
+    """Guards against a failed request whose cause cannot be found."""
+
+    def setUp(self):
+        self.lines = write_lines(
+            "n1",
+            (Event.BACKEND_STATE, {"backend": "e1", "state": "ready", "version": 4}),
+            (Event.BACKEND_STATE, {"backend": "e9", "state": "ready", "version": 4}),
+            (Event.REQUEST_ADMITTED, {"request": "r1", "config_age_s": 0.4}),
+            (Event.REQUEST_PLACED, {"request": "r1", "backend": "e1"}),
+            (
+                Event.ATTEMPT_FAILED,
+                {"request": "r1", "backend": "e1", "reason": "hang", "error": ERROR},
+            ),
+            (Event.RETRY_DENIED, {"request": "r1", "reason": "budget"}),
+            (Event.REQUEST_ADMITTED, {"request": "r2"}),
+            (Event.REQUEST_FAILED, {"request": "r1", "error": ERROR}),
+        )
+
+    def test_story(self):
+        """Lines of other requests would hide the cause, or it would be missing."""
+        other = write_lines("n2", (Event.STORE_BACK, {}))
+        noise = ["", "Traceback {", '{"a": 1}', "[]", "{}"]
+        story = explain("r1", [*noise, *other, *self.lines])
+        self.assertEqual(
+            [line.event for line in story.lines],
+            ["PR1306", "PR1307", "PR1308", "PR1311", "PR1302"],
+        )
+        self.assertEqual([line.fields["backend"] for line in story.beliefs], ["e1"])
+        self.assertEqual(story.attempts, ("e1 (hang, outcome not_run)",))
+        self.assertIn("failed at n1", story.end)
+        self.assertIn("code=", story.end)
+
+    def test_killed_node(self):
+        """A request without an end would look as if it had finished."""
+        story = explain("r2", self.lines)
+        self.assertIn("no end", story.end)
+        self.assertEqual(story.attempts, ())
+
+    def test_text_before_a_line(self):
+        """Lines of a collector that adds a time and a name would be left out."""
+        line = parse_line(f"  12.25 n1 {self.lines[2]}")
+        self.assertEqual(line.fields["request"], "r1")
+
+    def test_command(self):
+        """An engineer would need a tool that is not in the program."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory, "n1.log")
+            path.write_text("\n".join(self.lines))
+            output, errors = io.StringIO(), io.StringIO()
+            with (
+                contextlib.redirect_stdout(output),
+                contextlib.redirect_stderr(errors),
+            ):
+                self.assertEqual(main(["explain", "r1", str(path)]), 0)
+                self.assertEqual(main(["explain", "r8", str(path)]), 1)
+                self.assertEqual(main(["explain", "r1", str(path) + "x"]), 1)
+        self.assertIn("sent to: e1 (hang, outcome not_run)", output.getvalue())
+        self.assertIn("PR1903", errors.getvalue())
