--- a/papayarelay/absence.py
+++ b/papayarelay/absence.py
@@ -21,6 +21,7 @@
 
     def __init__(self):
         self._until_s = 0.0
+        self._unreachable_until_s = 0.0
         self._pause_s = FIRST_S
 
     def is_out(self, now_s: float) -> bool:
@@ -29,9 +30,10 @@
 
     def note_unreachable(self, now_s: float) -> None:
         """Note that no connection could be opened."""
-        if self.is_out(now_s):
+        if now_s < self._unreachable_until_s:
             return
-        self._until_s = now_s + self._pause_s
+        self._unreachable_until_s = now_s + self._pause_s
+        self._until_s = max(self._until_s, self._unreachable_until_s)
         self._pause_s = min(LONGEST_S, 2 * self._pause_s)
 
     def note_full(self, now_s: float) -> None:
@@ -45,4 +47,5 @@
     def note_answer(self) -> None:
         """Note that the server works."""
         self._until_s = 0.0
+        self._unreachable_until_s = 0.0
         self._pause_s = FIRST_S
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -75,6 +75,8 @@
     received: int = 0
     tried: set[str] = field(default_factory=set)
     attempts: int = 0
+    # Attempts that reached a server, and those that may have run.
+    reached: int = 0
     runs: int = 0
 
     @property
@@ -264,6 +266,9 @@
             absence.note_unreachable(now_s)
         elif fault is Fault.REPLACED:
             absence.note_replaced()
+        elif fault is Fault.FULL and culprit is not entry:
+            # A helper that is gone, or holds up the work of others.
+            absence.note_unreachable(now_s)
         elif fault is Fault.FULL:
             absence.note_full(now_s)
         else:
@@ -291,6 +296,8 @@
         first = grant.entry.id not in progress.tried
         progress.tried.add(grant.entry.id)
         progress.attempts += 1
+        fault = getattr(error, "fault", Fault.BROKEN)
+        progress.reached += fault is not Fault.UNREACHABLE
         progress.runs += error.outcome is not Outcome.NOT_RUN
         log(
             Event.ATTEMPT_FAILED,
@@ -299,11 +306,11 @@
             received=progress.received,
             error=error,
             backend=grant.entry.id,
-            reason=getattr(error, "fault", Fault.BROKEN).value,
+            reason=fault.value,
             target=getattr(error, "culprit", "") or None,
             status=getattr(getattr(error, "answer", None), "status", None),
         )
-        reason = find_denial(request.kind, progress.runs, progress.attempts)
+        reason = find_denial(request.kind, progress.runs, progress.reached)
         # A refused connection costs the server nothing, and each is tried once.
         unsent = isinstance(error, BackendError) and error.outcome is Outcome.NOT_RUN
         allowed = first and unsent and not error.refused
--- a/papayarelay/retry.py
+++ b/papayarelay/retry.py
@@ -9,8 +9,8 @@
 
 from .request import RequestKind
 
-# Times that a request is offered before its caller learns of the failure.
-MAX_ATTEMPTS = 6
+# Servers that a request reaches before its caller learns of the failure.
+MAX_REACHED = 6
 # Parts of the limit of all nodes: what each has for itself, and what it shares.
 OWN_PART = 0.45
 POOL_PART = 0.5
@@ -22,16 +22,17 @@
 DEFAULT_RESERVE = 3.0
 
 
-def find_denial(kind: RequestKind, runs: int, attempts: int) -> str:
+def find_denial(kind: RequestKind, runs: int, reached: int) -> str:
     """Return why a request must not be sent again, nothing where it may be.
 
-    ``runs`` is the number of attempts that may have run.
+    ``runs`` is the number of attempts that may have run, ``reached`` of those that
+    reached a server: refused connections cost the servers nothing.
     """
     if runs and not kind.idempotent:
         return "not_idempotent"
     if 0 < kind.max_attempts <= runs:
         return "max_attempts"
-    if attempts >= MAX_ATTEMPTS:
+    if reached >= MAX_REACHED:
         return "attempts"
     return ""
 
--- a/papayarelay/tests/test_gateway.py
+++ b/papayarelay/tests/test_gateway.py
@@ -10,6 +10,7 @@
 import gevent
 import gevent.event
 
+from ..absence import FIRST_S
 from ..config import Organisation
 from ..platform.config import MEMBER
 from .gateway_system import (
@@ -330,6 +331,30 @@
         now_s = time.monotonic()
         self.assertFalse(backends.get("model-0").absence.is_out(now_s))
 
+    def test_helper_that_is_gone(self):
+        """Each long prompt would be split again over a helper that is gone."""
+
+        def script(request):
+            extra = b"At-Server: model-1\r\nX-Not-Executed: 1\r\n"
+            status = b"503 Service Unavailable"
+            request.sock.sendall(sealed(request, b"", status, extra))
+
+        self.system.engines[0].script = script
+        self.system.engines[1].script = refuse
+        headers = {"X_Token_Counts": "10,1", "X_Deadline_Ms": "100"}
+        self.send("/stream/", "POST", b"x", **headers)
+        absence = self.system.serving.backends.get("model-1").absence
+        self.assertTrue(absence.is_out(time.monotonic() + FIRST_S / 2))
+
+    def test_many_unreachable(self):
+        """A request would fail because many servers are gone, though one is there."""
+        with GatewaySystem(plain=24, engines=1) as system:
+            for server in system.plain[:-1]:
+                server.close()
+            reply = system.request("/job/", "POST", b"x")
+            self.assertEqual(reply.status, 200)
+            self.assertEqual(len(system.arrivals), 1)
+
     def test_back_in_a_moment(self):
         """A request would be refused though a server is back in a moment."""
         now_s = time.monotonic()
