--- a/papayarelay/bench/fleet_engine.py
+++ b/papayarelay/bench/fleet_engine.py
@@ -29,6 +29,7 @@
     context: int
     produced: int = 0
     begun: bool = False
+    ended: bool = False
     cancelled: bool = False
     on_event: Callable[[float, bool], None] = field(default=lambda now_s, last: None)
     on_begin: Callable[[float], None] = field(default=lambda now_s: None)
@@ -94,7 +95,9 @@
         self._schedule(now_s + pass_s, self._end)
 
     def _admit(self) -> None:
-        self._running = [run for run in self._running if not run.cancelled]
+        self._running = [
+            run for run in self._running if not (run.cancelled or run.ended)
+        ]
         while self._waiting and len(self._running) < self._timing.slots:
             run, part = self._waiting.popleft()
             if not run.cancelled:
@@ -134,18 +137,21 @@
         for part in self._read:
             part.run.parts_left -= 1
             if part.run.parts_left == 0 and not part.run.cancelled:
-                part.run.begun = True
-                part.run.produced = 1
-                part.run.on_event(now_s, part.run.output_tokens <= 1)
+                self._start_writing(part.run, now_s)
                 part.run.on_begin(now_s)
         self._begin(now_s)
 
+    def _start_writing(self, run: Run, now_s: float) -> None:
+        """Give the first token; the engine that answers writes the others."""
+        run.begun = True
+        run.produced = 1
+        run.ended = run.output_tokens <= 1
+        run.on_event(now_s, run.ended)
+
     def _write(self, run: Run, now_s: float) -> None:
         run.produced += self._timing.stride
-        last = run.produced >= run.output_tokens
-        if last:
-            self._running.remove(run)
-        run.on_event(now_s, last)
+        run.ended = run.produced >= run.output_tokens
+        run.on_event(now_s, run.ended)
 
 
 def split(timing: EngineTiming, run: Run, parts: int) -> list[Part]:
--- /dev/null
+++ b/papayarelay/tests/test_fleet.py
@@ -0,0 +1,182 @@
+"""Tests of the model of a fleet, and of what callers get from the policies."""
+
+import heapq
+import itertools
+import unittest
+
+from ..bench.fleet import ENGRAVERS, TODAY_TIMING, FleetReplay, LoadKind
+from ..bench.fleet_engine import FleetEngine, Run, split
+from ..bench.fleet_experiments import (
+    POLICIES,
+    Comparison,
+    compare,
+    format_comparisons,
+    scale,
+)
+
+SEEDS = (1, 2)
+BASELINES = ("round robin", "least requests", "power of two choices")
+TODAY = "packed (today)"
+
+
+class Clock:
+    """Plays scheduled actions in virtual time."""
+
+    def __init__(self):
+        self._events = []
+        self._order = itertools.count()
+
+    def schedule(self, at_s, action):
+        """Call an action at a time."""
+        heapq.heappush(self._events, (at_s, next(self._order), action))
+
+    def run(self):
+        """Play all actions."""
+        while self._events:
+            at_s, _, action = heapq.heappop(self._events)
+            action(at_s)
+
+
+class EngineTest(unittest.TestCase):
+    """Guards against a model that is kinder than the engines."""
+
+    def setUp(self):
+        self.clock = Clock()
+        self.events = {}
+
+    def _engine(self, name: str = "e0") -> FleetEngine:
+        return FleetEngine(name, TODAY_TIMING, self.clock.schedule)
+
+    def _run(self, name: str, prompt: int, output: int, parts: int = 1) -> Run:
+        run = Run(name, prompt, output, parts, prompt // parts)
+        self.events[name] = []
+        run.on_event = lambda now_s, last: self.events[name].append((now_s, last))
+        return run
+
+    def test_idle(self):
+        """An idle engine gives the first event as soon as it has read."""
+        run = self._run("a", 2000, 1)
+        self._engine().offer(run, split(TODAY_TIMING, run, 1)[0], 0.0)
+        self.clock.run()
+        ((first_s, last),) = self.events["a"]
+        least_s = 2000 / 177_000
+        self.assertGreater(first_s, least_s)
+        self.assertLess(first_s, 1.2 * least_s + TODAY_TIMING.step_s)
+        self.assertTrue(last)
+
+    def test_pass(self):
+        """Events of a stream come at the ends of passes, of 51 steps each."""
+        run = self._run("a", 100, 103)
+        self._engine().offer(run, split(TODAY_TIMING, run, 1)[0], 0.0)
+        self.clock.run()
+        times = [at_s for at_s, _ in self.events["a"]]
+        self.assertEqual(len(times), 3)
+        self.assertGreaterEqual(times[2] - times[1], 51 * TODAY_TIMING.step_s)
+
+    def test_read_holds_up_streams(self):
+        """A long read would not be felt by the streams beside it."""
+        engine = self._engine()
+        short = self._run("a", 100, 511)
+        long = self._run("b", 90_000, 1)
+        engine.offer(short, split(TODAY_TIMING, short, 1)[0], 0.0)
+        engine.offer(long, split(TODAY_TIMING, long, 1)[0], 0.01)
+        self.clock.run()
+        times = [at_s for at_s, _ in self.events["a"]]
+        pauses = [b - a for a, b in itertools.pairwise(times)]
+        self.assertGreater(max(pauses), 90_000 / 177_000)
+
+    def test_slots(self):
+        """More requests would run at once than the engine has slots."""
+        engine = self._engine()
+        names = [f"r{n}" for n in range(TODAY_TIMING.slots + 1)]
+        for name in names:
+            run = self._run(name, 100, 51 * 4 + 1)
+            engine.offer(run, split(TODAY_TIMING, run, 1)[0], 0.0)
+        self.clock.run()
+        first = {name: self.events[name][0][0] for name in names}
+        ends = [self.events[name][-1][0] for name in names[:-1]]
+        self.assertGreaterEqual(first[names[-1]], min(ends))
+
+    def test_split(self):
+        """Parts of a prompt would take as long as the whole, or nothing."""
+        run = self._run("a", 300_000, 1, 4)
+        engines = [self._engine(f"e{n}") for n in range(4)]
+        parts = split(TODAY_TIMING, run, 4)
+        for engine, part in zip(engines[1:], parts[1:], strict=True):
+            self.assertTrue(engine.help(part, 0.0))
+        engines[0].offer(run, parts[0], 0.0)
+        self.clock.run()
+        ((first_s, _),) = self.events["a"]
+        alone_s = TODAY_TIMING.read_s(300_000)
+        self.assertGreater(first_s, alone_s / 4.5)
+        self.assertLess(first_s, alone_s / 3)
+
+    def test_newest_part_first(self):
+        """Parts for other engines are read newest first, as the bench showed."""
+        engine = self._engine()
+        for name in ("a", "b", "c"):
+            run = self._run(name, 40_000, 1)
+            engine.help(split(TODAY_TIMING, run, 1)[0], 0.0)
+        self.clock.run()
+        # The pass that reads the first one has begun when the others come.
+        self.assertLess(self.events["c"][0][0], self.events["b"][0][0])
+
+
+class PolicyTest(unittest.TestCase):
+    """Guards against a policy that serves callers worse than simple ones do.
+
+    The load: few short prompts beside many long ones, then the other way round,
+    as on the users' days.
+    """
+
+    @classmethod
+    def setUpClass(cls):
+        """Play the load once under each policy."""
+        names = (*BASELINES, TODAY, "packed, 1 parts at most")
+        cls.played = {name: compare("engravers", name, SEEDS) for name in names}
+
+    def test_baselines(self):
+        """A simple policy would earn as much, in all or for long prompts."""
+        for name in BASELINES:
+            for kind in ("all", "short", "long"):
+                with self.subTest(policy=name, kind=kind):
+                    today = self.played[TODAY].worth[kind]
+                    self.assertGreater(today, self.played[name].worth[kind])
+
+    def test_split(self):
+        """Long prompts would be as late as unsplit ones."""
+        unsplit = self.played["packed, 1 parts at most"]
+        self.assertGreater(self.played[TODAY].worth["long"], unsplit.worth["long"])
+        self.assertLess(self.played[TODAY].long_p90_s, unsplit.long_p90_s)
+
+    def test_short_beside_long(self):
+        """Short prompts would wait behind long ones."""
+        short = ENGRAVERS.kinds[0]
+        self.assertLess(self.played[TODAY].short_median_s, short.target_s / 2)
+        self.assertLess(self.played[TODAY].short_p99_s, short.target_s)
+
+    def test_long_prompts_finish(self):
+        """Long prompts would not end before their deadline."""
+        outcomes = FleetReplay(ENGRAVERS, POLICIES[TODAY](), 3).run()
+        for each in outcomes:
+            if each.kind.name == "long":
+                self.assertLess(each.last_s - each.sent_s, each.kind.deadline_s)
+
+
+class TableTest(unittest.TestCase):
+    """Guards against a table of the wrong figures."""
+
+    def test_table(self):
+        """A caller that got no event would look served."""
+        worth = {"all": 0.5, "short": 0.25}
+        text = format_comparisons(
+            [Comparison("f", "p", 1, worth, 0.1, float("inf"), 2.0)]
+        )
+        self.assertIn("| f | p | 0.500 | 0.250 | 0.000 | 0.000 |", text)
+        self.assertIn("| 0.10 s | none | 2.00 s |", text)
+
+    def test_scale(self):
+        """A load would be scaled in time instead of in number."""
+        doubled = scale(ENGRAVERS, 2.0)
+        self.assertEqual(doubled.phases[0], (2.0, (2.0, 2.0, 2.0)))
+        self.assertIsInstance(doubled.kinds[0], LoadKind)
