--- a/papayarelay/tests/soak/world.py
+++ b/papayarelay/tests/soak/world.py
@@ -122,6 +122,8 @@
     def end(self) -> None:
         """Kill the process."""
         if self.running:
+            # Before the kill: callers notice the cut while this waits.
+            self.disturb()
             self.popen.send_signal(signal.SIGCONT)
             self.popen.kill()
             self.popen.wait()
