--- a/papayarelay/claim.py
+++ b/papayarelay/claim.py
@@ -8,19 +8,31 @@
 
 from __future__ import annotations
 
-import enum
-import hashlib
 import time
 import uuid
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Protocol
-from urllib.parse import quote
 
 import gevent
 import msgspec
 
 from .bucket import TokenBucket
+from .claim_rows import (
+    BODY_LIMIT_BYTES,
+    CLOCK_MARGIN_S,
+    RETRY_AFTER_S,
+    ClaimRow,
+    ClaimState,
+    Recorded,
+    as_recorded,
+    decode,
+    may_delete,
+    request_digest,
+    row_key,
+    store_failure,
+    sweep_prefixes,
+)
 from .errors import (
     CheckFailedError,
     ConflictError,
@@ -34,12 +46,7 @@
 from .request import Request
 from .store.client import Check, Row, Write
 
-KEEP_S = 24 * 3600.0
 MAX_DEADLINE_S = 3600.0
-# Covers clock offsets of several seconds between nodes and the time that a
-# delayed write or delete may take.
-CLOCK_MARGIN_S = 60.0
-BODY_LIMIT_BYTES = 16 * 1024
 
 CLAIM_LIMIT_S = 2.0
 REFUSE_LIMIT_S = 1.0
@@ -63,45 +70,15 @@
 MIN_BURST = 4.0
 # A claim and its outcome are one write each.
 WRITES_PER_CLAIM = 2
-RETRY_AFTER_S = 1.0
 FAILURES_TO_SUSPEND = 3
 SUSPEND_S = 1.0
 
-SLOTS = 256
-SLOT_DIGITS = 2
 HEX_DIGITS = "0123456789abcdef"
 SWEEP_SCANS = 8
 SWEEP_SCAN_ROWS = 100
 SWEEP_DELETE_ROWS = 50
 
 
-class ClaimState(enum.Enum):
-    """State of a claim row."""
-
-    CLAIMED = "claimed"
-    COMPLETED = "completed"
-    REFUSED = "refused"
-
-
-@dataclass(frozen=True)
-class ClaimRow:
-    """Value of a claim row.
-
-    ``claimed_wall_s`` is the wall clock of the node that wrote the first state.
-    ``body`` is None when the answer is longer than ``BODY_LIMIT_BYTES``;
-    ``body_bytes`` is its full length.
-    """
-
-    state: ClaimState
-    attempt: str
-    digest: str
-    claimed_wall_s: float
-    status: int = 0
-    content_type: str = ""
-    body: bytes | None = None
-    body_bytes: int = 0
-
-
 @dataclass
 class Progress:
     """What the node has done under a claim."""
@@ -122,17 +99,6 @@
     progress: Progress = field(default_factory=Progress, compare=False)
 
 
-@dataclass(frozen=True)
-class Recorded:
-    """The outcome of an earlier attempt: ``completed`` or ``not_run``."""
-
-    outcome: Outcome
-    status: int
-    content_type: str
-    body: bytes | None
-    body_bytes: int
-
-
 @dataclass(frozen=True)
 class SweepResult:
     """Work of one call of ``Claims.sweep``; ``done`` at the end of a pass."""
@@ -175,44 +141,6 @@
         """Apply writes if all checks hold; return the commit version."""
 
 
-def row_prefix(member: str, kind: str) -> str:
-    """Return the prefix of the claim rows of a member and kind."""
-    return f"claim/{quote(member, safe='')}/{quote(kind, safe='')}/"
-
-
-def row_key(member: str, kind: str, key: str) -> str:
-    """Return the row key of an idempotency key.
-
-    The key is hashed: row keys have one length, callers' texts stay out of them,
-    and their first hex digits divide the rows evenly for sweeps.
-    """
-    return row_prefix(member, kind) + hashlib.sha256(key.encode()).hexdigest()
-
-
-def request_digest(request: Request) -> str:
-    """Return the digest that tells a repeat from another request.
-
-    The organisation is part of it, so that no caller gets the recorded answer of
-    another organisation that happens to use the same key.
-    """
-    digest = hashlib.sha256()
-    for text in (request.organisation, request.model, request.path):
-        digest.update(len(text.encode()).to_bytes(8))
-        digest.update(text.encode())
-    digest.update(request.body)
-    return digest.hexdigest()
-
-
-def is_expired(row: ClaimRow, wall_s: float) -> bool:
-    """Return whether a row may be deleted at the wall-clock time of this node.
-
-    The row carries the wall clock of another node.  A row is kept for
-    ``CLOCK_MARGIN_S`` longer than ``KEEP_S``, so an offset of up to that margin
-    between two nodes never shortens the time for which a key is kept.
-    """
-    return wall_s - row.claimed_wall_s > KEEP_S + CLOCK_MARGIN_S
-
-
 def may_dispatch(claim: Claim, now_s: float, wall_s: float) -> bool:
     """Return whether the deadline of a claim lets it be dispatched.
 
@@ -226,18 +154,6 @@
     return now_s < claim.deadline_s and elapsed_wall_s < allowed_s + CLOCK_MARGIN_S
 
 
-def sweep_prefixes(
-    scopes: Iterable[tuple[str, str]], node_index: int, node_count: int
-) -> list[str]:
-    """Return the row prefixes that one of ``node_count`` nodes sweeps."""
-    slots = range(node_index, SLOTS, node_count)
-    return [
-        f"{row_prefix(member, kind)}{slot:0{SLOT_DIGITS}x}"
-        for member, kind in sorted(scopes)
-        for slot in slots
-    ]
-
-
 class Claims:
     """Claims of one node.
 
@@ -289,7 +205,7 @@
         if request.time_left_s(now_s) <= 0:
             raise _deadline_passed(Outcome.UNKNOWN)
         if self.is_suspended(now_s):
-            raise _store_failure("the table service does not answer")
+            raise store_failure("the table service does not answer")
         if not self._writes.take(now_s, WRITES_PER_CLAIM):
             self.counts.over_rate += 1
             raise self._over_rate(now_s)
@@ -376,7 +292,7 @@
         Raises StoreUnavailableError, also for a row that cannot be read.
         """
         row = self._table.get(row_key(member, kind, key))
-        return None if row is None else _decode(row)
+        return None if row is None else decode(row)
 
     def sweep(self, now_s: float, node_index: int, node_count: int) -> SweepResult:
         """Delete expired rows of this node's part, a bounded number per call.
@@ -408,7 +324,7 @@
             self._writes.put_back(1)
             return 0
         wall_s = self._wall_clock()
-        old = [row for row in rows if _may_delete(row, wall_s)]
+        old = [row for row in rows if may_delete(row, wall_s)]
         part = old[:SWEEP_DELETE_ROWS]
         if part:
             checks = [Check(row.key, row.version) for row in part]
@@ -453,7 +369,7 @@
                 retry_after_s=RETRY_AFTER_S,
             )
         self.counts.recorded += 1
-        return _recorded(found)
+        return as_recorded(found)
 
     def _await_outcome(self, request: Request, key: str, found: ClaimRow) -> ClaimRow:
         if self._waiting >= MAX_WAITING:
@@ -476,7 +392,7 @@
                 continue
             if row is None:
                 return found
-            found = _decode(row)
+            found = decode(row)
             if found.state is not ClaimState.CLAIMED:
                 return found
         return found
@@ -499,10 +415,10 @@
                 failure = error
             else:
                 if found is not None:
-                    return found.version, _decode(found)
+                    return found.version, decode(found)
                 if version:
                     return 0, None
-                failure = _store_failure("the row changed during the write")
+                failure = store_failure("the row changed during the write")
             now_s = self._clock()
             if now_s + delay_s >= end_s or not self._writes.take(now_s):
                 raise failure
@@ -627,38 +543,7 @@
     )
 
 
-def _store_failure(message: str) -> StoreUnavailableError:
-    return StoreUnavailableError(
-        message,
-        step="claim",
-        peer="store",
-        outcome=Outcome.UNKNOWN,
-        retry_after_s=RETRY_AFTER_S,
-    )
-
-
 def _confirmed(row: ClaimRow | None) -> Outcome:
     if row is not None and row.state is ClaimState.REFUSED:
         return Outcome.NOT_RUN
     return Outcome.UNKNOWN
-
-
-def _may_delete(row: Row, wall_s: float) -> bool:
-    """Return whether a row is expired; one that cannot be read is kept."""
-    try:
-        return is_expired(_decode(row), wall_s)
-    except StoreError:
-        return False
-
-
-def _recorded(row: ClaimRow) -> Recorded:
-    completed = row.state is ClaimState.COMPLETED
-    outcome = Outcome.COMPLETED if completed else Outcome.NOT_RUN
-    return Recorded(outcome, row.status, row.content_type, row.body, row.body_bytes)
-
-
-def _decode(row: Row) -> ClaimRow:
-    try:
-        return msgspec.json.decode(row.value, type=ClaimRow)
-    except msgspec.MsgspecError as error:
-        raise _store_failure(f"malformed claim row: {error}") from error
--- a/papayarelay/tests/claim_traces.py
+++ b/papayarelay/tests/claim_traces.py
@@ -10,7 +10,7 @@
 from ..errors import BackendError, CheckFailedError, StoreError
 from ..model.checker import Step
 from ..model.claims import INSERT, RECORD, REFUSE, REFUSE_OWN, TAKE_OVER
-from .test_claim import Executions, Node, RandomTable, Schedule
+from .claim_world import Executions, Node, RandomTable, Schedule
 
 # Name of a write by the state that it sets, with and without a row before it.
 WRITE_NAMES = {
--- a/papayarelay/tests/test_lease.py
+++ b/papayarelay/tests/test_lease.py
@@ -32,7 +32,7 @@
 from ..standins.orders import OrderState
 from ..standins.tables import Faults, Tables, TablesStandIn
 from ..store.client import TableClient
-from .test_claim import START_WALL_S, FakeTable, RandomTable, World
+from .claim_world import START_WALL_S, FakeTable, RandomTable, World
 
 SCHEDULES = 600
 ORDER = Order(OrderKind.SET_VERSION, "v")
--- a/papayarelay/tests/test_model.py
+++ b/papayarelay/tests/test_model.py
@@ -12,7 +12,7 @@
 from ..model.versions import VersionSpecification
 from ..nodes.config_state import ConfigState
 from .claim_traces import record
-from .test_claim import (
+from .claim_world import (
     ForeignRefusalClaims,
     TakeoverClaims,
     UnconfirmedDispatchClaims,
--- a/papayarelay/tests/test_sections.py
+++ b/papayarelay/tests/test_sections.py
@@ -16,7 +16,7 @@
     read_history,
     read_sections,
 )
-from .test_claim import FakeTable, RandomTable, World
+from .claim_world import FakeTable, RandomTable, World
 
 SCHEDULES = 1000
 NAMES = ("members", "models", "limits")
