--- a/papayarelay/bench/capacity.py
+++ b/papayarelay/bench/capacity.py
@@ -8,438 +8,30 @@
 
 import argparse
 import sys
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from pathlib import Path
 
-import msgspec
-import numpy
+from .capacity_rows import (
+    CHANGES_PER_DAY,
+    DATA_CENTRES,
+    ENGINES,
+    MODELS,
+    NODES,
+    ORGANISATIONS,
+    REPLACEMENTS_PER_DAY,
+    REQUESTS_PER_S,
+    ROWS,
+    TARGET,
+    TOKENS_PER_S,
+    Row,
+)
+from .fits import Fit, Line, MeasurementError, fit, place_of, read_lines
 
 MEASUREMENTS = Path("docs/measurements")
 PAGE = Path("docs/CAPACITY.md")
-
-NODES = 370
-ENGINES = 600
-WATCHERS_PER_ENGINE = 2
-DATA_CENTRES = 6
-MODELS = 14
-ORGANISATIONS = 1_300
-REQUESTS_PER_S = 990.0
-TOKENS_PER_S = 490_000.0
-CHANGES_PER_DAY = 1_800
-REPLACEMENTS_PER_DAY = 61
-DAY_S = 86_400.0
-# Section 3.1 of the design: one request in ten may be non-idempotent.
-CLAIMS_PER_S = REQUESTS_PER_S / 10
-WRITES_PER_CLAIM = 2
-CONFIG_POLL_INTERVAL_S = 2.0
-LOAD_POLL_INTERVAL_S = 1.0
-# Traffic falls on five of six data centres while one is out of service.
-REMAINING_SHARE = 5 / 6
-SERVING_NODES = NODES * REMAINING_SHARE
-# Marks for each engine that is restarted once a day and each replaced node.
-MARKS_PER_DAY = 2 * ENGINES + 2 * REPLACEMENTS_PER_DAY
-
-# Values of the variables of measurements at the target size, for one node.
-TARGET: Mapping[str, float] = {
-    "nodes": NODES,
-    "engines": ENGINES,
-    "links": 5.0,
-    "changes_per_s": CHANGES_PER_DAY / DAY_S,
-    "marks_per_s": MARKS_PER_DAY / DAY_S,
-    "requests_per_s": REQUESTS_PER_S / SERVING_NODES,
-    "tokens_per_s": TOKENS_PER_S / SERVING_NODES,
-    "polls_per_s": ENGINES * WATCHERS_PER_ENGINE / NODES / LOAD_POLL_INTERVAL_S,
-    "claims_per_s": CLAIMS_PER_S,
-    "organisations": ORGANISATIONS,
-    "models": MODELS,
-}
-
-
-class MeasurementError(Exception):
-    """A line of a measurement file does not have the documented format."""
-
-
-class Line(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One measured value; the format is documented in docs/measurements."""
-
-    quantity: str
-    unit: str
-    variables: dict[str, float | str]
-    value: float
-    command: str
-
-
-def read_lines(directory: Path) -> list[Line]:
-    """Return the lines of all ``*.jsonl`` files; raises ``MeasurementError``."""
-    decoder = msgspec.json.Decoder(Line)
-    lines = []
-    for path in sorted(directory.glob("*.jsonl")):
-        for number, text in enumerate(path.read_text("utf-8").splitlines(), start=1):
-            try:
-                lines.append(decoder.decode(text))
-            except msgspec.DecodeError as error:
-                raise MeasurementError(f"{path}:{number}: {error}") from error
-    return lines
-
-
-@dataclass(frozen=True)
-class Fit:
-    """A least-squares fit of a value over variables, with an intercept."""
-
-    variables: tuple[str, ...]
-    # Intercept first, then one slope for each variable.
-    coefficients: tuple[float, ...]
-    errors: tuple[float, ...]
-    # Square root of the mean square of the residuals over degrees of freedom.
-    residual: float
-    points: int
-    covariance: numpy.ndarray = field(repr=False, compare=False)
-
-    def project(self, target: Mapping[str, float]) -> tuple[float, float]:
-        """Return the value at the target and its standard error."""
-        place = numpy.array([1.0] + [target[name] for name in self.variables])
-        value = float(place @ numpy.array(self.coefficients))
-        return value, float(numpy.sqrt(max(0.0, place @ self.covariance @ place)))
-
-
-def fit(lines: Sequence[Line], variables: Iterable[str]) -> Fit | None:
-    """Fit the values of lines over the variables that vary among them.
-
-    Returns None when there are not more points than coefficients.
-    """
-    varying = tuple(
-        v for v in variables if len({n.variables.get(v) for n in lines}) > 1
-    )
-    if len(lines) <= len(varying) + 1:
-        return None
-    matrix = numpy.array([[1.0, *_place(line, varying)] for line in lines])
-    values = numpy.array([line.value for line in lines])
-    solution, _, rank, _ = numpy.linalg.lstsq(matrix, values, rcond=None)
-    if rank <= len(varying):
-        return None
-    residuals = values - matrix @ solution
-    variance = float(residuals @ residuals) / (len(lines) - rank)
-    covariance = variance * numpy.linalg.inv(matrix.T @ matrix)
-    return Fit(
-        varying,
-        tuple(map(float, solution)),
-        tuple(map(float, numpy.sqrt(numpy.diag(covariance)))),
-        variance**0.5,
-        len(lines),
-        covariance,
-    )
-
-
-def _place(line: Line, variables: Iterable[str]) -> list[float]:
-    return [float(line.variables[name]) for name in variables]
-
-
-@dataclass(frozen=True)
-class Row:
-    """One line of the page: a measured quantity, or a calculated value."""
-
-    role: str
-    item: str
-    unit: str
-    mechanism: str
-    quantity: str = ""
-    variables: tuple[str, ...] = ()
-    # Only lines with these values of variables are used.
-    only: Mapping[str, float | str] = field(default_factory=dict)
-    # Only lines with at least these values of variables are used.
-    least: Mapping[str, float] = field(default_factory=dict)
-    budget: float | None = None
-    # For a value that follows from the target size and from constants.
-    calculated: float | None = None
-    formula: str = ""
-    # For a value that is the sum of other rows, by their quantities.
-    parts: tuple[str, ...] = ()
-    # What would carry the row if it is over its budget.
-    relief: str = ""
-
-
-_CONTROL = ("nodes", "links", "changes_per_s", "marks_per_s")
-_OVERLAY = {"policy": "fixed_overlay", "killed": 0.0}
-_TARGET_ENGINES = {"engines": float(ENGINES)}
-_CONTROL_ROLE = "Node control work"
-_DATA_ROLE = "Node data path"
-_WATCHER_ROLE = "Watcher"
-_STORE_ROLE = "Table service"
-_ENGINE_ROLE = "Engine control interface"
-
-ROWS = (
-    Row(
-        _CONTROL_ROLE,
-        "state",
-        "records",
-        "`nodes/spread.py`: versions per record; loads stay in the data centre",
-        calculated=ENGINES / DATA_CENTRES + MODELS * DATA_CENTRES + NODES,
-        formula="engines / data centres + models * data centres + peers",
-    ),
-    Row(
-        _CONTROL_ROLE,
-        "messages, sent and received",
-        "bytes/s",
-        "`nodes/spread.py` `Bucket`: counts frames with headers; loads wait",
-        quantity="control_traffic",
-        variables=_CONTROL,
-        only=_OVERLAY | _TARGET_ENGINES,
-        budget=3_000.0,
-        relief="longer `LinkTiming.batch_s` and lower `LOAD_RECORDS_PER_S`",
-    ),
-    Row(
-        _CONTROL_ROLE,
-        "the same, busiest node",
-        "bytes/s",
-        "`nodes/overlay.py`: matchings give every node nearly the same links",
-        quantity="control_traffic_worst_node",
-        variables=("nodes", "changes_per_s", "marks_per_s"),
-        only=_OVERLAY | _TARGET_ENGINES,
-        # With fewer nodes the links of the data centres coincide.
-        least={"nodes": 48.0},
-        budget=3_000.0,
-        relief="longer `LinkTiming.batch_s` and lower `LOAD_RECORDS_PER_S`",
-    ),
-    Row(
-        _CONTROL_ROLE,
-        "frames sent",
-        "frames/s",
-        "`nodes/links.py` `LinkTiming`: load records share a frame for `batch_s`",
-        quantity="control_frames",
-        variables=_CONTROL,
-        only=_OVERLAY | _TARGET_ENGINES,
-    ),
-    Row(
-        _CONTROL_ROLE,
-        "processor",
-        "core",
-        "`nodes/overlay.py`: five links per node at any size",
-        quantity="control_cpu",
-        variables=_CONTROL,
-        only=_OVERLAY | _TARGET_ENGINES,
-        budget=0.012,
-        relief="fewer frames by a longer `LinkTiming.batch_s`",
-    ),
-    Row(
-        _CONTROL_ROLE,
-        "memory of the process",
-        "bytes",
-        "`nodes/spread.py` `expire`, `nodes/view.py` `forget`",
-        quantity="resident_memory",
-        variables=("nodes",),
-        only=_OVERLAY | _TARGET_ENGINES,
-        budget=256e6,
-        relief="shorter `KEEP_LOAD_S`",
-    ),
-    Row(
-        _CONTROL_ROLE,
-        "delay of urgent records, worst node",
-        "s",
-        "`nodes/overlay.py` `FixedOverlay`: records flood at once",
-        quantity="urgent_delay_worst",
-        variables=("nodes",),
-        only=_OVERLAY | _TARGET_ENGINES,
-        budget=3.0,
-        relief="a second matching in each data centre",
-    ),
-    Row(
-        _CONTROL_ROLE,
-        "the same after a tenth of the nodes has failed",
-        "s",
-        "`nodes/overlay.py` `FixedOverlay`: five links per node, three of them local",
-        quantity="after_failure_urgent_delay_worst",
-        variables=("nodes",),
-        only={"policy": "fixed_overlay"},
-        budget=3.0,
-        relief="a second matching in each data centre",
-    ),
-    Row(
-        _CONTROL_ROLE,
-        "age of load records, 99th percentile",
-        "s",
-        "`nodes/exchange.py` `LOAD_RECORDS_PER_S`; `batch_s` per hop",
-        quantity="load_record_age_p99",
-        variables=("nodes",),
-        # Many more changes than the target exhaust the bucket, and loads wait.
-        only=_OVERLAY | _TARGET_ENGINES | {"marks_per_s": 0.2},
-    ),
-    Row(
-        _CONTROL_ROLE,
-        "messages by number of engines, 48 nodes",
-        "bytes/s",
-        "`nodes/exchange.py` `LOAD_RECORDS_PER_S`: a fixed rate per data centre",
-        quantity="control_traffic",
-        variables=("engines",),
-        only=_OVERLAY | {"nodes": 48.0, "marks_per_s": 0.2, "seed": 1.0},
-        budget=3_000.0,
-        relief="longer `LinkTiming.batch_s` and lower `LOAD_RECORDS_PER_S`",
-    ),
-    Row(
-        _DATA_ROLE,
-        "state",
-        "organisations",
-        "`admission.py`: a queue and a share per organisation",
-        calculated=ORGANISATIONS,
-        formula="organisations",
-    ),
-    Row(
-        _DATA_ROLE,
-        "messages",
-        "tokens/s",
-        "`callers/`: the platform's load balancer spreads callers over the nodes",
-        calculated=TOKENS_PER_S / SERVING_NODES,
-        formula="tokens/s / nodes of five data centres",
-    ),
-    Row(
-        _DATA_ROLE,
-        "processor",
-        "core",
-        "`dispatch.py`, `backends/stream.py`: one task per request",
-        quantity="node_data_path_cpu",
-        variables=("tokens_per_s",),
-        budget=1.0,
-        relief="several tokens of a stream in one write",
-    ),
-    Row(
-        _DATA_ROLE,
-        "memory",
-        "bytes",
-        "`callers/body.py`: bodies are bounded in number and size",
-        quantity="node_data_path_memory",
-        variables=("requests_per_s",),
-    ),
-    Row(
-        _WATCHER_ROLE,
-        "state",
-        "engines",
-        "`nodes/watch.py`: rendezvous hashing, two watchers for each engine",
-        calculated=ENGINES * WATCHERS_PER_ENGINE / NODES,
-        formula="2 * engines / nodes",
-    ),
-    Row(
-        _WATCHER_ROLE,
-        "messages",
-        "polls/s",
-        "`backends/watcher.py`: one poll per engine and second",
-        calculated=TARGET["polls_per_s"],
-        formula="2 * engines / nodes / 1 s",
-    ),
-    Row(
-        _WATCHER_ROLE,
-        "processor",
-        "core",
-        "`backends/watcher.py`",
-        quantity="watcher_cpu",
-        variables=("polls_per_s",),
-        budget=0.012,
-        relief="a poll interval that grows with the number of engines",
-    ),
-    Row(
-        _WATCHER_ROLE,
-        "processor, with node control work",
-        "core",
-        "sum of both roles of one process; its idle time is counted twice",
-        parts=("control_cpu", "watcher_cpu"),
-        budget=0.012,
-        relief="a poll interval that grows with the number of engines",
-    ),
-    Row(
-        _WATCHER_ROLE,
-        "memory",
-        "bytes",
-        "`backends/table.py`",
-        quantity="watcher_memory",
-        variables=("engines",),
-        budget=256e6,
-    ),
-    Row(
-        _STORE_ROLE,
-        "state",
-        "claim rows",
-        "`claim.py`: keys are kept for 24 h, sweeps are divided among the nodes",
-        calculated=CLAIMS_PER_S * DAY_S,
-        formula="claims/s * 24 h",
-    ),
-    Row(
-        _STORE_ROLE,
-        "writes for claims",
-        "writes/s",
-        "`claim.py`: a token bucket per node holds the reserved rate",
-        calculated=CLAIMS_PER_S * WRITES_PER_CLAIM,
-        formula="2 * claims/s",
-        budget=200.0,
-        relief="a lower share of non-idempotent requests",
-    ),
-    Row(
-        _STORE_ROLE,
-        "writes for configuration",
-        "writes/s",
-        "`store/sections.py`: one transaction per change",
-        calculated=CHANGES_PER_DAY * 2 / DAY_S,
-        formula="2 rows * changes/day / 86,400 s",
-    ),
-    Row(
-        _STORE_ROLE,
-        "reads for configuration",
-        "reads/s",
-        "`config_feed.py`: one row per poll; changes arrive from nodes",
-        calculated=NODES / (CONFIG_POLL_INTERVAL_S * 0.85),
-        formula="nodes / mean poll interval",
-        budget=2_000.0,
-        relief="a longer poll interval, because changes arrive from nodes",
-    ),
-    Row(
-        _STORE_ROLE,
-        "writes measured per request",
-        "writes/s",
-        "`claim.py`",
-        quantity="store_claim_writes",
-        variables=("claims_per_s",),
-        budget=200.0,
-        relief="a lower share of non-idempotent requests",
-    ),
-    Row(
-        _STORE_ROLE,
-        "processor and memory of the client",
-        "core",
-        "`store/client.py`",
-        quantity="store_client_cpu",
-        variables=("claims_per_s",),
-    ),
-    Row(
-        _ENGINE_ROLE,
-        "state",
-        "watchers",
-        "`nodes/watch.py`",
-        calculated=WATCHERS_PER_ENGINE,
-        formula="watchers per engine",
-    ),
-    Row(
-        _ENGINE_ROLE,
-        "messages per engine",
-        "polls/s",
-        "`backends/watcher.py`: only watchers poll",
-        calculated=WATCHERS_PER_ENGINE / LOAD_POLL_INTERVAL_S,
-        formula="watchers / 1 s",
-    ),
-    Row(
-        _ENGINE_ROLE,
-        "processor",
-        "core",
-        "`backends/engine.py`",
-        quantity="engine_control_cpu",
-        variables=("polls_per_s",),
-    ),
-    Row(
-        _ENGINE_ROLE,
-        "memory",
-        "bytes",
-        "reservations with an owner and an end time",
-        quantity="engine_control_memory",
-        variables=("polls_per_s",),
-    ),
-)
+# Figures of runs on the users' bench, which follow the computed part.
+PLATFORM_PART = "platform.md"
 
 
 @dataclass(frozen=True)
@@ -494,7 +86,7 @@
 
 def _largest(row: Row, used: Sequence[Line]) -> Result:
     """Return the measured value nearest to the target, without a projection."""
-    line = max(used, key=lambda n: _place(n, row.variables))
+    line = max(used, key=lambda n: place_of(n, row.variables))
     place = ", ".join(f"{n} {_number(line.variables[n])}" for n in row.variables)
     state = f"slope not measured, {len(used)} points; value at {place}"
     if row.budget is not None and line.value > row.budget:
@@ -529,7 +121,7 @@
 
 _INTRODUCTION = f"""# Capacity
 
-This page is written by `papayarelay capacity` from the lines in
+This page is written by `papayarelay capacity` from the files in
 docs/measurements; do not edit it. It projects measured slopes to the target
 size: {NODES} nodes, {ENGINES} engines, {REQUESTS_PER_S:,.0f} requests/s,
 {TOKENS_PER_S:,.0f} tokens/s, {ORGANISATIONS:,} organisations, {MODELS} models,
@@ -707,6 +299,9 @@
     """Write the page; return 2 when a measurement file is malformed."""
     try:
         page = render(read_lines(namespace.measurements))
+        platform = namespace.measurements / PLATFORM_PART
+        if platform.exists():
+            page += f"\n{platform.read_text('utf-8')}"
         namespace.output.write_text(page, "utf-8")
     except (MeasurementError, OSError) as error:
         print(f"papayarelay capacity: {error}", file=sys.stderr)
--- /dev/null
+++ b/papayarelay/bench/fits.py
@@ -0,0 +1,90 @@
+"""Lines of measurement files, and least-squares fits over them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+import numpy
+
+
+class MeasurementError(Exception):
+    """A line of a measurement file does not have the documented format."""
+
+
+class Line(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One measured value; the format is documented in docs/measurements."""
+
+    quantity: str
+    unit: str
+    variables: dict[str, float | str]
+    value: float
+    command: str
+
+
+def read_lines(directory: Path) -> list[Line]:
+    """Return the lines of all ``*.jsonl`` files; raises ``MeasurementError``."""
+    decoder = msgspec.json.Decoder(Line)
+    lines = []
+    for path in sorted(directory.glob("*.jsonl")):
+        for number, text in enumerate(path.read_text("utf-8").splitlines(), start=1):
+            try:
+                lines.append(decoder.decode(text))
+            except msgspec.DecodeError as error:
+                raise MeasurementError(f"{path}:{number}: {error}") from error
+    return lines
+
+
+@dataclass(frozen=True)
+class Fit:
+    """A least-squares fit of a value over variables, with an intercept."""
+
+    variables: tuple[str, ...]
+    # Intercept first, then one slope for each variable.
+    coefficients: tuple[float, ...]
+    errors: tuple[float, ...]
+    # Square root of the mean square of the residuals over degrees of freedom.
+    residual: float
+    points: int
+    covariance: numpy.ndarray = field(repr=False, compare=False)
+
+    def project(self, target: Mapping[str, float]) -> tuple[float, float]:
+        """Return the value at the target and its standard error."""
+        place = numpy.array([1.0] + [target[name] for name in self.variables])
+        value = float(place @ numpy.array(self.coefficients))
+        return value, float(numpy.sqrt(max(0.0, place @ self.covariance @ place)))
+
+
+def fit(lines: Sequence[Line], variables: Iterable[str]) -> Fit | None:
+    """Fit the values of lines over the variables that vary among them.
+
+    Returns None when there are not more points than coefficients.
+    """
+    varying = tuple(
+        v for v in variables if len({n.variables.get(v) for n in lines}) > 1
+    )
+    if len(lines) <= len(varying) + 1:
+        return None
+    matrix = numpy.array([[1.0, *place_of(line, varying)] for line in lines])
+    values = numpy.array([line.value for line in lines])
+    solution, _, rank, _ = numpy.linalg.lstsq(matrix, values, rcond=None)
+    if rank <= len(varying):
+        return None
+    residuals = values - matrix @ solution
+    variance = float(residuals @ residuals) / (len(lines) - rank)
+    covariance = variance * numpy.linalg.inv(matrix.T @ matrix)
+    return Fit(
+        varying,
+        tuple(map(float, solution)),
+        tuple(map(float, numpy.sqrt(numpy.diag(covariance)))),
+        variance**0.5,
+        len(lines),
+        covariance,
+    )
+
+
+def place_of(line: Line, variables: Iterable[str]) -> list[float]:
+    """Return the values of variables at which a line was measured."""
+    return [float(line.variables[name]) for name in variables]
