Call the store over the nodes' own connections

The store client used urllib3, everything else h11 over backends/pool.py. One pool now; a failed call drops the idle connections, which may have gone silent with it.

--- a/papayarelay/platform/store.py
+++ b/papayarelay/platform/store.py
@@ -7,12 +7,13 @@
 import json
 from collections.abc import Sequence
 from dataclasses import dataclass
+from urllib.parse import urlencode
 
 import gevent
 import msgspec
-import urllib3
 
-from ..errors import Outcome, StoreError, StoreUnavailableError
+from ..backends.pool import BackendPool
+from ..errors import BackendError, Outcome, StoreError, StoreUnavailableError
 
 PATH = "/papayarelay"
 # Longer than a slow store needs, shorter than the time in which changes must be
@@ -20,6 +21,7 @@
 TIMEOUT_S = 0.8
 CONNECT_S = 0.4
 PAGE_ROWS = 500
+IDLE_CONNECTIONS = 4
 HISTORY_GONE = 410
 PEER = "store"
 
@@ -72,25 +74,20 @@
 
     def __init__(self, address: str):
         self.calls = 0
-        self._address = address
-        self._pool: urllib3.HTTPConnectionPool | None = None
+        self._pool = _make_pool(address)
 
     def start(self) -> None:
-        """Open the connection pool; connections are made on first use."""
-        host, _, port = self._address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=4, block=False, retries=False
-        )
+        """Allow connections; they are opened when they are needed."""
+        self._pool.start()
 
     def close(self) -> None:
         """Close all connections."""
-        if self._pool is not None:
-            self._pool.close()
+        self._pool.close()
 
     def move(self, address: str) -> None:
         """Go on with the store at another address."""
         self.close()
-        self._address = address
+        self._pool = _make_pool(address)
         self.start()
 
     def read(self, table: str, timeout_s: float = TIMEOUT_S) -> Rows:
@@ -149,35 +146,40 @@
         path: str,
         query: dict[str, str] | None,
         timeout_s: float,
-        body: bytes | None = None,
+        body: bytes = b"",
     ) -> _Answer:
         self.calls += 1
         headers = {"Content-Type": "application/json"} if body else {}
+        target = f"{PATH}{path}?{urlencode(query)}" if query else PATH + path
         try:
             with gevent.Timeout(timeout_s, TimeoutError):
-                response = self._pool.request(
-                    method,
-                    PATH + path,
-                    fields=query,
-                    body=body,
-                    headers=headers,
-                    redirect=False,
-                    timeout=urllib3.Timeout(connect=CONNECT_S, read=timeout_s),
+                answer = self._pool.request(
+                    method, target, body=body, headers=headers, read_timeout_s=timeout_s
                 )
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise _error(f"no answer: {type(error).__name__}", path) from error
-        if response.status == HISTORY_GONE:
+                data = answer.read_all()
+        except (BackendError, OSError) as error:
+            # The other connections may have gone silent with this one.
+            self._pool.drop_idle()
+            raise _error(f"no answer: {error}", path) from error
+        if answer.status == HISTORY_GONE:
             raise HistoryGoneError(
                 "history is gone", step=path, peer=PEER, outcome=Outcome.UNKNOWN
             )
-        if response.status != 200:
-            raise _error(f"status {response.status}", path)
+        if answer.status != 200:
+            raise _error(f"status {answer.status}", path)
         try:
-            return _DECODER.decode(response.data)
+            return _DECODER.decode(data)
         except msgspec.MsgspecError as error:
             raise _error(f"malformed answer: {error}", path) from error
 
 
+def _make_pool(address: str) -> BackendPool:
+    pool = BackendPool(PEER, f"http://{address}")
+    pool.connect_timeout_s = CONNECT_S
+    pool.idle_limit = IDLE_CONNECTIONS
+    return pool
+
+
 def _read_row(row: _Row) -> Row:
     try:
         value = None if row.tombstone else base64.b64decode(row.value)
