--- a/papayarelay/nodes/groups.py
+++ b/papayarelay/nodes/groups.py
@@ -13,7 +13,7 @@
 
 from ..routing import assign_homes
 
-GROUP_NODES = 12
+GROUP_NODES = 24
 # A fleet of up to this many nodes is one group, over all data centres.
 LARGEST_FLEET = 16
 
