Leave out engines whose streams are slow

Change: a node takes the times between the events of an engine's streams, one pass each; three passes in a row above 1.6 times a pass with all slots in use mean slow.

--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -15,6 +15,7 @@
 from ..config import Backend, Config, Service
 from ..cost import Cost
 from ..nodes.groups import Group, engines_of, may_use_cold
+from ..pace import Pace
 from ..routing import BackendView, EngineWork, assign_homes, size_class
 from ..warmup import WarmUp
 from .load import LoadReport
@@ -98,6 +99,7 @@
     cold_until_s: float = 0.0
     cold_rate: TokenBucket | None = None
     absence: Absence = field(default_factory=Absence)
+    pace: Pace = field(default_factory=Pace)
     _figures: WorkFigures | None = None
 
     @property
@@ -521,6 +523,7 @@
             slots=entry.config.slots,
             timing=entry.service.timing if entry.service else None,
             cold=entry.is_cold(now_s),
+            slow=entry.pace.is_slow(now_s),
         )
 
 
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -200,9 +200,12 @@
                     self._clock,
                 ) as stream,
             ):
+                last_s = None
                 for chunk in stream:
                     if chunk.event and not grant.work.prefilled:
                         self._scheduler.mark_prefilled(grant)
+                    if chunk.event:
+                        last_s = self._note_pace(grant, last_s)
                     progress.received = stream.offset
                     yield chunk
         except RelayError as error:
@@ -218,6 +221,19 @@
         tokens = _cost_of(request).kv_tokens
         entry.warm_up.record_success(tokens, True, now_s)
 
+    def _note_pace(self, grant: Grant, last_s: float | None) -> float:
+        """Note the time since the event before; return the time of this one."""
+        entry = grant.entry
+        now_s = self._clock()
+        if last_s is None or entry.service is None or entry.service.timing is None:
+            return now_s
+        before = entry.pace.is_slow(now_s)
+        entry.pace.note(now_s - last_s, entry.service.timing, now_s)
+        if entry.pace.is_slow(now_s) and not before:
+            ratio = round(entry.pace.ratio(now_s), 2)
+            log(Event.BACKEND_SLOW, backend=entry.id, pace_ratio=ratio)
+        return now_s
+
     def _call_once(
         self, grant: Grant, request: Request, progress: _Progress, guard: DispatchGuard
     ) -> service.ServiceAnswer:
--- a/papayarelay/events.py
+++ b/papayarelay/events.py
@@ -198,6 +198,13 @@
         "The end of a reservation was not confirmed; it ends by itself.",
     )
 
+    BACKEND_SLOW = (
+        1215,
+        "warning",
+        "backend server is slow",
+        "Its streams take pace_ratio times as long as its work explains; left out.",
+    )
+
     REQUEST_FINISHED = (
         1301,
         "debug",
--- a/papayarelay/placing.py
+++ b/papayarelay/placing.py
@@ -109,9 +109,9 @@
         slow = expected_s > policy.target_part * cost.target_s > 0
         pause_s = _pass_s(view, cost) + work.reading_s + read_s
         paused = pause_s > policy.gap_part * cost.gap_target_s > 0
-        if crowded or slow or paused:
+        if crowded or slow or paused or view.slow:
             full = work.writers >= view.slots
-            others.append((full, expected_s, rng.random(), placement))
+            others.append((full, view.slow, expected_s, rng.random(), placement))
         else:
             good.append((view.cold, -work.writers, rng.random(), placement))
     return min(good)[-1] if good else min(others)[-1]
@@ -126,8 +126,9 @@
     delays an earlier prompt.  Engines whose streams would pause for too long take
     no part: a prompt that is late costs its caller less than all of these.
     """
+    quick = [view for view in views if not view.slow] or views
     ranked = sorted(
-        views,
+        quick,
         key=lambda view: (
             view.work.writers >= view.slots,
             view.cold,
--- a/papayarelay/routing.py
+++ b/papayarelay/routing.py
@@ -55,8 +55,9 @@
     says that this node is one of the few that prefer the engine.
     ``bound`` limits the node's own tokens in flight (``own_tokens``) while the
     backend server is cold; None means no limit.  ``work`` is what all nodes have
-    sent to the server, ``slots`` what it runs at once, ``timing`` how it works
-    and ``cold`` whether it is in cold start.
+    sent to the server, ``slots`` what it runs at once, ``timing`` how it works,
+    ``cold`` whether it is in cold start and ``slow`` whether its streams show that
+    it is slower than that.
     """
 
     id: str
@@ -83,6 +84,7 @@
     slots: int = 0
     timing: EngineTiming | None = None
     cold: bool = False
+    slow: bool = False
 
 
 @dataclass
--- /dev/null
+++ b/papayarelay/tests/test_pace.py
@@ -0,0 +1,82 @@
+"""Tests of how a node notices engines that are slower than they should be."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from ..bench.fleet import TODAY_TIMING as TIMING
+from ..cost import Cost
+from ..pace import FORGET_S, PASSES, Pace, full_pass_s
+from ..placing import Packed, place
+from ..routing import BackendView
+
+PASS_S = TIMING.pass_s(2, 20_000)
+
+
+class PaceTest(unittest.TestCase):
+    """Guards against engines that answer everything, only late."""
+
+    def setUp(self):
+        self.pace = Pace()
+        self.now_s = 50.0
+
+    def _pass(self, pass_s: float, streams: int = 1) -> None:
+        self.now_s += pass_s
+        for _ in range(streams):
+            self.pace.note(pass_s, TIMING, self.now_s)
+
+    def test_slow(self):
+        """A throttled engine would get as much work as any other."""
+        for _ in range(PASSES):
+            self.assertFalse(self.pace.is_slow(self.now_s))
+            self._pass(4 * PASS_S)
+        self.assertTrue(self.pace.is_slow(self.now_s))
+
+    def test_busy(self):
+        """An engine with all slots in use would be left out."""
+        for _ in range(10):
+            self._pass(full_pass_s(TIMING), streams=TIMING.slots)
+        self.assertFalse(self.pace.is_slow(self.now_s))
+
+    def test_read(self):
+        """One long read beside many streams would look like a slow engine."""
+        self._pass(PASS_S, streams=8)
+        self._pass(20 * PASS_S, streams=8)
+        self._pass(PASS_S, streams=8)
+        self.assertFalse(self.pace.is_slow(self.now_s))
+
+    def test_forgotten(self):
+        """An engine that works again would be left out for ever."""
+        for _ in range(PASSES):
+            self._pass(6 * PASS_S)
+        self.assertFalse(self.pace.is_slow(self.now_s + FORGET_S + 0.1))
+        self.now_s += FORGET_S + 0.1
+        self._pass(6 * PASS_S)
+        self.assertFalse(self.pace.is_slow(self.now_s))
+
+
+class SlowEngineTest(unittest.TestCase):
+    """Guards against work for slow engines while there are others."""
+
+    def setUp(self):
+        view = BackendView("", "a", "engine", (), slots=8, timing=TIMING)
+        self.views = [replace(view, id=f"e{n}", slow=n < 3) for n in range(4)]
+        self.rng = random.Random(7)
+
+    def _place(self, tokens: int, views: list[BackendView]):
+        cost = Cost(tokens, 500, 0.3 if tokens < 20_000 else 3.0, 0.25)
+        return place(Packed(), cost, views, 0.0, self.rng)
+
+    def test_short(self):
+        """A short prompt would be written slowly."""
+        self.assertEqual(self._place(5_000, self.views).backend_id, "e3")
+
+    def test_long(self):
+        """One slow part would hold up a whole prompt."""
+        placement = self._place(100_000, self.views)
+        self.assertEqual((placement.backend_id, placement.helpers), ("e3", ()))
+
+    def test_all_slow(self):
+        """Requests would wait though all engines are slow."""
+        for tokens in (5_000, 100_000):
+            self.assertIsNotNone(self._place(tokens, self.views[:3]))
