Refuse for want of time only behind requests that come first

Cause: the expected wait counted all queued tokens of a node, over one rate. A long prompt that waits for better engines made the queue look slow, and jobs whose servers were idle, and short prompts that pass long ones, were refused.

Change: tokens and rates are counted for each service; for short requests only those of short ones.

--- a/papayarelay/admission.py
+++ b/papayarelay/admission.py
@@ -34,6 +34,41 @@
     return cost.prefill_tokens / PREFILL_TOKENS_PER_S + cost.decode_tokens * DECODE_S
 
 
+# The servers that requests wait for, and whether only short ones count: these
+# pass the longer ones.
+_LineKey = tuple[str, bool]
+
+
+class _Line:
+    """Requests that wait for the same servers, and how fast these take them.
+
+    The rate counts only while requests wait.
+    """
+
+    def __init__(self):
+        self.count = 0
+        self._busy_s = 0.0
+        self._released_tokens = 0.0
+        self._updated_s: float | None = None
+
+    @property
+    def rate_tokens_per_s(self) -> float | None:
+        """Return the measured drain rate, None before it is known."""
+        if self._busy_s < MIN_BUSY_S:
+            return None
+        return self._released_tokens / self._busy_s
+
+    def measure(self, now_s: float, released_tokens: int = 0) -> None:
+        """Count what the servers have taken by now."""
+        if self._updated_s is not None and self.count:
+            elapsed_s = max(0.0, now_s - self._updated_s)
+            factor = math.exp(-elapsed_s / RATE_WINDOW_S)
+            self._busy_s = self._busy_s * factor + elapsed_s
+            self._released_tokens *= factor
+        self._released_tokens += released_tokens
+        self._updated_s = max(now_s, self._updated_s or now_s)
+
+
 @dataclass(order=True)
 class _Entry:
     """A queued request.
@@ -50,10 +85,8 @@
     latest_start_s: float = field(compare=False)
     step_s: float = field(compare=False)
     level: int = field(compare=False)
-
-    @property
-    def short(self) -> bool:
-        return self.cost.prefill_tokens <= SHORT_TOKENS
+    short: bool = field(compare=False)
+    lines: tuple[_LineKey, ...] = field(compare=False)
 
 
 @dataclass
@@ -126,7 +159,7 @@
         self.floor = 0.0
         self.count = 0
         self.bytes = 0
-        self.tokens: dict[int, int] = {}
+        self.tokens: dict[_LineKey, dict[int, int]] = {}
         self.organisations: dict[str, _Organisation] = {}
         self.bands: dict[tuple[int, bool], _Band] = {}
 
@@ -135,9 +168,22 @@
         organisation = self.organisations[entry.request.organisation]
         return organisation.virtual, entry.rank
 
-    def tokens_before(self, priority: int) -> int:
-        """Return the queued tokens with this priority or a more urgent one."""
-        return sum(count for key, count in self.tokens.items() if key <= priority)
+    def tokens_before(self, line: _LineKey, priority: int | None = None) -> int:
+        """Return the tokens in a line with this priority or a more urgent one."""
+        counts = self.tokens.get(line, {})
+        return sum(
+            count
+            for key, count in counts.items()
+            if priority is None or key <= priority
+        )
+
+    def count_tokens(self, entry: _Entry, sign: int) -> None:
+        """Add an entry to its lines, or take it out."""
+        priority = entry.request.kind.priority
+        for line in entry.lines:
+            counts = self.tokens.setdefault(line, {})
+            left = counts.get(priority, 0) + sign * entry.cost.kv_tokens
+            counts[priority] = left
 
 
 class AdmissionQueue:
@@ -146,8 +192,9 @@
     ``shares`` maps each member to its share of the common budget, ``weights``
     maps (member, organisation) to the organisation's weight; both default to 1.
     ``service_s`` estimates the time on an engine, and ``longest_wait_s`` says for
-    how long a request may wait although its deadline is later.  The rate at which
-    the queue drains is measured while requests wait.
+    how long a request may wait although its deadline is later.  Requests of up to
+    ``short_tokens`` pass longer ones.  The rate at which the queue drains is measured
+    for each service while requests wait for it.
 
     Members and, within a member, organisations are served by start-time fair
     queueing in tokens (P. Goyal, H. Vin, H. Cheng, 1996).  Priorities come
@@ -165,11 +212,13 @@
         capacity_bytes: int = DEFAULT_CAPACITY_BYTES,
         service_s: Callable[[Cost], float] = estimate_service_s,
         longest_wait_s: Callable[[Request], float] = lambda request: math.inf,
+        short_tokens: int = SHORT_TOKENS,
     ):
         self._capacity = capacity
         self._capacity_bytes = capacity_bytes
         self._service_s = service_s
         self._longest_wait_s = longest_wait_s
+        self._short_tokens = short_tokens
         self._members: dict[str, _Member] = {}
         self._entries: dict[str, _Entry] = {}
         self._starts: list[tuple[float, int, str]] = []
@@ -177,9 +226,7 @@
         self._order = itertools.count()
         self._virtual = 0.0
         self._bytes = 0
-        self._busy_s = 0.0
-        self._released_tokens = 0.0
-        self._updated_s: float | None = None
+        self._lines: dict[_LineKey, _Line] = {}
         self.set_shares(shares or {}, weights or {})
 
     def __len__(self) -> int:
@@ -188,14 +235,12 @@
     @property
     def queued_tokens(self) -> int:
         """Return the prompt and output tokens of all queued requests."""
-        return sum(sum(each.tokens.values()) for each in self._members.values())
-
-    @property
-    def rate_tokens_per_s(self) -> float | None:
-        """Return the measured drain rate, None before it is known."""
-        if self._busy_s < MIN_BUSY_S:
-            return None
-        return self._released_tokens / self._busy_s
+        return sum(
+            member.tokens_before(line)
+            for member in self._members.values()
+            for line in member.tokens
+            if not line[1]
+        )
 
     def set_shares(
         self,
@@ -217,11 +262,12 @@
         Raises OverloadError at once, with the time after which to retry, when
         the request cannot finish within its deadline or there is no room.
         """
-        self._measure(now_s, 0)
-        self._check_room(request)
-        wait_s = self._estimate_wait_s(request)
+        line = self._line_of(request, cost)
+        self._line(line).measure(now_s)
+        self._check_room(request, line)
+        wait_s = self._estimate_wait_s(request, line)
         if now_s + wait_s + self._service_s(cost) > request.deadline_s:
-            raise self._overload("the request cannot finish within its deadline")
+            raise self._overload("the request cannot finish within its deadline", line)
         self._add(request, cost, now_s)
 
     def next(
@@ -271,14 +317,24 @@
                 expired.append(entry.request)
         return expired
 
-    def retry_after_s(self) -> float:
+    def retry_after_s(self, request: Request, cost: Cost) -> float:
         """Return the time after which a refused request may be repeated."""
-        rate = self.rate_tokens_per_s
+        return self._retry_after_s(self._line_of(request, cost))
+
+    def _retry_after_s(self, line: _LineKey) -> float:
+        rate = self._line(line).rate_tokens_per_s
         if rate is None:
             return MIN_RETRY_AFTER_S
-        wait_s = self.queued_tokens / rate if rate else MAX_RETRY_AFTER_S
+        queued = sum(each.tokens_before(line) for each in self._members.values())
+        wait_s = queued / rate if rate else MAX_RETRY_AFTER_S
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
+    def _line_of(self, request: Request, cost: Cost) -> _LineKey:
+        return request.served_by, cost.prefill_tokens <= self._short_tokens
+
+    def _line(self, key: _LineKey) -> _Line:
+        return self._lines.setdefault(key, _Line())
+
     def _share(self, member: str) -> float:
         return self._shares.get(member, 1.0) or 1e-3
 
@@ -306,6 +362,7 @@
             now_s + self._longest_wait_s(request),
         )
         step_s = max(0.0, latest_start_s - now_s) / (2 * (priority - TOP_LEVEL))
+        served_by, short = self._line_of(request, cost)
         entry = _Entry(
             rank=request.deadline_s,
             order=next(self._order),
@@ -314,8 +371,13 @@
             latest_start_s=latest_start_s,
             step_s=step_s,
             level=priority,
+            short=short,
+            lines=((served_by, False), (served_by, True))[: 1 + short],
         )
-        member.tokens[priority] = member.tokens.get(priority, 0) + cost.kv_tokens
+        member.count_tokens(entry, 1)
+        for line in entry.lines:
+            self._line(line).measure(now_s)
+            self._line(line).count += 1
         member.count += 1
         member.bytes += len(request.body)
         self._bytes += len(request.body)
@@ -371,7 +433,7 @@
             heads = [band.heads(member.organisations) for band in bands if band]
             yield from heapq.merge(*heads, key=member.turn)
 
-    def _check_room(self, request: Request) -> None:
+    def _check_room(self, request: Request, line: _LineKey) -> None:
         """Raise OverloadError when the queue or the member's part of it is full."""
         total = sum(self._shares.values()) or 1.0
         fraction = min(1.0, self._share(request.member) / total)
@@ -386,17 +448,18 @@
             or (held and held + size > fraction * self._capacity_bytes)
         )
         if full:
-            raise self._overload("the admission queue is full")
+            raise self._overload("the admission queue is full", line)
 
-    def _estimate_wait_s(self, request: Request) -> float:
+    def _estimate_wait_s(self, request: Request, line: _LineKey) -> float:
         """Return the wait behind all requests before this one, or in its own share.
 
         The smaller of the two counts: a member that fills the queue must not
         cause the refusal of a member within its share.
         """
-        rate = self.rate_tokens_per_s
+        rate = self._line(line).rate_tokens_per_s
         priority = request.kind.priority
-        ahead = sum(each.tokens_before(priority) for each in self._members.values())
+        members = self._members.values()
+        ahead = sum(each.tokens_before(line, priority) for each in members)
         if rate is None or not ahead:
             return 0.0
         if rate <= 0:
@@ -405,20 +468,21 @@
         active.add(request.member)
         fraction = self._share(request.member) / sum(map(self._share, active))
         own = self._members.get(request.member)
-        own_tokens = own.tokens_before(priority) if own else 0
+        own_tokens = own.tokens_before(line, priority) if own else 0
         return min(ahead, own_tokens / fraction) / rate
 
-    def _overload(self, message: str) -> OverloadError:
+    def _overload(self, message: str, line: _LineKey) -> OverloadError:
         return OverloadError(
             message,
             step="admission",
             peer="caller",
-            retry_after_s=self.retry_after_s(),
+            retry_after_s=self._retry_after_s(line),
         )
 
     def _release(self, entry: _Entry, now_s: float) -> None:
         tokens = entry.cost.kv_tokens
-        self._measure(now_s, tokens)
+        for line in entry.lines:
+            self._line(line).measure(now_s, tokens)
         member = self._members[entry.request.member]
         organisation = member.organisations[entry.request.organisation]
         member.floor = max(member.floor, organisation.virtual)
@@ -432,7 +496,9 @@
         member = self._members[request.member]
         self._displace(entry)
         del self._entries[request.id]
-        member.tokens[request.kind.priority] -= entry.cost.kv_tokens
+        member.count_tokens(entry, -1)
+        for line in entry.lines:
+            self._line(line).count -= 1
         member.count -= 1
         member.bytes -= len(request.body)
         self._bytes -= len(request.body)
@@ -452,13 +518,3 @@
         kept = [item for item in heap if item[2] in self._entries]
         heapq.heapify(kept)
         return kept
-
-    def _measure(self, now_s: float, released_tokens: int) -> None:
-        """Add to the drain rate, which counts only while requests wait."""
-        if self._updated_s is not None and self._entries:
-            elapsed_s = max(0.0, now_s - self._updated_s)
-            factor = math.exp(-elapsed_s / RATE_WINDOW_S)
-            self._busy_s = self._busy_s * factor + elapsed_s
-            self._released_tokens *= factor
-        self._released_tokens += released_tokens
-        self._updated_s = max(now_s, self._updated_s or now_s)
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -72,9 +72,15 @@
         self._budget = SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_reserve
         )
+        policy = Packed()
+        queue = AdmissionQueue(
+            service_s=_least_service_s,
+            longest_wait_s=_longest_wait_s,
+            short_tokens=policy.part_tokens,
+        )
         self._serving = Serving(
-            Packed(),
-            AdmissionQueue(service_s=_least_service_s, longest_wait_s=_longest_wait_s),
+            policy,
+            queue,
             self._budget,
             self._rng,
             clock,
--- a/papayarelay/request.py
+++ b/papayarelay/request.py
@@ -58,6 +58,13 @@
     service: str = ""
     resume_from: int = 0
 
+    @property
+    def served_by(self) -> str:
+        """Return what a server must serve for it: the service, model or kind."""
+        if self.service:
+            return self.service
+        return self.model if self.kind.target == "engine" else self.kind.name
+
     def time_left_s(self, now_s: float) -> float:
         """Return the seconds until the deadline, negative once it has passed."""
         return self.deadline_s - now_s
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -107,12 +107,12 @@
         Raises ``OverloadError`` at once when it cannot finish in time.
         """
         now_s = self._clock()
-        if not self._table.serves(request.kind.target, _service_name(request), now_s):
+        if not self._table.serves(request.kind.target, request.served_by, now_s):
             raise OverloadError(
-                f"no backend server takes requests for {_service_name(request)!r} now",
+                f"no backend server takes requests for {request.served_by!r} now",
                 step="route",
                 peer="backends",
-                retry_after_s=self.queue.retry_after_s(),
+                retry_after_s=self.queue.retry_after_s(request, cost),
             )
         self.queue.offer(request, cost, now_s)
         ticket = Ticket(request, cost, tried)
@@ -170,7 +170,7 @@
                     "no backend server got room within the deadline",
                     step="queue",
                     peer="backends",
-                    retry_after_s=self.queue.retry_after_s(),
+                    retry_after_s=self.queue.retry_after_s(request, ticket.cost),
                 )
                 ticket.granted.set_exception(error)
 
@@ -218,18 +218,11 @@
         request = ticket.request
         waited_s = now_s - request.received_s
         cost = replace(cost, target_s=max(0.0, cost.target_s - waited_s))
-        views = self._table.views(request.kind.target, _service_name(request), now_s)
+        views = self._table.views(request.kind.target, request.served_by, now_s)
         fresh = [view for view in views if view.id not in ticket.tried] or views
         return place(self._policy, cost, fresh, now_s, self._rng)
 
 
-def _service_name(request: Request) -> str:
-    """Return what a backend server must serve: the service, model or kind."""
-    if request.service:
-        return request.service
-    return request.model if request.kind.target == "engine" else request.kind.name
-
-
 def hold_placement(
     table: BackendTable, cost: Cost, placement: Placement, now_s: float
 ) -> Grant:
--- a/papayarelay/tests/soak/faults.py
+++ b/papayarelay/tests/soak/faults.py
@@ -103,7 +103,15 @@
     def _hang_up(self) -> None:
         node = self._node()
         self._note(f"SIGHUP {node.name}")
+        popen, ready = node.popen, self._world.ready(node)
         node.signal(signal.SIGHUP)
+        gevent.sleep(0.5)
+        if popen is node.popen and not node.running:
+            # Before its first line a process cannot handle a signal; the platform
+            # starts it again.
+            if ready:
+                self._world.ledger.note(f"HUP {node.name} ended by SIGHUP")
+            node.start()
 
     def _store_fault(self) -> None:
         world = self._world
