--- a/papayarelay/platform/feed.py
+++ b/papayarelay/platform/feed.py
@@ -38,6 +38,10 @@
 NOTICE_ROWS = 10
 RETRY_S = 0.1
 MOST_RETRY_S = 0.4
+# While the store fails, the first nodes of a group ask it; the others ask this much
+# later than these, unless they hear of something that they do not know.
+QUICK_RANKS = 3
+SLOW_RETRY_S = 3.0
 # Entries that lapsed while the store was away come back within this time.
 RETURN_S = 2.0
 LAPSED_CHECK_S = 0.2
@@ -190,7 +194,16 @@
             except StoreError as error:
                 failures += 1
                 self._note_failure(error)
-                gevent.sleep(min(MOST_RETRY_S, RETRY_S * failures))
+                self._wait_to_retry(table, failures)
+
+    def _wait_to_retry(self, table: str, failures: int) -> None:
+        """Wait before a table is read again that could not be read."""
+        gevent.sleep(min(MOST_RETRY_S, RETRY_S * failures))
+        known = self._known[table]
+        urgent = known.version is None or known.is_behind
+        if not urgent and self._rank() >= QUICK_RANKS:
+            self._due[table].clear()
+            self._due[table].wait(SLOW_RETRY_S)
 
     def _wait_s(self, table: str) -> float:
         """Return for how long a table need not be read."""
--- a/papayarelay/tests/test_platform.py
+++ b/papayarelay/tests/test_platform.py
@@ -511,6 +511,28 @@
         events = [json.loads(line)["event"] for line in stream.getvalue().splitlines()]
         self.assertEqual(events, ["PR1401", "PR1402"])
 
+    def test_outage(self):
+        """All nodes of a large fleet would ask a store that fails, without end."""
+        self._start()
+        calls = {"op": 0, "servers": 0}
+
+        def fail(table: str, *arguments: object) -> Rows:
+            calls[table] += 1
+            raise StoreError("no answer", step="s", peer="p")
+
+        self.store.changes = fail
+        self.now_s += 3.0
+        self.feed._rank = lambda: 5
+        self.feed.start()
+        self.addCleanup(self.feed.close)
+        gevent.sleep(1.0)
+        self.assertEqual(calls, {"op": 1, "servers": 1})
+        # Another node has read a change: this one must know it within 2 s.
+        self._peer_config(12, as_row("config", make_document(4), 12))
+        self._hear()
+        wait_for(lambda: calls["op"] >= 4, 2.0, "reads of the change")
+        self.assertEqual(calls["servers"], 1)
+
     def test_told_of_a_lapse(self):
         """Rows that lapsed in an outage would be lost to a node that is told."""
         self._start()
