--- a/papayarelay/bench/fleet.py
+++ b/papayarelay/bench/fleet.py
@@ -214,9 +214,6 @@
             for entry, work in grant.helpers:
                 table.release(entry, work)
             self._tell(node)
-        else:
-            # Not the end: a stream that stops here was never finished.
-            return
 
     def _tell(self, node: _Node, urgent: bool = False) -> None:
         """Let the other nodes know the work of a node, a little later."""
--- a/papayarelay/tests/test_placing.py
+++ b/papayarelay/tests/test_placing.py
@@ -3,22 +3,11 @@
 import random
 import unittest
 
+from ..bench.fleet import TODAY_TIMING as TIMING
 from ..cost import Cost
 from ..placing import Packed, place
 from ..routing import BackendView, EngineWork
-from ..timing import EngineTiming
-
-TIMING = EngineTiming(
-    kv_tokens=315_000,
-    slots=8,
-    stride=51,
-    step_s=0.00085,
-    sequence_s=0.0000085,
-    context_s=0.00285e-6,
-    read_tokens_per_s=177_000,
-    pair_s=0.184e-9,
-    hop_s=0.00005,
-)
+
 SHORT = Cost(5_000, 1_600, 0.3, 0.25)
 LONG = Cost(154_000, 800, 3.0, 1.0)
 HUGE = Cost(700_000, 800, 3.0, 1.0)
