--- a/papayarelay/nodes/exchange.py
+++ b/papayarelay/nodes/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import random
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -423,10 +424,12 @@
 
     def _link_status(self, link: Link, now_s: float) -> dict[str, Any]:
         outbox = self._spread.outbox(link.name)
+        silent_s = link.silent_s(now_s)
         return {
             "name": link.name,
             "selected": link.name in self._selected,
-            "silent_s": round(link.silent_s(now_s), 3),
+            # JSON has no infinity, the silence of a link before its first dial.
+            "silent_s": round(silent_s, 3) if math.isfinite(silent_s) else None,
             "dials": link.dials,
             "waiting": outbox.waiting if outbox else 0,
         }
--- a/papayarelay/tests/test_exchange.py
+++ b/papayarelay/tests/test_exchange.py
@@ -1,5 +1,6 @@
 """Tests of the exchange between nodes: over sockets, and over a fake network."""
 
+import json
 import math
 import random
 import time
@@ -485,6 +486,25 @@
         self.assertLessEqual(counts["region"], 20 / 3)
 
 
+class StatusTest(unittest.TestCase):
+    """Guards against a status that operators' tools cannot read."""
+
+    def test_link_before_its_first_dial(self):
+        """The silence of such a link is infinite, which JSON does not know.
+
+        Found by CI: a status was malformed, once in two runs beside load.
+        """
+        exchange = make_fake("n0", [0.0])
+        peer = {"name": "n1", "address": "h:1", "data_centre": "dc0", "region": "r0"}
+        exchange.set_peers([peer], 0.0)
+        exchange.maintain(0.0)
+        # The start of a link, as ``Link`` has it.
+        exchange._links["n1"].dialled_s = -math.inf
+        status = exchange.status(0.0)
+        self.assertEqual([link["name"] for link in status["links"]], ["n1"])
+        json.dumps(status, allow_nan=False)
+
+
 class ScheduleTest(unittest.TestCase):
     def check_versions(self):
         for name, (exchange, _, _) in self.network.nodes.items():
