--- a/papayarelay/admission.py
+++ b/papayarelay/admission.py
@@ -23,6 +23,8 @@
 """Requests tried per call; short ones are tried after the others that failed."""
 RATE_WINDOW_S = 10.0
 MIN_BUSY_S = 0.5
+MAX_LINES = 256
+"""Services, by size class, whose rates are kept while nothing waits for them."""
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 60.0
 DECODE_S = 0.02
@@ -182,8 +184,11 @@
         priority = entry.request.kind.priority
         for line in entry.lines:
             counts = self.tokens.setdefault(line, {})
-            left = counts.get(priority, 0) + sign * entry.cost.kv_tokens
-            counts[priority] = left
+            counts[priority] = counts.get(priority, 0) + sign * entry.cost.kv_tokens
+            if not counts[priority]:
+                del counts[priority]
+            if not counts:
+                del self.tokens[line]
 
 
 class AdmissionQueue:
@@ -333,7 +338,13 @@
         return request.served_by, cost.prefill_tokens <= self._short_tokens
 
     def _line(self, key: _LineKey) -> _Line:
-        return self._lines.setdefault(key, _Line())
+        line = self._lines.get(key)
+        if line is None:
+            if len(self._lines) >= MAX_LINES:
+                kept = self._lines.items()
+                self._lines = {name: each for name, each in kept if each.count}
+            line = self._lines[key] = _Line()
+        return line
 
     def _share(self, member: str) -> float:
         return self._shares.get(member, 1.0) or 1e-3
--- a/papayarelay/tests/test_admission.py
+++ b/papayarelay/tests/test_admission.py
@@ -4,8 +4,9 @@
 import itertools
 import unittest
 from collections import Counter
+from dataclasses import replace
 
-from ..admission import AdmissionQueue
+from ..admission import MAX_LINES, AdmissionQueue
 from ..cost import Cost
 from ..errors import OverloadError
 from ..request import Request, RequestKind
@@ -274,6 +275,15 @@
 class MemoryTest(unittest.TestCase):
     """Guards against memory that grows with organisations or with requests served."""
 
+    def test_bounded_with_many_services(self):
+        """Guards against names of services that are kept for ever."""
+        queue = AdmissionQueue()
+        for number in range(5_000):
+            request = offer(queue, replace(make(), service=f"s{number}"))
+            self.assertIs(take(queue, number * 0.01), request)
+        self.assertLessEqual(len(queue._lines), 2 * MAX_LINES)
+        self.assertEqual(queue._members["a"].tokens, {})
+
     def test_bounded_with_many_organisations(self):
         queue = AdmissionQueue({"a": 0.5, "b": 0.5}, capacity=2_000)
         refused = 0
