Give groups without engines of their own a fair part of the others'

Change: while a group has less than 0.8 of a fair part, it gets engines of the groups that have the most; all nodes come to the same division.

--- a/papayarelay/nodes/groups.py
+++ b/papayarelay/nodes/groups.py
@@ -16,6 +16,8 @@
 GROUP_NODES = 24
 # A fleet of up to this many nodes is one group, over all data centres.
 LARGEST_FLEET = 16
+# A group with less than this part of its share of the engines gets others.
+LEAST_PART = 0.8
 
 
 @dataclass(frozen=True)
@@ -52,24 +54,48 @@
 ) -> frozenset[str] | None:
     """Return the engines of a group, given as data centres by id, None for all.
 
-    An engine serves a group of its data centre; where there is none, any group.
+    An engine serves a group of its data centre; where there is none, any group.  A
+    group that would have far less than its part, because a data centre has lost
+    its engines or is evacuated, gets some of those that have the most.
     """
     if len(groups) == 1:
         return None
-    found: set[str] = set()
-    for data_centre in set(engines.values()):
-        ids = [each for each, place in engines.items() if place == data_centre]
+    parts: dict[str, set[str]] = {group.name: set() for group in groups}
+    for data_centre in sorted(set(engines.values())):
+        ids = sorted(each for each, place in engines.items() if place == data_centre)
         names = [g.name for g in groups if g.data_centre == data_centre]
-        homes = assign_homes(ids, names or [g.name for g in groups], 1)
-        found |= {each for each, homed in homes.items() if own.name in homed}
-    return frozenset(found)
+        homes = assign_homes(ids, names or list(parts), 1)
+        for engine_id, homed in homes.items():
+            for name in homed:
+                parts[name].add(engine_id)
+    _level(groups, parts)
+    return frozenset(parts[own.name])
+
+
+def _level(groups: tuple[Group, ...], parts: dict[str, set[str]]) -> None:
+    """Move engines to groups that have less than ``LEAST_PART`` of a fair part."""
+    total = sum(len(part) for part in parts.values())
+    nodes = sum(len(group.nodes) for group in groups)
+    fair = {group.name: total * len(group.nodes) / nodes for group in groups}
+    for poor in sorted(parts):
+        while len(parts[poor]) + 1 <= LEAST_PART * fair[poor]:
+            rich = max(sorted(parts), key=lambda name: len(parts[name]) / fair[name])
+            if len(parts[rich]) - 1 < fair[rich]:
+                break
+            moved = max(parts[rich], key=lambda each: _weight(poor, each))
+            parts[rich].remove(moved)
+            parts[poor].add(moved)
 
 
 def may_use_cold(own: str, nodes: tuple[str, ...], server_id: str, most: int) -> bool:
     """Return whether a node is among the ``most`` that send to a cold server."""
-    ranked = sorted(nodes, key=lambda name: zlib.crc32(f"{server_id}/{name}".encode()))
+    ranked = sorted(nodes, key=lambda name: _weight(server_id, name))
     return own in ranked[:most]
 
 
+def _weight(first: str, second: str) -> int:
+    return zlib.crc32(f"{first}/{second}".encode())
+
+
 def _ranked(names) -> tuple[str, ...]:
     return tuple(sorted(names, key=lambda name: (zlib.crc32(name.encode()), name)))
--- a/papayarelay/tests/test_groups.py
+++ b/papayarelay/tests/test_groups.py
@@ -59,6 +59,29 @@
         parts = [engines_of(group, groups, engines) for group in groups]
         self.assertEqual(sorted(e for part in parts for e in part), sorted(engines))
 
+    def test_data_centre_without_engines(self):
+        """Nodes there would send to all engines, unknown to the other groups."""
+        groups = divide(fleet(81))
+        for left in (0, 5):
+            engines = {f"e{number}": PLACES[number % 2] for number in range(40)}
+            engines |= {f"c{number}": "c" for number in range(left)}
+            parts = [engines_of(group, groups, engines) for group in groups]
+            together = sorted(e for part in parts for e in part)
+            self.assertEqual(together, sorted(engines))
+            fair = len(engines) / len(groups)
+            for part in parts:
+                self.assertGreaterEqual(len(part), 0.7 * fair)
+                self.assertLessEqual(len(part), 1.3 * fair)
+
+    def test_like_data_centres(self):
+        """Engines would be used from afar though each place has its own."""
+        nodes = fleet(81)
+        groups = divide(nodes)
+        engines = {f"e{number}": PLACES[number % 3] for number in range(57)}
+        for group in groups:
+            part = engines_of(group, groups, engines)
+            self.assertEqual({engines[each] for each in part}, {group.data_centre})
+
     def test_cold_engine(self):
         """More nodes would send to a cold engine than it bears."""
         (group,) = divide(fleet(12))
