--- a/papayarelay/callers/record.py
+++ b/papayarelay/callers/record.py
@@ -16,7 +16,7 @@
 
 
 @dataclass
-class Pace:
+class StreamTimes:
     """When the events of a stream came, in seconds."""
 
     first_s: float = 0.0
@@ -30,7 +30,7 @@
     def __init__(self, metrics: Metrics, clock: Callable[[], float]):
         self._metrics = metrics
         self._clock = clock
-        self._paces: dict[str, Pace] = {}
+        self._times: dict[str, StreamTimes] = {}
 
     def admitted(self, request: Request) -> None:
         """Record a request that has passed validation."""
@@ -45,7 +45,7 @@
         member, kind = request.member, request.kind.name
         self._metrics.record_finished(member, kind, Outcome.COMPLETED)
         duration_s = self._clock() - request.received_s
-        pace = self._paces.pop(request.id, Pace())
+        times = self._times.pop(request.id, StreamTimes())
         log(
             Event.REQUEST_FINISHED,
             request=request.id,
@@ -53,9 +53,9 @@
             kind=kind,
             prompt_tokens=request.prompt_tokens,
             duration_s=round(duration_s, 3),
-            first_event_s=round(pace.first_s, 3),
-            longest_pause_s=round(pace.longest_pause_s, 3),
-            events_count=pace.events,
+            first_event_s=round(times.first_s, 3),
+            longest_pause_s=round(times.longest_pause_s, 3),
+            events_count=times.events,
         )
 
     def failed(self, request: Request, error: RelayError) -> None:
@@ -66,35 +66,35 @@
         if isinstance(error, StoreError):
             self._metrics.record_store_error(error.step, error.code)
         self._metrics.record_finished(member, kind, error.outcome, error.code)
-        pace = self._paces.pop(request.id, Pace())
+        times = self._times.pop(request.id, StreamTimes())
         log(
             _failure_event(request, error),
             request=request.id,
             member=member,
             kind=kind,
             duration_s=round(self._clock() - request.received_s, 3),
-            events_count=pace.events,
+            events_count=times.events,
             error=error,
         )
 
     def watch(self, request: Request, chunks: Iterator[Chunk]) -> Iterator[Chunk]:
         """Pass chunks on and record the times of their tokens."""
-        pace = self._paces[request.id] = Pace()
+        times = self._times[request.id] = StreamTimes()
         last_s = request.received_s
         intervals = self._metrics.token_intervals
         for chunk in chunks:
             if chunk.content:
                 now_s = self._clock()
                 pause_s = now_s - last_s
-                if pace.events:
+                if times.events:
                     intervals.record(pause_s)
-                    pace.longest_pause_s = max(pace.longest_pause_s, pause_s)
+                    times.longest_pause_s = max(times.longest_pause_s, pause_s)
                 else:
-                    pace.first_s = pause_s
+                    times.first_s = pause_s
                     self._metrics.record_first_token(
                         request.kind.name, request.prompt_tokens, pause_s
                     )
-                pace.events += 1
+                times.events += 1
                 last_s = now_s
             yield chunk
 
