--- a/papayarelay/tests/soak/world.py
+++ b/papayarelay/tests/soak/world.py
@@ -164,7 +164,7 @@
         for number in range(nodes):
             node = NodeProcess(
                 f"n{number}",
-                f"127.0.{1 + self.seed % 200}.{number + 1}",
+                f"127.{10 + os.getpid() % 240}.{1 + self.seed % 200}.{number + 1}",
                 DATA_CENTRES[number % 2],
                 Proxy(self.store.address),
                 self.directory / f"n{number}.log",
--- a/papayarelay/tests/test_platform.py
+++ b/papayarelay/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import os
 import random
 import signal
 import subprocess
@@ -28,6 +29,8 @@
 
 LIMIT_S = 5.0
 DATA_CENTRES = ("a", "b")
+# Ports are given, so runs at the same time need addresses of their own.
+PROCESS_IP = f"127.9.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
 
 
 def load_settings(text: str = SETTINGS):
@@ -125,7 +128,7 @@
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         path = Path(directory.name, "node.toml")
-        path.write_text(SETTINGS.replace("127.0.0.1", "127.0.9.9"))
+        path.write_text(SETTINGS.replace("127.0.0.1", PROCESS_IP))
         self.process = subprocess.Popen(
             [sys.executable, "-m", "papayarelay.platform", "--settings", str(path)],
             stdout=subprocess.PIPE,
@@ -144,7 +147,7 @@
 
     def test_metrics(self):
         """An engineer would see no figures, or figures that are none."""
-        with urllib.request.urlopen("http://127.0.9.9:9464/metrics") as answer:
+        with urllib.request.urlopen(f"http://{PROCESS_IP}:9464/metrics") as answer:
             text = answer.read().decode()
         self.assertIn("papayarelay_store_calls_total", text)
         self.assertIn("papayarelay_event_loop_stall_seconds", text)
