--- a/papayarelay/tests/soak/world.py
+++ b/papayarelay/tests/soak/world.py
@@ -50,6 +50,12 @@
 """
 
 
+def _own_network() -> str:
+    """Return the first three bytes of addresses that no other process uses."""
+    second, third = divmod(os.getpid() % (240 * 240), 240)
+    return f"127.{10 + second}.{1 + third}"
+
+
 @dataclass
 class Version:
     """A configuration and when the store had accepted it."""
@@ -164,7 +170,7 @@
         for number in range(nodes):
             node = NodeProcess(
                 f"n{number}",
-                f"127.{10 + os.getpid() % 240}.{1 + self.seed % 200}.{number + 1}",
+                f"{_own_network()}.{number + 1}",
                 DATA_CENTRES[number % 2],
                 Proxy(self.store.address),
                 self.directory / f"n{number}.log",
