Share the start and end of background tasks

Change: BackgroundTask holds start and close; Metrics.observe_node and process.create_server stand once; a line of the queue has named fields.

--- a/papayarelay/admission.py
+++ b/papayarelay/admission.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from .cost import Cost
 from .errors import OverloadError
@@ -38,7 +39,9 @@
 
 # The servers that requests wait for, and whether only short ones count: these
 # pass the longer ones.
-_LineKey = tuple[str, bool]
+class _LineKey(NamedTuple):
+    served_by: str
+    short: bool
 
 
 class _Line:
@@ -244,7 +247,7 @@
             member.tokens_before(line)
             for member in self._members.values()
             for line in member.tokens
-            if not line[1]
+            if not line.short
         )
 
     def set_shares(
@@ -335,7 +338,7 @@
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
     def _line_of(self, request: Request, cost: Cost) -> _LineKey:
-        return request.served_by, cost.prefill_tokens <= self._short_tokens
+        return _LineKey(request.served_by, cost.prefill_tokens <= self._short_tokens)
 
     def _line(self, key: _LineKey) -> _Line:
         line = self._lines.get(key)
@@ -373,7 +376,8 @@
             now_s + self._longest_wait_s(request),
         )
         step_s = max(0.0, latest_start_s - now_s) / (2 * (priority - TOP_LEVEL))
-        served_by, short = self._line_of(request, cost)
+        line = self._line_of(request, cost)
+        whole = line._replace(short=False)
         entry = _Entry(
             rank=request.deadline_s,
             order=next(self._order),
@@ -382,8 +386,8 @@
             latest_start_s=latest_start_s,
             step_s=step_s,
             level=priority,
-            short=short,
-            lines=((served_by, False), (served_by, True))[: 1 + short],
+            short=line.short,
+            lines=(whole, line) if line.short else (whole,),
         )
         member.count_tokens(entry, 1)
         for line in entry.lines:
--- a/papayarelay/backends/monitor.py
+++ b/papayarelay/backends/monitor.py
@@ -7,14 +7,14 @@
 
 import gevent
 
-from ..guard import run_step
+from ..guard import BackgroundTask, run_step
 from .stream import EngineStream
 
 # A deadline is exceeded by at most this much.
 CHECK_INTERVAL_S = 0.1
 
 
-class StreamMonitor:
+class StreamMonitor(BackgroundTask):
     """Checks all streams of a node from one task.
 
     A timer for each read would cost as much as the read itself.
@@ -23,16 +23,6 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic):
         self._clock = clock
         self._streams: set[EngineStream] = set()
-        self._task: gevent.Greenlet | None = None
-
-    def start(self) -> None:
-        """Begin to check the streams."""
-        self._task = gevent.spawn(self._run)
-
-    def close(self) -> None:
-        """Stop checking."""
-        if self._task is not None:
-            self._task.kill()
 
     def add(self, stream: EngineStream) -> None:
         """Check a stream from now on."""
--- a/papayarelay/bench/fleet_experiments.py
+++ b/papayarelay/bench/fleet_experiments.py
@@ -11,7 +11,7 @@
 import math
 import sys
 from collections.abc import Callable, Sequence
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 
 from ..placing import Packed
@@ -71,14 +71,7 @@
         (length_s, tuple(load * factor for factor in factors))
         for length_s, factors in fleet.phases
     )
-    return Fleet(
-        fleet.nodes,
-        fleet.engines,
-        fleet.timing,
-        fleet.kinds,
-        phases,
-        fleet.event_tokens,
-    )
+    return replace(fleet, phases=phases)
 
 
 def _first_s(outcomes: Sequence[Outcome], kind: str, quantile: float) -> float:
--- a/papayarelay/config_feed.py
+++ b/papayarelay/config_feed.py
@@ -10,13 +10,13 @@
 from .config import Config, parse_sections
 from .errors import RelayError
 from .events import Event
-from .guard import run_step
+from .guard import BackgroundTask, run_step
 from .logs import log
 from .store.client import TableClient
 from .store.sections import VERSION_KEY, read_sections
 
 
-class ConfigFeed:
+class ConfigFeed(BackgroundTask):
     """Follows the configuration in the table service and from other nodes.
 
     ``apply`` is called with each newer configuration, and ``publish`` with its
@@ -41,16 +41,6 @@
         self._publish = publish
         self._interval_s = interval_s
         self._rng = rng
-        self._task: gevent.Greenlet | None = None
-
-    def start(self) -> None:
-        """Begin to poll the version in the table service."""
-        self._task = gevent.spawn(self._run)
-
-    def close(self) -> None:
-        """End the polling task."""
-        if self._task is not None:
-            self._task.kill()
 
     def poll(self) -> bool:
         """Read a newer version from the table service; return whether it answered."""
--- a/papayarelay/guard.py
+++ b/papayarelay/guard.py
@@ -1,13 +1,33 @@
-"""Keeps periodic tasks running when one of their steps fails."""
+"""Tasks in the background, and steps of theirs that may fail."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+import gevent
+
 from .events import Event
 from .logs import log
 
 
+class BackgroundTask:
+    """A part whose work is one task, ``_run``, from ``start`` to ``close``."""
+
+    _task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin."""
+        self._task = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.kill()
+
+    def _run(self) -> None:
+        raise NotImplementedError
+
+
 def run_step(step: Callable, *arguments: object) -> None:
     """Run one step of a periodic task; an unexpected error is logged.
 
--- a/papayarelay/housekeeping.py
+++ b/papayarelay/housekeeping.py
@@ -14,7 +14,7 @@
 from .drain import Drains
 from .errors import StoreError
 from .events import Event
-from .guard import run_step
+from .guard import BackgroundTask, run_step
 from .logs import log
 from .nodes.peering import Peering
 from .scheduler import Scheduler
@@ -30,7 +30,7 @@
 COLD_RENEWAL_S = 600.0
 
 
-class Housekeeping:
+class Housekeeping(BackgroundTask):
     """One task that checks the parts of a node every second."""
 
     def __init__(
@@ -52,7 +52,6 @@
         self._claims = claims
         self._drains = drains
         self._clock = clock
-        self._task: gevent.Greenlet | None = None
         self._circuits: dict[str, CircuitState] = {}
         self._cold: dict[str, float] = {}
         self._unknown: set[str] = set()
@@ -67,12 +66,7 @@
     def start(self) -> None:
         """Begin to check."""
         self._drains_loaded = self._drains.load()
-        self._task = gevent.spawn(self._run)
-
-    def close(self) -> None:
-        """Stop checking."""
-        if self._task is not None:
-            self._task.kill()
+        super().start()
 
     def check(self, now_s: float) -> None:
         """Do what is due at a time."""
--- a/papayarelay/metrics.py
+++ b/papayarelay/metrics.py
@@ -171,6 +171,22 @@
 
         self._meter.create_observable_counter(name, [observe], description=description)
 
+    def observe_node(
+        self,
+        in_flight: Callable[[], int],
+        config_version: Callable[[], int],
+        longest_stall_s: Callable[[], float],
+    ) -> None:
+        """Publish what every node has, whatever it speaks."""
+        observe = self.observe_gauge
+        observe("requests_in_flight", "Requests in flight", in_flight)
+        observe("config_version", "Configuration version in force", config_version)
+        observe(
+            "event_loop_stall_seconds",
+            "Longest time without a poll for events since the last scrape",
+            longest_stall_s,
+        )
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format.
 
--- a/papayarelay/node.py
+++ b/papayarelay/node.py
@@ -32,7 +32,7 @@
 from .metrics import Metrics
 from .nodes.peering import Peering
 from .operators.api import OperatorApi
-from .process import log_task_failure, tune_collector
+from .process import create_server, log_task_failure, tune_collector
 from .retry import RetryBudget
 from .routing import POLICIES
 from .serving import Serving
@@ -41,8 +41,6 @@
 from .store.client import TableClient
 
 START_RETRY_S = 0.5
-
-
 # The other nodes have heard after this time that this one leaves.
 LEAVE_S = 0.2
 
@@ -268,23 +266,13 @@
 
     def _create_operator_server(self, token: str) -> pywsgi.WSGIServer:
         api = OperatorApi(self, token, self.metrics.render)
-        host, _, port = self.settings.operator_address.rpartition(":")
-        return pywsgi.WSGIServer(
-            (host, int(port)), api.create_app(), log=None, error_log=None
-        )
+        return create_server(self.settings.operator_address, api.create_app())
 
     def _observe(self) -> None:
         """Publish the plain counters of the parts."""
-        observe = self.metrics.observe_gauge
-        observe("requests_in_flight", "Requests in flight", lambda: self.gate.inflight)
-        observe(
-            "config_version",
-            "Configuration version in force",
+        self.metrics.observe_node(
+            lambda: self.gate.inflight,
             lambda: self.feed.config.version,
-        )
-        observe(
-            "event_loop_stall_seconds",
-            "Longest time without a poll for events since the last scrape",
             self._stalls.take_longest_s,
         )
         self._serving.observe(self.metrics)
--- a/papayarelay/pace.py
+++ b/papayarelay/pace.py
@@ -28,15 +28,20 @@
         self._ratios: deque[float] = deque(maxlen=PASSES)
         self._noted_s = -math.inf
 
-    def note(self, pass_s: float, timing: EngineTiming, now_s: float) -> None:
-        """Note the time between two events of a stream, one pass of the engine."""
+    def note(self, pass_s: float, timing: EngineTiming, now_s: float) -> bool:
+        """Note the time between two events of a stream, one pass of the engine.
+
+        Returns whether that has made the engine count as slow.
+        """
         full_s = full_pass_s(timing)
         if now_s - self._noted_s < SAME_PASS_PART * full_s:
-            return
+            return False
+        before = self.is_slow(now_s)
         if now_s - self._noted_s > FORGET_S:
             self._ratios.clear()
         self._ratios.append(pass_s / full_s)
         self._noted_s = now_s
+        return self.is_slow(now_s) and not before
 
     def ratio(self, now_s: float) -> float:
         """Return how many times as long as it should the engine takes, or 1."""
--- a/papayarelay/platform/feed.py
+++ b/papayarelay/platform/feed.py
@@ -260,8 +260,10 @@
         if table == CONFIG_TABLE:
             version = self._document.version if self._document else None
             return digest_of((version, sorted(self._evacuated)))
-        listed = {k: e for k, e in self._entries.items() if k not in self._lapsed}
-        return digest_of(sorted(_material(listed).items()))
+        listed = self._entries.items()
+        return digest_of(
+            sorted((k, _figures(e)) for k, e in listed if k not in self._lapsed)
+        )
 
     def _read_table(self, table: str, wait_s: float) -> tuple[Rows | None, bool]:
         """Return new rows of a table and whether these are all rows.
@@ -320,13 +322,11 @@
     def _take_servers(self, rows: Rows, whole: bool) -> list[Row]:
         """Take rows of servers; return those that changed anything."""
         now_s = self._clock()
-        before = _material(self._entries)
         changed = [row for row in rows.rows if self._take_server(row, now_s)]
         if whole:
             for server_id in set(self._entries) - {row.key for row in rows.rows}:
                 self._lose_server(server_id, now_s)
-        self._drop_lapsed(now_s)
-        if _material(self._entries) != before:
+        if self._drop_lapsed(now_s) or changed:
             self._publish()
         for row in rows.rows:
             entry = self._entries.get(row.key)
@@ -370,18 +370,18 @@
             gone_s = max(now_s, returned_s + RETURN_S)
         self._lapsed[server_id] = gone_s
 
-    def _drop_lapsed(self, now_s: float) -> None:
-        for server_id, gone_s in list(self._lapsed.items()):
-            if now_s >= gone_s:
-                del self._lapsed[server_id]
-                self._entries.pop(server_id, None)
-                log(Event.BACKEND_REMOVED, backend=server_id)
+    def _drop_lapsed(self, now_s: float) -> bool:
+        """Drop the entries whose time has passed; return whether there were any."""
+        due = [name for name, gone_s in self._lapsed.items() if now_s >= gone_s]
+        for server_id in due:
+            del self._lapsed[server_id]
+            self._entries.pop(server_id, None)
+            log(Event.BACKEND_REMOVED, backend=server_id)
+        return bool(due)
 
     def _check_lapsed(self) -> None:
         """Drop the entries whose time to come back has passed."""
-        before = _material(self._entries)
-        self._drop_lapsed(self._clock())
-        if _material(self._entries) != before:
+        if self._drop_lapsed(self._clock()):
             self._publish()
 
     def _publish(self) -> None:
@@ -421,7 +421,3 @@
         entry.born,
         entry.cold_remaining_ms > 0,
     )
-
-
-def _material(entries: dict[str, ServerEntry]) -> dict[str, tuple]:
-    return {server_id: _figures(entry) for server_id, entry in entries.items()}
--- a/papayarelay/platform/reload.py
+++ b/papayarelay/platform/reload.py
@@ -10,7 +10,7 @@
 import gevent.event
 
 from ..events import Event
-from ..guard import run_step
+from ..guard import BackgroundTask, run_step
 from ..logs import log
 from .settings import PlatformSettings, PlatformSettingsError, load
 
@@ -20,7 +20,7 @@
 TAKEN = frozenset({"bounds", "store_address"})
 
 
-class SettingsWatch:
+class SettingsWatch(BackgroundTask):
     """Reads the settings file again when it changes or ``wake`` is called.
 
     ``take`` is called with settings that differ from the last ones.  A file that
@@ -39,16 +39,6 @@
         # The file may have changed since it was read, so the first look reads it.
         self._stamp: tuple[int, ...] | None = None
         self._asked = gevent.event.Event()
-        self._task: gevent.Greenlet | None = None
-
-    def start(self) -> None:
-        """Begin to look at the file."""
-        self._task = gevent.spawn(self._run)
-
-    def close(self) -> None:
-        """Stop."""
-        if self._task is not None:
-            self._task.kill()
 
     def wake(self) -> None:
         """Read the file now, changed or not."""
--- a/papayarelay/platform/roster.py
+++ b/papayarelay/platform/roster.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..errors import StoreError
-from ..guard import run_step
+from ..guard import BackgroundTask, run_step
 from .store import StoreClient
 
 TABLE = "nodes"
@@ -24,7 +24,7 @@
     data_centre: str = ""
 
 
-class Roster:
+class Roster(BackgroundTask):
     """Enters this node in the list and calls ``found`` with each other one."""
 
     def __init__(
@@ -43,16 +43,6 @@
         self._found = found
         self._rng = rng
         self._entered = False
-        self._task: gevent.Greenlet | None = None
-
-    def start(self) -> None:
-        """Begin to write and read."""
-        self._task = gevent.spawn(self._run)
-
-    def close(self) -> None:
-        """Stop."""
-        if self._task is not None:
-            self._task.kill()
 
     def leave(self) -> None:
         """Remove the row of this node; a row that stays does no harm."""
--- a/papayarelay/process.py
+++ b/papayarelay/process.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import gc
+from collections.abc import Callable
+
+from gevent import pywsgi
 
 from .events import Event
 from .logs import log
@@ -20,6 +23,12 @@
     gc.set_threshold(GC_ALLOCATIONS, 20, 100)
 
 
+def create_server(address: str, app: Callable) -> pywsgi.WSGIServer:
+    """Return a server of a WSGI application at ``host:port``, without own logs."""
+    host, _, port = address.rpartition(":")
+    return pywsgi.WSGIServer((host, int(port)), app, log=None, error_log=None)
+
+
 def log_task_failure(context, kind, error, traceback) -> None:
     """Log an error that ended a task; replaces gevent's traceback."""
     frame = traceback
--- a/papayarelay/tests/platform_documents.py
+++ b/papayarelay/tests/platform_documents.py
@@ -93,20 +93,27 @@
     }
 
 
-SETTINGS = """
-node_name = "edge-a-1"
+def make_settings(
+    name: str = "edge-a-1",
+    ip: str = "127.0.0.1",
+    zone: str = "a",
+    store: str = "127.0.0.1:8223",
+) -> str:
+    """Return the settings file that the platform gives to a node."""
+    return f"""
+node_name = "{name}"
 role = "relay"
-ip = "127.0.0.1"
-zone = "a"
+ip = "{ip}"
+zone = "{zone}"
 region = "r"
 internal_ports = [7340, 7355]
 seeds = []
 heartbeat_ms = 1200
-a_new_field = { x = 1 }
+a_new_field = {{ x = 1 }}
 
 [listen]
-front = "127.0.0.1:8227"
-readiness = "127.0.0.1:8220"
+front = "{ip}:8227"
+readiness = "{ip}:8220"
 
 [bounds]
 drain_ms = 2000
@@ -120,5 +127,8 @@
 hold_max_ms = 20000
 
 [platform]
-address = "127.0.0.1:8223"
+address = "{store}"
 """
+
+
+SETTINGS = make_settings()
--- a/papayarelay/tests/soak/backend.py
+++ b/papayarelay/tests/soak/backend.py
@@ -17,8 +17,6 @@
 
 EVENT_INTERVAL_S = 0.02
 BEAT_S = 0.4
-# A server that leaves goes on for this long after it has said so.
-LINGER_S = 2.5
 
 
 @dataclass
@@ -26,10 +24,7 @@
     """What all backend servers have run, for the checks of the soak."""
 
     runs: Counter = field(default_factory=Counter)
-    where: dict[str, str] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
-    active: Counter = field(default_factory=Counter)
-    left_s: dict[str, float] = field(default_factory=dict)
 
     def note(self, text: str) -> None:
         """Record a broken promise."""
@@ -147,7 +142,6 @@
         ledger = world.ledger
         world.check_arrival(self, attempt, request, now_s)
         ledger.runs[attempt] += 1
-        ledger.where[attempt] = self.service
         if ledger.runs[attempt] > 1 and attempt in world.once:
             ledger.note(f"TWICE {attempt} ran {ledger.runs[attempt]} times")
         if attempt in world.refused:
@@ -259,7 +253,7 @@
 
 
 class Proxy:
-    """A loopback link that can be delayed, cut one way, silenced or reset.
+    """A loopback link that can be cut one way, silenced or reset.
 
     ``mode`` is ``""``, ``silent`` (nothing passes, connections stay open),
     ``one_way`` (answers do not pass) or ``refuse``.
@@ -267,7 +261,6 @@
 
     def __init__(self, target: str):
         self.mode = ""
-        self.delay_s = 0.0
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._pairs: set = set()
@@ -313,8 +306,6 @@
     def _pump(self, source, target, back: bool) -> None:
         try:
             while data := source.recv(65536):
-                if self.delay_s:
-                    gevent.sleep(self.delay_s)
                 while self.mode == "silent" or (self.mode == "one_way" and back):
                     gevent.sleep(0.05)
                 target.sendall(data)
--- a/papayarelay/tests/soak/client.py
+++ b/papayarelay/tests/soak/client.py
@@ -8,6 +8,7 @@
 
 import gevent
 
+from ...guard import BackgroundTask
 from ..gateway_system import event
 from ..platform_documents import HOST
 from .world import CONTACT_S, KEYS, STOP_S, NodeProcess, World
@@ -19,7 +20,7 @@
 LONG_PROMPT_TOKENS = 400_000
 
 
-class Client:
+class Client(BackgroundTask):
     """Sends requests of all kinds, one after the other, until it is stopped."""
 
     def __init__(self, world: World, number: int):
@@ -27,16 +28,6 @@
         self._world = world
         self._number = number
         self._count = 0
-        self._task: gevent.Greenlet | None = None
-
-    def start(self) -> None:
-        """Begin to send."""
-        self._task = gevent.spawn(self._run)
-
-    def close(self) -> None:
-        """Stop."""
-        if self._task is not None:
-            self._task.kill()
 
     def _run(self) -> None:
         rng = self._world.rng
--- a/papayarelay/tests/soak/world.py
+++ b/papayarelay/tests/soak/world.py
@@ -15,7 +15,7 @@
 
 import gevent
 
-from ..platform_documents import make_document
+from ..platform_documents import make_document, make_settings
 from ..raw_server import Received
 from ..store_standin import StoreStandIn
 from .backend import BackendStandIn, Ledger, Proxy
@@ -25,29 +25,7 @@
 CONTACT_S = 3.0
 # Time limits of the settings below, with the time that a loaded machine takes.
 DRAIN_S, REVOKE_S, EVACUATE_S, CONFIG_S, STOP_S = 2.0, 5.0, 5.0, 2.0, 8.0
-FREE_S = 4.0
 SLACK_S = 0.6
-SETTINGS = """
-node_name = "{name}"
-ip = "{ip}"
-zone = "{zone}"
-region = "r"
-internal_ports = [7340, 7355]
-[listen]
-front = "{ip}:8227"
-readiness = "{ip}:8220"
-[bounds]
-drain_ms = 2000
-grace_s = 8
-config_ms = 2000
-revoke_ms = 5000
-revoke_when_partitioned = true
-budget_ratio = 0.2
-budget_window_s = 10
-budget_slack = 100
-[platform]
-address = "{store}"
-"""
 
 
 def _own_network() -> str:
@@ -84,9 +62,7 @@
 
     def start(self) -> None:
         """Start the process."""
-        text = SETTINGS.format(
-            name=self.name, ip=self.ip, zone=self.zone, store=self.store.address
-        )
+        text = make_settings(self.name, self.ip, self.zone, self.store.address)
         self.settings_path.write_text(text)
         self._log = self.log_path.open("ab")
         self.popen = subprocess.Popen(
@@ -143,7 +119,6 @@
     directory: Path
     nodes: list[NodeProcess] = field(default_factory=list)
     backends: list[BackendStandIn] = field(default_factory=list)
-    proxies: dict[str, Proxy] = field(default_factory=dict)
     once: set[str] = field(default_factory=set)
     refused: set[str] = field(default_factory=set)
     sent_s: dict[str, float] = field(default_factory=dict)
@@ -186,8 +161,6 @@
             node.store.close()
         for backend in self.backends:
             backend.close()
-        for proxy in self.proxies.values():
-            proxy.close()
         self.store.close()
 
     def add_backend(self, name: str, service: str, kind: str) -> None:
--- a/papayarelay/tests/test_gateway.py
+++ b/papayarelay/tests/test_gateway.py
@@ -68,6 +68,13 @@
     return b"".join(event(number) for number in range(first, last + 1))
 
 
+def refuse_for_other(request):
+    """Refuse a request and name another engine as the cause."""
+    extra = b"At-Server: model-1\r\nX-Not-Executed: 1\r\n"
+    status = b"503 Service Unavailable"
+    request.sock.sendall(sealed(request, b"", status, extra))
+
+
 class GatewayTestCase(unittest.TestCase):
     """Base of the tests with a gateway before two servers of each service."""
 
@@ -318,13 +325,7 @@
 
     def test_culprit(self):
         """An engine would be left out for what another one does not do."""
-
-        def script(request):
-            extra = b"At-Server: model-1\r\nX-Not-Executed: 1\r\n"
-            status = b"503 Service Unavailable"
-            request.sock.sendall(sealed(request, b"", status, extra))
-
-        self.system.engines[0].script = script
+        self.system.engines[0].script = refuse_for_other
         backends = self.system.serving.backends
         backends.get("model-1").absence.note_full(time.monotonic() + 0.05)
         self.send("/stream/", "POST", b"x", X_Token_Counts="10,1")
@@ -333,13 +334,7 @@
 
     def test_helper_that_is_gone(self):
         """Each long prompt would be split again over a helper that is gone."""
-
-        def script(request):
-            extra = b"At-Server: model-1\r\nX-Not-Executed: 1\r\n"
-            status = b"503 Service Unavailable"
-            request.sock.sendall(sealed(request, b"", status, extra))
-
-        self.system.engines[0].script = script
+        self.system.engines[0].script = refuse_for_other
         self.system.engines[1].script = refuse
         headers = {"X_Token_Counts": "10,1", "X_Deadline_Ms": "100"}
         self.send("/stream/", "POST", b"x", **headers)
