Follow what backend servers say in the heads of their answers

Cause: Server-Leaving and Retry-After were read nowhere. A server that leaves got new requests, parts of prompts and orders until the list said so; one that turns away got the next request after 0.15 s.

Change: every head that arrives (also of answers to other requests, refusals and orders) is read once, in the pool of its server. A lifetime of a server keeps what it has asked for while the list changes; the group hears of leaving servers with the next datagram. Nothing new is sent to a server that leaves, or before the end of a pause, whichever task asks. A service that turns away as a whole is refused at once with the time to come back, also for requests that wait already.

--- a/papayarelay/backends/connection.py
+++ b/papayarelay/backends/connection.py
@@ -8,7 +8,7 @@
 
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import gevent.select
@@ -119,12 +119,18 @@
         self._sock.close()
 
     def exchange(
-        self, head: RequestHead, body: bytes, limit_s: float, answers: bytes = b""
+        self,
+        head: RequestHead,
+        body: bytes,
+        limit_s: float,
+        answers: bytes = b"",
+        heard: Callable[[AnswerHead], None] = lambda answer: None,
     ) -> AnswerHead:
         """Send a request and return the head of its answer.
 
         ``answers`` is the header, in lower case, in which an answer names the
-        request that it belongs to; answers to others are skipped.
+        request that it belongs to; answers to others are skipped.  ``heard`` is
+        called with the head of each answer that arrives.
         """
         self.set_limit(limit_s)
         if self.used:
@@ -138,6 +144,7 @@
             wanted = next((v for k, v in head.headers if k.lower() == answers), None)
         for _ in range(STRAY_LIMIT):
             answer = self._read_head()
+            heard(answer)
             found = answer.get(answers) if wanted is not None else None
             if found is None or found == wanted:
                 return answer
--- a/papayarelay/backends/pool.py
+++ b/papayarelay/backends/pool.py
@@ -11,7 +11,8 @@
 from ..errors import BackendError, Fault, Outcome
 from ..request import Headers
 from .connection import AnswerHead, Connection, RequestHead, connect
-from .protocol import CHAT, Protocol
+from .protocol import CHAT, Protocol, Signals, read_signals
+from .restriction import Restriction
 
 CONNECT_TIMEOUT_S = 1.0
 # An engine sends a keep-alive comment every second, so three missed ones mean
@@ -86,7 +87,9 @@
         self.protocol = protocol
         self.idle_limit = IDLE_CONNECTIONS
         self.connect_timeout_s = CONNECT_TIMEOUT_S
-        self.opened = 0
+        self.restriction = Restriction()
+        # Called with what the answers of the server say of it.
+        self.on_signals: Callable[[Signals], None] = lambda signals: None
         # Cancels on their way to the server, by request id.
         self.cancels: dict[str, gevent.Greenlet] = {}
         self._clock = clock
@@ -122,16 +125,20 @@
         *,
         fresh: bool = False,
         answers: bytes = b"",
+        control: bool = False,
     ) -> Answer:
         """Send a request and return its answer once the head has arrived.
 
         ``fresh`` asks for a new connection: a kept one may be closed just as a
-        request is sent, and then nobody knows whether it ran.  Raises
-        ``BackendError``.
+        request is sent, and then nobody knows whether it ran.  ``control`` marks
+        what belongs to work that the server has already, and which it gets also
+        after it has asked for no requests.  Raises ``BackendError``.
         """
+        if not control and self.restriction.bars(self._clock()):
+            raise self.barred()
         connection = self._open(limit_s) if fresh else self._take(limit_s)
         try:
-            answer = connection.exchange(head, body, limit_s, answers)
+            answer = connection.exchange(head, body, limit_s, answers, self._hear)
         except BaseException:
             connection.close()
             raise
@@ -153,7 +160,7 @@
         if body or method == "POST":
             fields += ((b"Content-Length", b"%d" % len(body)),)
         head = RequestHead(method.encode(), path.encode(), fields)
-        return self.send(head, body, read_timeout_s, fresh=fresh)
+        return self.send(head, body, read_timeout_s, fresh=fresh, control=True)
 
     def put_back(self, connection: Connection, head: AnswerHead) -> None:
         """Keep a connection for another request, or close it."""
@@ -164,6 +171,23 @@
         connection.idle_until_s = self._clock() + _idle_s(head)
         self._idle.append(connection)
 
+    def barred(self) -> BackendError:
+        """Return the error of a request that the server does not want."""
+        error = BackendError(
+            "the server has asked for no requests",
+            step="connect",
+            peer=self.backend_id,
+            outcome=Outcome.NOT_RUN,
+        )
+        error.fault = Fault.BARRED
+        return error
+
+    def _hear(self, head: AnswerHead) -> None:
+        """Note what the head of an answer says of the server."""
+        signals = read_signals(self.protocol, head)
+        if signals.leaving or signals.pause_s:
+            self.on_signals(signals)
+
     def _take(self, limit_s: float) -> Connection:
         now_s = self._clock()
         while self._idle:
@@ -186,7 +210,6 @@
             )
             failure.fault = Fault.UNREACHABLE
             raise failure from error
-        self.opened += 1
         return Connection(sock, self.backend_id)
 
 
--- a/papayarelay/backends/protocol.py
+++ b/papayarelay/backends/protocol.py
@@ -75,6 +75,21 @@
 KEEP_ALIVE = Chunk(b"")
 
 
+@dataclass(frozen=True, slots=True)
+class Signals:
+    """What the head of any answer says of the server that gave it.
+
+    A server that is ``leaving`` takes no new work; for ``pause_s`` it wants no
+    requests from this node.
+    """
+
+    leaving: bool = False
+    pause_s: float = 0.0
+
+
+NO_SIGNALS = Signals()
+
+
 @dataclass
 class StreamCounters:
     """Counts chunks that were dropped instead of being passed on."""
@@ -119,6 +134,12 @@
     raise TypeError(f"no protocol {type(protocol).__name__}")
 
 
+@singledispatch
+def read_signals(protocol: Protocol, head: AnswerHead) -> Signals:
+    """Return what an answer says of its server; most protocols say nothing."""
+    return NO_SIGNALS
+
+
 @singledispatch
 def event_reader(
     protocol: Protocol,
--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import random
-from collections.abc import Collection, Iterable, Iterator, Mapping
+import time
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -14,13 +16,16 @@
 from ..circuit import Circuit
 from ..config import Backend, Config, Service
 from ..cost import Cost
+from ..events import Event
+from ..logs import log
 from ..nodes.groups import Group, engines_of, may_use_cold
 from ..pace import Pace
 from ..routing import BackendView, EngineWork, assign_homes, size_class
 from ..warmup import WarmUp
 from .load import LoadReport
 from .pool import IDLE_CONNECTIONS, BackendPool
-from .protocol import CHAT, Protocol
+from .protocol import CHAT, Protocol, Signals
+from .restriction import Lifetime, Restrictions
 
 # An engine counts as warm once it has answered this many times its cold bound.
 FULL_COLD_BOUNDS = 16
@@ -146,11 +151,22 @@
 class BackendTable:
     """The backend servers of the configuration in force.
 
-    ``protocol`` is the one that all of them speak.
+    ``protocol`` is the one that all of them speak.  ``on_leaving`` is called when
+    an answer says that its server leaves.
     """
 
-    def __init__(self, rng: random.Random, protocol: Protocol = CHAT):
+    def __init__(
+        self,
+        rng: random.Random,
+        protocol: Protocol = CHAT,
+        on_leaving: Callable[[], None] = lambda: None,
+        clock: Callable[[], float] = time.monotonic,
+    ):
         self._rng = rng
+        self._on_leaving = on_leaving
+        self._clock = clock
+        self._restrictions = Restrictions()
+        self._paused_until_s = 0.0
         self._protocol = protocol
         self._own = ""
         self._group = Group("all", "", ("",))
@@ -234,6 +250,29 @@
             if entry.work
         }
 
+    def own_leaving(self, now_s: float) -> tuple[Lifetime, ...]:
+        """Return the servers that have lately told this node that they leave."""
+        return self._restrictions.news(now_s)
+
+    def take_leaving(self, lifetimes: Iterable[Lifetime]) -> None:
+        """Take the word of another node that servers leave."""
+        for lifetime in lifetimes:
+            self._restrictions.of(lifetime).note_told_leaving()
+
+    def any_paused(self, now_s: float) -> bool:
+        """Return whether some server wants no requests now."""
+        return now_s < self._paused_until_s
+
+    def turned_away_s(self, target: str, name: str, now_s: float) -> float:
+        """Return when the first server wants requests again, 0 where one does now."""
+        first_s = 0.0
+        for entry in self._in_service(target, name, now_s):
+            left_s = entry.pool.restriction.pause_left_s(now_s)
+            if not left_s:
+                return 0.0
+            first_s = min(first_s or left_s, left_s)
+        return first_s
+
     def work_on(self, backend_id: str, now_s: float) -> tuple[EngineWork, float]:
         """Return the work of all nodes on a server, and the age of the oldest word.
 
@@ -428,17 +467,33 @@
     def _create(self, backend_id: str, backend: Backend) -> BackendEntry:
         pool = BackendPool(backend_id, backend.url, self._protocol)
         pool.start()
+        lifetime = Lifetime(backend_id, backend.started)
+        pool.restriction = self._restrictions.of(lifetime)
+        pool.on_signals = functools.partial(self._take_signals, pool)
         warm_up = WarmUp(
             backend.cold_bound_tokens, backend.cold_bound_tokens * FULL_COLD_BOUNDS
         )
         circuit = Circuit(random.Random(self._rng.random()))
         return BackendEntry(backend_id, backend, pool, warm_up, circuit)
 
+    def _take_signals(self, pool: BackendPool, signals: Signals) -> None:
+        """Note what an answer of a server asks for."""
+        now_s = self._clock()
+        if signals.pause_s:
+            pool.restriction.note_pause(signals.pause_s, now_s)
+            self._paused_until_s = max(self._paused_until_s, now_s + signals.pause_s)
+            log(Event.BACKEND_PAUSED, backend=pool.backend_id, pause_s=signals.pause_s)
+        if signals.leaving and pool.restriction.note_leaving(now_s):
+            log(Event.BACKEND_LEAVING, backend=pool.backend_id)
+            self._on_leaving()
+
     def _available(self, target: str, name: str, now_s: float) -> list[BackendEntry]:
         found = [
             entry
             for entry in self._in_service(target, name, now_s)
-            if not entry.absence.is_out(now_s) and self._has_cold_room(entry, now_s)
+            if not entry.absence.is_out(now_s)
+            and not entry.pool.restriction.bars(now_s)
+            and self._has_cold_room(entry, now_s)
         ]
         if self._scope is None:
             return found
@@ -458,6 +513,7 @@
             entry
             for entry in self._entries.values()
             if self._serves(entry.config, target, name)
+            and not entry.pool.restriction.leaving
             and entry.circuit.is_ready(now_s)
         )
 
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -227,9 +227,7 @@
         now_s = self._clock()
         if last_s is None or entry.service is None or entry.service.timing is None:
             return now_s
-        before = entry.pace.is_slow(now_s)
-        entry.pace.note(now_s - last_s, entry.service.timing, now_s)
-        if entry.pace.is_slow(now_s) and not before:
+        if entry.pace.note(now_s - last_s, entry.service.timing, now_s):
             ratio = round(entry.pace.ratio(now_s), 2)
             log(Event.BACKEND_SLOW, backend=entry.id, pace_ratio=ratio)
         return now_s
@@ -282,6 +280,8 @@
             absence.note_unreachable(now_s)
         elif fault is Fault.REPLACED:
             absence.note_replaced()
+        elif fault is Fault.BARRED:
+            return
         elif fault is Fault.FULL and culprit is not entry:
             # A helper that is gone, or holds up the work of others.
             absence.note_unreachable(now_s)
@@ -313,7 +313,7 @@
         progress.tried.add(grant.entry.id)
         progress.attempts += 1
         fault = getattr(error, "fault", Fault.BROKEN)
-        progress.reached += fault is not Fault.UNREACHABLE
+        progress.reached += fault not in (Fault.UNREACHABLE, Fault.BARRED)
         progress.runs += error.outcome is not Outcome.NOT_RUN
         log(
             Event.ATTEMPT_FAILED,
@@ -327,6 +327,8 @@
             status=getattr(getattr(error, "answer", None), "status", None),
         )
         reason = find_denial(request.kind, progress.runs, progress.reached)
+        if not reason:
+            self._scheduler.check_turned_away(request)
         # A refused connection costs the server nothing, and each is tried once.
         unsent = isinstance(error, BackendError) and error.outcome is Outcome.NOT_RUN
         allowed = first and unsent and not error.refused
--- a/papayarelay/errors.py
+++ b/papayarelay/errors.py
@@ -115,6 +115,8 @@
     UNREACHABLE = "unreachable"
     FULL = "full"
     REPLACED = "replaced"
+    # The server has asked for no requests, so nothing was sent.
+    BARRED = "barred"
 
 
 class BackendError(RelayError):
--- a/papayarelay/events.py
+++ b/papayarelay/events.py
@@ -205,6 +205,19 @@
         "Its streams take pace_ratio times as long as its work explains; left out.",
     )
 
+    BACKEND_LEAVING = (
+        1216,
+        "info",
+        "backend server says that it leaves",
+        "An answer said so; the server gets no new work from this node.",
+    )
+    BACKEND_PAUSED = (
+        1217,
+        "info",
+        "backend server wants no requests",
+        "An answer said so; the server gets no new work for pause_s.",
+    )
+
     REQUEST_FINISHED = (
         1301,
         "debug",
--- a/papayarelay/nodes/board.py
+++ b/papayarelay/nodes/board.py
@@ -18,6 +18,7 @@
 import gevent.event
 import msgspec
 
+from ..backends.restriction import Lifetime
 from ..guard import run_step
 from ..retry import RetryUse
 from ..routing import EngineWork
@@ -34,6 +35,8 @@
 # A node that is silent for this long takes no duties.
 LIVE_S = 1.0
 DATAGRAM_BYTES = 60_000
+# Servers that leave in one datagram.
+MOST_LEAVING = 100
 
 
 class _Figures(msgspec.Struct, array_like=True):
@@ -97,6 +100,8 @@
     retries: list[_Retries]
     words: list[_Word]
     notices: list[bytes] = []
+    # Servers that have told the sender that they leave, with their starts.
+    leaving_servers: list[tuple[str, int]] = []
 
 
 class _Envelope(msgspec.Struct, array_like=True):
@@ -111,12 +116,14 @@
 class NodeFigures:
     """What a node tells: its work by server id, its retries by service.
 
-    ``work`` is None where it has not changed; ``words`` are by table.
+    ``work`` is None where it has not changed; ``words`` are by table, and
+    ``leaving`` are the servers that have said so to it.
     """
 
     work: Mapping[str, EngineWork] | None = field(default_factory=dict)
     retries: Mapping[str, RetryUse] = field(default_factory=dict)
     words: Mapping[str, Word] = field(default_factory=dict)
+    leaving: tuple[Lifetime, ...] = ()
 
 
 _ENVELOPES = msgspec.msgpack.Decoder(_Envelope)
@@ -290,6 +297,7 @@
                 for n, w in own.words.items()
             ],
             notices,
+            list(own.leaving[:MOST_LEAVING]),
         )
 
     def _send_to(self, data: bytes, address: tuple[str, int]) -> None:
@@ -352,6 +360,7 @@
                 w.table: Word(w.version, w.digest, w.age_ms / 1000)
                 for w in message.words
             },
+            tuple(Lifetime(*each) for each in message.leaving_servers),
         )
         self._listener.take(message.sender, figures, stamp_s)
 
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -9,7 +9,6 @@
 from dataclasses import replace
 
 import gevent
-from gevent import pywsgi
 from gevent.event import Event
 
 from ..admission import AdmissionQueue
@@ -25,6 +24,7 @@
 from ..nodes.board import BoardListener, NodeFigures, WorkBoard
 from ..nodes.groups import Group, divide
 from ..placing import Packed
+from ..process import create_server
 from ..request import Request
 from ..retry import SharedRetryBudget
 from ..serving import Serving
@@ -130,8 +130,8 @@
             self._rng,
             clock,
         )
-        self._ready_server = _create_server(settings.ready_address, self._serve_ready)
-        self._metrics_server = _create_server(
+        self._ready_server = create_server(settings.ready_address, self._serve_ready)
+        self._metrics_server = create_server(
             f"{settings.ip}:{METRICS_PORT}", self._serve_metrics
         )
         self._stalls = StallMeter()
@@ -189,17 +189,15 @@
 
     def _observe(self) -> None:
         """Publish what this node believes, and how old that is."""
+        self.metrics.observe_node(
+            lambda: self.gate.inflight,
+            lambda: self.feed.config.version,
+            self._stalls.take_longest_s,
+        )
         observe = self.metrics.observe_gauge
-        observe("requests_in_flight", "Requests in flight", lambda: self.gate.inflight)
-        observe("config_version", "Configuration version", self._config_version)
         observe(
             "config_age_seconds", "Age of the configuration", self.feed.config_age_s
         )
-        observe(
-            "event_loop_stall_seconds",
-            "Longest time without a poll for events since the last scrape",
-            self._stalls.take_longest_s,
-        )
         observe(
             "backend_servers",
             "Backend servers in the configuration",
@@ -216,9 +214,6 @@
         )
         self._serving.observe(self.metrics)
 
-    def _config_version(self) -> int:
-        return self.feed.config.version
-
     def _apply(self, config: Config) -> None:
         self._serving.backends.apply(config)
         self._gateway.apply(config)
@@ -236,6 +231,7 @@
             self._serving.backends.own_work(now_s),
             self._budget.own_use(now_s),
             self.feed.words(),
+            self._serving.backends.own_leaving(now_s),
         )
 
     def take(self, peer: str, figures: NodeFigures, stamp_s: float | None) -> None:
@@ -244,6 +240,7 @@
         if figures.work is not None:
             self._serving.backends.set_peer_work(peer, figures.work, now_s)
             self._serving.scheduler.wake()
+        self._serving.backends.take_leaving(figures.leaving)
         self._budget.set_peer_use(peer, figures.retries, now_s)
         if stamp_s is not None:
             self.feed.take_words(figures.words, stamp_s)
@@ -315,11 +312,6 @@
     return max(LEAST_QUEUE_S, QUEUE_TARGETS * request.kind.target_s)
 
 
-def _create_server(address: str, app: Callable) -> pywsgi.WSGIServer:
-    host, _, port = address.rpartition(":")
-    return pywsgi.WSGIServer((host, int(port)), app, log=None, error_log=None)
-
-
 def run(settings: PlatformSettings, path: str) -> int:
     """Run a node until SIGTERM or SIGINT; return the process exit code.
 
--- a/papayarelay/platform/wire.py
+++ b/papayarelay/platform/wire.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
-from ..backends.connection import RequestHead
+from ..backends.connection import AnswerHead, RequestHead
 from ..backends.pool import Answer
 from ..backends.protocol import (
     Attempt,
     Chunk,
     Protocol,
+    Signals,
     StreamCounters,
     check,
     encode,
     event_reader,
+    read_signals,
 )
 from ..backends.service import ServiceAnswer
 from ..callers.gateway import CallerDialect, CallerFields, end_to_end
@@ -31,6 +34,14 @@
 BACKEND_ID = b"X-Expect-Instance"
 # The digest of an answer, without which it is not the backend server's.
 SEAL = b"X-Response-Seal"
+# Says that the server which answers takes no new work.
+LEAVING = b"Server-Leaving"
+# With a refusal: for how many seconds the server wants no requests.
+RETRY_AFTER = b"Retry-After"
+PAUSE = re.compile(rb"\d{1,8}(\.\d{0,9})?")
+# A server that names a longer time is asked again after this.
+LONGEST_PAUSE_S = 3600.0
+REFUSED = 503
 # Names the server that is at fault, with a refusal.
 AT_FAULT = b"At-Server"
 # Says that a request has not run.
@@ -173,6 +184,23 @@
     raise error
 
 
+@read_signals.register
+def _(protocol: PlatformProtocol, head: AnswerHead):
+    leaving = (head.get(LEAVING.lower()) or b"").strip() == b"1"
+    pause_s = 0.0
+    if head.status == REFUSED:
+        pause_s = read_pause_s(head.get(RETRY_AFTER.lower()) or b"")
+    return Signals(leaving, pause_s)
+
+
+def read_pause_s(value: bytes) -> float:
+    """Return the seconds that a header names, 0 where it names no such time."""
+    text = value.strip()
+    if not PAUSE.fullmatch(text):
+        return 0.0
+    return min(LONGEST_PAUSE_S, float(text))
+
+
 @event_reader.register
 def _(protocol: PlatformProtocol, request, answer: Answer, received: int, counters):
     return EventReader(answer, received, counters)
--- a/papayarelay/reservations.py
+++ b/papayarelay/reservations.py
@@ -20,7 +20,7 @@
 from .backends.protocol import Protocol
 from .errors import BackendError, Fault, Outcome, RelayError
 from .events import Event
-from .guard import run_step
+from .guard import BackgroundTask, run_step
 from .logs import log
 
 HOLD_S = 3.2
@@ -62,27 +62,16 @@
     raise TypeError(f"no protocol {type(protocol).__name__}")
 
 
-class Reservations:
+class Reservations(BackgroundTask):
     """The reservations of one node; ``prefix`` keeps their names apart."""
 
     def __init__(self, prefix: str, clock: Callable[[], float]):
-        self.orders = 0
         self._prefix = prefix
         self._clock = clock
         self._numbers = itertools.count(1)
         # Orders whose answers were lost: until when they may have an effect.
         self._unsure: dict[tuple[BackendPool, str], float] = {}
         self._held: set[tuple[BackendPool, str]] = set()
-        self._task: gevent.Greenlet | None = None
-
-    def start(self) -> None:
-        """Begin to look for reservations that nobody needs."""
-        self._task = gevent.spawn(self._run)
-
-    def close(self) -> None:
-        """Stop looking; what is left ends by itself."""
-        if self._task is not None:
-            self._task.kill()
 
     @contextmanager
     def hold(
@@ -129,8 +118,9 @@
 
     def _reserve(self, name: str, need: MemoryNeed) -> BackendError | None:
         pool = need.pool
+        if (pool, name) not in self._held and pool.restriction.bars(self._clock()):
+            return pool.barred()
         self._held.add((pool, name))
-        self.orders += 1
         answered = False
         try:
             reserve(pool.protocol, pool, name, need.tokens, HOLD_S)
@@ -172,7 +162,6 @@
                 gevent.spawn(self._release, need.pool, name)
 
     def _release(self, pool: BackendPool, name: str) -> None:
-        self.orders += 1
         try:
             release(pool.protocol, pool, name)
         except RelayError as error:
@@ -192,7 +181,7 @@
                 del self._unsure[key]
         names: dict[BackendPool, set[str]] = {}
         for key in self._unsure:
-            if key not in self._held:
+            if key not in self._held and not key[0].restriction.bars(now_s):
                 names.setdefault(key[0], set()).add(key[1])
         for pool, wanted in names.items():
             try:
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -15,7 +15,7 @@
 from .cost import Cost
 from .errors import DeadlineError, OverloadError
 from .events import Event as LogEvent
-from .guard import run_step
+from .guard import BackgroundTask, run_step
 from .logs import log
 from .placing import Placement, place
 from .request import Request
@@ -26,6 +26,8 @@
 RETRY_INTERVAL_S = 0.05
 # Streams on the same engine bear no pause that is longer than a few of these.
 URGENT_READ_S = 0.06
+# A request waits for servers that want none for this part of its target at most.
+PAUSE_PART = 0.5
 
 
 @dataclass(frozen=True)
@@ -61,7 +63,7 @@
             return None
 
 
-class Scheduler:
+class Scheduler(BackgroundTask):
     """Owns the admission queue of a node and the task that empties it.
 
     ``on_work`` is called when the work of this node on a server has changed, with
@@ -85,22 +87,12 @@
         self._clock = clock
         self._tickets: dict[str, Ticket] = {}
         self._wake = Event()
-        self._task: gevent.Greenlet | None = None
 
     def set_node_count(self, nodes: int) -> None:
         """Set how many nodes send like traffic to the same engines."""
         if isinstance(self._policy, CostAware):
             self._policy = replace(self._policy, nodes=nodes)
 
-    def start(self) -> None:
-        """Begin to give out queued requests."""
-        self._task = gevent.spawn(self._run)
-
-    def close(self) -> None:
-        """Stop giving out requests."""
-        if self._task is not None:
-            self._task.kill()
-
     def offer(self, request: Request, cost: Cost, tried: frozenset[str]) -> Ticket:
         """Queue an attempt that prefers servers not in ``tried``.
 
@@ -114,6 +106,7 @@
                 peer="backends",
                 retry_after_s=self.queue.retry_after_s(request, cost),
             )
+        self.check_turned_away(request)
         self.queue.offer(request, cost, now_s)
         ticket = Ticket(request, cost, tried)
         self._tickets[request.id] = ticket
@@ -123,6 +116,23 @@
         self._wake.set()
         return ticket
 
+    def check_turned_away(self, request: Request) -> None:
+        """Raise ``OverloadError`` while no server wants the request in time.
+
+        A pause that ends before the answer would be late is waited for.
+        """
+        now_s = self._clock()
+        kind = request.kind
+        left_s = self._table.turned_away_s(kind.target, request.served_by, now_s)
+        target_left_s = request.received_s + request.kind.target_s - now_s
+        if left_s > max(0.0, PAUSE_PART * target_left_s):
+            raise OverloadError(
+                f"no backend server wants requests for {request.served_by!r} now",
+                step="route",
+                peer="backends",
+                retry_after_s=left_s,
+            )
+
     def end(self, ticket: Ticket) -> None:
         """Give back what an attempt holds: its place in the queue or its grant."""
         if self._tickets.get(ticket.request.id) is ticket:
@@ -156,6 +166,7 @@
             self._wake.wait(RETRY_INTERVAL_S if self._tickets else None)
             self._wake.clear()
             run_step(self._expire)
+            run_step(self._refuse_turned_away)
             run_step(self._grant_all)
 
     def _grant_all(self) -> None:
@@ -174,6 +185,18 @@
                 )
                 ticket.granted.set_exception(error)
 
+    def _refuse_turned_away(self) -> None:
+        """Refuse the queued requests whose servers want none in time."""
+        if not self._table.any_paused(self._clock()):
+            return
+        for ticket in list(self._tickets.values()):
+            try:
+                self.check_turned_away(ticket.request)
+            except OverloadError as error:
+                del self._tickets[ticket.request.id]
+                self.queue.remove(ticket.request.id)
+                ticket.granted.set_exception(error)
+
     def _grant_next(self) -> bool:
         """Give the next request that fits to its server; return whether one did."""
         now_s = self._clock()
--- a/papayarelay/serving.py
+++ b/papayarelay/serving.py
@@ -36,7 +36,9 @@
         on_work: Callable[[bool], None] = lambda urgent: None,
     ):
         self.budget = budget
-        self.backends = BackendTable(rng, protocol)
+        self.backends = BackendTable(
+            rng, protocol, on_leaving=lambda: on_work(True), clock=clock
+        )
         self.scheduler = Scheduler(self.backends, policy, queue, rng, clock, on_work)
         self._monitor = StreamMonitor(clock)
         self._reservations = Reservations(f"{rng.getrandbits(48):012x}", clock)
--- a/papayarelay/tests/test_board.py
+++ b/papayarelay/tests/test_board.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 
+from ..backends.restriction import Lifetime
 from ..local import wait_for
 from ..nodes import board as board_module
 from ..nodes.board import BoardListener, NodeFigures, WorkBoard
@@ -119,6 +120,17 @@
         wait_for(lambda: self.second.stamps, LIMIT_S, "message")
         self.assertIsNone(self.second.stamps[0])
 
+    def test_leaving_servers(self):
+        """The group would use a server on that has told one node that it leaves."""
+        leaving = (Lifetime("engine-1", 7),)
+        self.first.own = NodeFigures(leaving=leaving)
+        self.first.board.changed(urgent=True)
+        wait_for(
+            lambda: self.second.told.get("n1", NodeFigures()).leaving == leaving,
+            LIMIT_S,
+            "the word of a server that leaves",
+        )
+
     def test_notice(self):
         """A change that one node has read would reach the others late."""
         wait_for(lambda: self.second.told, LIMIT_S, "first message")
