Bound every exchange once, in time and in bytes

Cause: the limit of an exchange was one of each read, so any byte renewed it: informational heads and bodies of answers to other requests never ended, headers and chunk extensions only at their limit in size; what ended an exchange of a call was a timer around it, and streams had none before their head. A stream that sent a byte, a comment or an event again now and then was kept to its deadline.

Change: Connection receives in one place, within the time of the exchange and a number of bytes. The progress of a stream is an event that it had not sent before; a comment counts only where the protocol has keep-alives. A stream whose pauses have been long, but that goes on, may pause for twice its longest pause, up to eight of the pauses that its callers expect. The body of a caller's request may take twice its limit with its framing.

--- a/papayarelay/backends/chat.py
+++ b/papayarelay/backends/chat.py
@@ -62,6 +62,7 @@
     """
 
     needs_end = True
+    keeps_alive = True
 
     def __init__(
         self, request_id: str, peer: str, offset: int, counters: StreamCounters
--- a/papayarelay/backends/connection.py
+++ b/papayarelay/backends/connection.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import socket
+import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
@@ -21,6 +22,9 @@
 HEADER_LIMIT_BYTES = 64 << 10
 # An established connection whose data are not acknowledged for this long is dead.
 UNACKNOWLEDGED_LIMIT_MS = 1000
+# What may arrive before the answer that is waited for: informational heads, and
+# answers to earlier requests.
+RECEIVED_LIMIT_BYTES = 1 << 20
 # Answers to earlier requests that may come before the one that is waited for.
 STRAY_LIMIT = 4
 
@@ -68,19 +72,32 @@
 class Connection:
     """One connection; it carries one request at a time.
 
+    Each exchange is bounded once, in time and in bytes, whatever the peer sends:
+    everything is received by ``_receive``.  The limit in time holds to the end of
+    the answer, unless a stream sets another one; the limit in bytes starts anew
+    with ``allow``.
+
     Errors of ``exchange`` and ``read`` are ``BackendError`` with the outcome
     ``not_run`` only when no byte of the request was sent.
     """
 
-    def __init__(self, sock: socket.socket, peer: str):
+    def __init__(
+        self,
+        sock: socket.socket,
+        peer: str,
+        clock: Callable[[], float] = time.monotonic,
+    ):
         self.peer = peer
+        self.received_bytes = 0
         self.idle_until_s = 0.0
         self.used = 0
         self._sock = sock
         self._protocol = h11.Connection(h11.CLIENT, HEADER_LIMIT_BYTES)
         self._closing = False
         self._complete = True
-        self._limit_s: float | None = None
+        self._clock = clock
+        self._end_s: float | None = None
+        self._allowed_bytes = 0
 
     @property
     def reusable(self) -> bool:
@@ -100,14 +117,15 @@
             return True
         except OSError:
             return False
-        finally:
-            self._sock.settimeout(self._limit_s)
         return False
 
-    def set_limit(self, limit_s: float | None) -> None:
-        """Set how long the next reads may wait for data."""
-        self._limit_s = limit_s
-        self._sock.settimeout(limit_s)
+    def set_end(self, end_s: float | None) -> None:
+        """Set when the present exchange must have ended, None for another bound."""
+        self._end_s = end_s
+
+    def allow(self, size: int) -> None:
+        """Let that many more bytes arrive."""
+        self._allowed_bytes = self.received_bytes + size
 
     def abort(self) -> None:
         """Let a task that waits for data on this connection fail at once."""
@@ -132,7 +150,8 @@
         request that it belongs to; answers to others are skipped.  ``heard`` is
         called with the head of each answer that arrives.
         """
-        self.set_limit(limit_s)
+        self.set_end(self._clock() + limit_s)
+        self.allow(RECEIVED_LIMIT_BYTES)
         if self.used:
             self._protocol.start_next_cycle()
         self.used += 1
@@ -164,7 +183,11 @@
                 raise self._error("connection closed within the answer")
 
     def read_all(self, limit_bytes: int) -> bytes:
-        """Return the whole body; one over the limit raises ``BackendError``."""
+        """Return the whole body; one over the limit raises ``BackendError``.
+
+        Its framing may take as much again.
+        """
+        self.allow(2 * limit_bytes + HEADER_LIMIT_BYTES)
         parts = []
         size = 0
         for part in self:
@@ -195,7 +218,6 @@
         """Send all of a request unless an answer comes before that."""
         view = memoryview(data)
         sent = 0
-        limit_s = self._limit_s
         self._sock.settimeout(0.0)
         try:
             while sent < len(view):
@@ -207,7 +229,7 @@
                 ready, _, _ = gevent.select.select([self._sock], [self._sock], [], 0)
                 if not ready:
                     ready, writable, _ = gevent.select.select(
-                        [self._sock], [self._sock], [], limit_s
+                        [self._sock], [self._sock], [], self._left_s()
                     )
                     if not ready and not writable:
                         raise TimeoutError
@@ -218,8 +240,6 @@
         except OSError as error:
             text = f"request not sent: {type(error).__name__}"
             raise self._error(text, sent > 0) from error
-        finally:
-            self._sock.settimeout(limit_s)
 
     def _read_head(self) -> AnswerHead:
         while True:
@@ -251,7 +271,7 @@
     def _next_event(self):
         try:
             while (event := self._protocol.next_event()) is h11.NEED_DATA:
-                self._protocol.receive_data(self._sock.recv(RECEIVE_BYTES))
+                self._protocol.receive_data(self._receive())
         except h11.RemoteProtocolError as error:
             raise self._error(f"no valid answer: {error}") from error
         except OSError as error:
@@ -261,6 +281,24 @@
             raise self._error("bytes follow the answer")
         return event
 
+    def _receive(self) -> bytes:
+        """Return bytes within the limits of the exchange; raises ``OSError``."""
+        self._sock.settimeout(self._left_s())
+        data = self._sock.recv(RECEIVE_BYTES)
+        self.received_bytes += len(data)
+        if self.received_bytes > self._allowed_bytes:
+            raise self._error("more bytes arrive than an answer has")
+        return data
+
+    def _left_s(self) -> float | None:
+        """Return the time left for the exchange; raises ``TimeoutError``."""
+        if self._end_s is None:
+            return None
+        left_s = self._end_s - self._clock()
+        if left_s <= 0:
+            raise TimeoutError
+        return left_s
+
     def _error(self, message: str, sent: bool = True) -> BackendError:
         self._closing = True
         outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
--- a/papayarelay/backends/engine.py
+++ b/papayarelay/backends/engine.py
@@ -29,10 +29,11 @@
 
 @dataclass(frozen=True)
 class Silence:
-    """How long an engine may be silent before and after the first event."""
+    """How long an engine may be silent; see ``StreamLimits``."""
 
     first_s: float = STREAM_IDLE_LIMIT_S
     idle_s: float = STREAM_IDLE_LIMIT_S
+    slow_s: float = 0.0
 
 
 @contextmanager
@@ -70,7 +71,9 @@
         answer.connection.close()
         raise
     reader = event_reader(pool.protocol, request, answer, attempt.received, counters)
-    limits = StreamLimits(request.deadline_s, sent_s, silence.first_s, silence.idle_s)
+    limits = StreamLimits(
+        request.deadline_s, sent_s, silence.first_s, silence.idle_s, silence.slow_s
+    )
     stream = EngineStream(answer, reader, limits, pool.backend_id, clock)
     monitor.add(stream)
     try:
--- a/papayarelay/backends/pool.py
+++ b/papayarelay/backends/pool.py
@@ -210,7 +210,7 @@
             )
             failure.fault = Fault.UNREACHABLE
             raise failure from error
-        return Connection(sock, self.backend_id)
+        return Connection(sock, self.backend_id, self._clock)
 
 
 def _idle_s(head: AnswerHead) -> float:
--- a/papayarelay/backends/protocol.py
+++ b/papayarelay/backends/protocol.py
@@ -104,11 +104,13 @@
 
     ``offset`` is the position after the last accepted event.  ``needs_end`` says
     that the stream is complete only after an event that ``is_end``, and not when
-    the body is.
+    the body is, ``keeps_alive`` that a comment shows that the engine still works
+    on the answer.
     """
 
     offset: int
     needs_end: bool
+    keeps_alive: bool
 
     def is_end(self, event: bytes) -> bool:
         """Return whether an event ends the answer."""
--- a/papayarelay/backends/stream.py
+++ b/papayarelay/backends/stream.py
@@ -12,6 +12,8 @@
 EVENT_END = b"\n\n"
 # An engine's event is one token or a few; more without an end is a fault.
 EVENT_LIMIT_BYTES = 1 << 20
+# A stream whose events come slowly may pause for this many of its longest pauses.
+SLOW_PAUSES = 2.0
 
 
 @dataclass(frozen=True)
@@ -19,13 +21,20 @@
     """When a stream is given up: at its deadline, or after too long a silence.
 
     ``first_s`` bounds the silence before the first event, counted from the
-    sending of the request at ``sent_s``, ``idle_s`` any later one.
+    sending of the request at ``sent_s``, ``idle_s`` any later one.  A stream that
+    has shown itself to be slow, but sound, may be silent for up to ``slow_s``.
+    Bytes that complete no event are silence.
     """
 
     deadline_s: float
     sent_s: float = 0.0
     first_s: float = STREAM_IDLE_LIMIT_S
     idle_s: float = STREAM_IDLE_LIMIT_S
+    slow_s: float = 0.0
+
+    def pause_s(self, longest_s: float) -> float:
+        """Return how long a stream with this longest pause may be silent."""
+        return max(self.idle_s, min(self.slow_s, SLOW_PAUSES * longest_s))
 
 
 class EngineStream:
@@ -49,11 +58,13 @@
         self._limits = limits
         self._peer = peer
         self._clock = clock
-        self._read_s = clock()
+        self._progress_s = clock()
+        self._longest_pause_s = 0.0
         self._begun = False
         self._fault: RelayError | None = None
         # The stream monitor limits the reads.
-        answer.connection.set_limit(None)
+        answer.connection.set_end(None)
+        answer.connection.allow(EVENT_LIMIT_BYTES)
 
     @property
     def offset(self) -> int:
@@ -69,12 +80,13 @@
                 peer=self._peer,
                 outcome=Outcome.UNKNOWN,
             )
-        since_s, limit_s = self._read_s, self._limits.idle_s
+        since_s = self._progress_s
+        limit_s = self._limits.pause_s(self._longest_pause_s)
         if not self._begun:
             since_s = max(self._limits.sent_s, since_s)
             limit_s = self._limits.first_s
         if now_s - since_s > limit_s:
-            return self._error(f"no data for {limit_s:g} s")
+            return self._error(f"no event for {limit_s:g} s")
         return None
 
     def abort(self, error: RelayError) -> None:
@@ -98,6 +110,8 @@
                 event = buffer[: end + 2]
                 buffer = buffer[end + 2 :]
                 if event.startswith(b":"):
+                    if self._reader.keeps_alive:
+                        self._note_progress()
                     yield KEEP_ALIVE
                     continue
                 if self._reader.is_end(event):
@@ -105,6 +119,7 @@
                     return
                 chunk = self._reader.accept(event)
                 if chunk is not None:
+                    self._note_progress()
                     self._begun = True
                     yield chunk
             if len(buffer) > EVENT_LIMIT_BYTES:
@@ -120,15 +135,24 @@
             if self._fault is not None:
                 raise self._fault from None
             raise self._error(f"stream broke: {error.message}") from error
-        self._read_s = self._clock()
-        if self._fault is None and self._read_s >= self._limits.deadline_s:
+        now_s = self._clock()
+        if self._fault is None and now_s >= self._limits.deadline_s:
             # After a pause of the process, data may be read before the monitor
             # runs.
-            self._fault = self.find_fault(self._read_s)
+            self._fault = self.find_fault(now_s)
         if self._fault is not None:
             raise self._fault
         return data
 
+    def _note_progress(self) -> None:
+        """Note that the stream has come further."""
+        now_s = self._clock()
+        if self._begun:
+            pause_s = now_s - self._progress_s
+            self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        self._progress_s = now_s
+        self._answer.connection.allow(EVENT_LIMIT_BYTES)
+
     def _finish(self) -> None:
         """Read the end of the body, so that the connection can be reused."""
         try:
--- a/papayarelay/callers/connection.py
+++ b/papayarelay/callers/connection.py
@@ -41,6 +41,7 @@
         self.request_id = ""
         self._sock = sock
         self._limits = limits
+        self._allowed_bytes = 0
         self._protocol = h11.Connection(h11.SERVER, limits.header_bytes)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -77,6 +78,7 @@
             self._protocol.start_next_cycle()
             self.answered = False
         self._sock.settimeout(None)
+        self._allowed_bytes = 2 * self._limits.header_bytes + RECEIVE_BYTES
         if not self.has_unread and not self._wait_for_bytes():
             return None
         try:
@@ -96,6 +98,8 @@
 
         Raises ``BodyTooLargeError``, ``RequestError`` and ``CallerGoneError``.
         """
+        # The framing of a body may take as much as the body.
+        self._allowed_bytes = 2 * self._limits.body_bytes + RECEIVE_BYTES
         if self._protocol.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=()))
         parts = []
@@ -213,9 +217,15 @@
 
     def _receive(self) -> bytes:
         try:
-            return self._sock.recv(RECEIVE_BYTES)
+            data = self._sock.recv(RECEIVE_BYTES)
         except OSError:
             return b""
+        self._allowed_bytes -= len(data)
+        if self._allowed_bytes < 0:
+            raise BodyTooLargeError(
+                "more bytes arrive than a request has", step="read", peer="caller"
+            )
+        return data
 
     def _next_event(self):
         try:
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -39,6 +39,8 @@
 # and callers wait for 2 s at least.
 SILENT_PAUSES = 3.0
 LEAST_SILENCE_S = 1.5
+# The most for an engine whose streams are slow, but go on; callers leave later.
+SLOW_SILENT_PAUSES = 8.0
 # The same for the first event, in times that were expected and in targets.
 SILENT_EXPECTATIONS = 2.0
 SILENT_TARGETS = 3.0
@@ -368,7 +370,8 @@
     first_s = SILENT_TARGETS * kind.target_s
     if expected_s:
         first_s = max(first_s, SILENT_EXPECTATIONS * expected_s)
-    return engine.Silence(max(LEAST_SILENCE_S, first_s), idle_s)
+    slow_s = SLOW_SILENT_PAUSES * kind.gap_target_s
+    return engine.Silence(max(LEAST_SILENCE_S, first_s), idle_s, slow_s)
 
 
 def _cost_of(request: Request) -> Cost:
--- a/papayarelay/platform/wire.py
+++ b/papayarelay/platform/wire.py
@@ -105,6 +105,7 @@
     """Reads the events of a stream; ``offset`` is the id of the last one."""
 
     needs_end = False
+    keeps_alive = False
 
     def __init__(self, answer: Answer, received: int, counters: StreamCounters):
         self.offset = received
--- /dev/null
+++ b/papayarelay/tests/test_bounds.py
@@ -0,0 +1,266 @@
+"""Tests of peers that send bytes without end, or one now and then."""
+
+import contextlib
+import itertools
+import time
+import unittest
+from unittest import mock
+
+import gevent
+
+from ..backends.connection import RECEIVED_LIMIT_BYTES, RequestHead
+from ..backends.pool import BackendPool
+from ..backends.protocol import StreamCounters
+from ..backends.stream import EngineStream, StreamLimits
+from ..errors import BackendError, Outcome
+from ..platform.wire import EventReader
+from .gateway_system import GatewaySystem, chunk, event, sealed, stream_head
+from .raw_server import RawServer
+
+LIMIT_S = 0.6
+# More than the limit and the switches between tasks take on a busy machine.
+LATEST_S = 3.0
+DRIP_S = 0.005
+HEAD = RequestHead(b"GET", b"/", ((b"Host", b"h.example"), (b"X-Id", b"r1")))
+WHOLE = b"HTTP/1.1 200 OK\r\nX-Id: %s\r\n"
+ENDLESS = {
+    "informational heads": (b"", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+    "a header": (b"HTTP/1.1 200 OK\r\nX-A: ", b"a" * 50),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n"),
+    "a body for another request": (
+        WHOLE % b"r0" + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n",
+    ),
+    "a chunk extension": (
+        WHOLE % b"r1" + b"Transfer-Encoding: chunked\r\n\r\n1;",
+        b"e" * 50,
+    ),
+    "a body": (WHOLE % b"r1" + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n"),
+    "trailers": (
+        WHOLE % b"r1" + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-A: b\r\n",
+    ),
+    "a body without a length": (WHOLE % b"r1" + b"\r\n", b"x"),
+    "answers to other requests": (b"", WHOLE % b"r0" + b"Content-Length: 0\r\n\r\n"),
+    "bytes that are no answer": (b"", b"\x00\xff\x17"),
+}
+
+
+def endless(begin: bytes, more: bytes, pause_s: float, times: int = 1):
+    """Return a script that sends something until the other end closes."""
+
+    def script(request):
+        with contextlib.suppress(OSError):
+            request.sock.sendall(begin)
+            while True:
+                request.sock.sendall(more * times)
+                gevent.sleep(pause_s)
+        request.gone.set()
+        return False
+
+    return script
+
+
+class ExchangeTest(unittest.TestCase):
+    """Guards against exchanges that never end, or that fill the memory."""
+
+    def setUp(self):
+        self.server = RawServer(lambda request: None)
+        self.addCleanup(self.server.close)
+        self.pool = BackendPool("engine-1", f"http://{self.server.address}")
+        self.addCleanup(self.pool.close)
+        self.pool.start()
+
+    def _fail(self) -> float:
+        """Make an exchange that fails; return how long it took."""
+        begun_s = time.monotonic()
+        with self.assertRaises(BackendError) as caught:
+            self.pool.send(HEAD, b"", LIMIT_S, answers=b"x-id").read_all()
+        self.assertIs(caught.exception.outcome, Outcome.UNKNOWN)
+        return time.monotonic() - begun_s
+
+    def test_slow(self):
+        """An exchange would go on past its limit as long as bytes arrive."""
+        for name, (begin, more) in ENDLESS.items():
+            with self.subTest(name):
+                self.server.script = endless(begin, more, DRIP_S)
+                with gevent.Timeout(4 * LATEST_S):
+                    self.assertLess(self._fail(), LATEST_S)
+                self.assertTrue(self.server.requests[-1].gone.wait(LATEST_S))
+
+    def test_fast(self):
+        """A server that sends as fast as it can would fill the memory."""
+        for name, (begin, more) in ENDLESS.items():
+            with self.subTest(name):
+                self.server.script = endless(begin, more, 0.0, 100)
+                with gevent.Timeout(4 * LATEST_S):
+                    self.assertLess(self._fail(), LATEST_S)
+
+    def test_bytes_before_the_answer(self):
+        """Bytes before an answer would be read until the limit in time."""
+        connections = []
+        opened = self.pool._open
+
+        def keep(limit_s):
+            connections.append(opened(limit_s))
+            return connections[-1]
+
+        begin, more = ENDLESS["informational heads"]
+        self.server.script = endless(begin, more, 0.0, 1000)
+        with (
+            mock.patch.object(self.pool, "_open", keep),
+            gevent.Timeout(LATEST_S),
+            self.assertRaises(BackendError),
+        ):
+            self.pool.send(HEAD, b"", 60.0, answers=b"x-id")
+        self.assertLess(connections[0].received_bytes, 2 * RECEIVED_LIMIT_BYTES)
+
+    def test_slow_reader(self):
+        """A server that reads a byte now and then would hold a request for ever."""
+        stalled = RawServer(lambda request: None)
+        self.addCleanup(stalled.close)
+
+        def read_slowly(sock, address):
+            with contextlib.suppress(OSError):
+                while sock.recv(1):
+                    gevent.sleep(DRIP_S)
+
+        stalled._server.set_handle(read_slowly)
+        pool = BackendPool("engine-2", f"http://{stalled.address}")
+        self.addCleanup(pool.close)
+        body = b"x" * (16 << 20)
+        headers = ((b"Host", b"h"), (b"Content-Length", b"%d" % len(body)))
+        begun_s = time.monotonic()
+        with gevent.Timeout(4 * LATEST_S), self.assertRaises(BackendError):
+            pool.send(RequestHead(b"POST", b"/", headers), body, LIMIT_S)
+        self.assertLess(time.monotonic() - begun_s, LATEST_S)
+
+    def test_many_at_once(self):
+        """Endless answers would keep their tasks and their memory."""
+        scripts = itertools.cycle(
+            endless(begin, more, DRIP_S, 20) for begin, more in ENDLESS.values()
+        )
+
+        def script(request):
+            return next(scripts)(request)
+
+        self.server.script = script
+        tasks = [gevent.spawn(self._fail) for _ in range(50)]
+        gevent.joinall(tasks, timeout=4 * LATEST_S)
+        self.assertTrue(all(task.successful() for task in tasks))
+        self.assertEqual(self.pool._idle, [])
+
+
+class StalledStreamTest(unittest.TestCase):
+    """Guards against streams that send bytes but no event, and against cut ones."""
+
+    IDLE_S = 1.5
+
+    def setUp(self):
+        self.now_s = 0.0
+        self.answer = mock.Mock()
+        self.answer.head.headers = ()
+        limits = StreamLimits(100.0, 0.0, 3.0, self.IDLE_S, slow_s=4.0)
+        reader = EventReader(self.answer, 0, StreamCounters())
+        self.stream = EngineStream(
+            self.answer, reader, limits, "engine-1", lambda: self.now_s
+        )
+        self.chunks = iter(self.stream)
+
+    def _arrive(self, data: bytes, after_s: float) -> None:
+        """Let bytes arrive that complete one event."""
+        self.now_s += after_s
+        self.answer.read.side_effect = [data]
+        next(self.chunks)
+
+    def _stall(self, data: bytes) -> float:
+        """Let something arrive again and again; return when the stream is ended."""
+        begun_s = self.now_s
+
+        def read():
+            self.now_s += 0.1
+            if self.stream.find_fault(self.now_s) is not None:
+                raise BackendError("aborted", step="stream", peer="engine-1")
+            return data
+
+        self.answer.read.side_effect = read
+        with self.assertRaises(BackendError), gevent.Timeout(LATEST_S):
+            while True:
+                next(self.chunks)
+        return self.now_s - begun_s
+
+    def test_bytes_without_an_event(self):
+        """A stream that sends a byte now and then would be kept to its deadline."""
+        for data in (b"x", b": ping\n\n", event(1)):
+            with self.subTest(data):
+                self.setUp()
+                self._arrive(event(1), 0.1)
+                self.assertAlmostEqual(self._stall(data), self.IDLE_S, delta=0.3)
+
+    def test_no_first_event(self):
+        """An engine that sends comments would be waited for to the deadline."""
+        self.assertAlmostEqual(self._stall(b": ping\n\n"), 3.0, delta=0.3)
+
+    def test_slow_but_sound(self):
+        """A stream of an engine that is eight times as slow would be cut."""
+        self._arrive(event(1), 0.5)
+        for number, gap_s in enumerate((0.4, 0.8, 1.2, 2.0, 2.3, 2.4), start=2):
+            self.assertIsNone(self.stream.find_fault(self.now_s + gap_s))
+            self._arrive(event(number), gap_s)
+
+    def test_silent_after_slow(self):
+        """A slow stream that stalls would be kept for ever."""
+        self._arrive(event(1), 0.5)
+        self._arrive(event(2), 1.4)
+        self._arrive(event(3), 2.6)
+        self.assertIsNotNone(self.stream.find_fault(self.now_s + 4.1))
+
+
+class GatewayBoundTest(unittest.TestCase):
+    """Guards against callers who get no answer because a server sends for ever."""
+
+    def test_endless_engine(self):
+        """A stream would not go on at another engine."""
+        for name, (begin, more) in ENDLESS.items():
+            with self.subTest(name), GatewaySystem() as system:
+                scripts = [endless(begin.replace(b"r1", b"a1"), more, DRIP_S)]
+
+                def good(request):
+                    request.sock.sendall(stream_head(request, b"s"))
+                    request.sock.sendall(chunk(event(1)) + b"0\r\n\r\n")
+
+                def script(request, scripts=scripts, good=good):
+                    return (scripts.pop() if scripts else good)(request)
+
+                for server in system.engines:
+                    server.script = script
+                reply = system.request("/stream/", X_Deadline_Ms="2900")
+                self.assertEqual((reply.status, reply.body), (200, event(1)))
+
+    def test_endless_service(self):
+        """A call would not end at its deadline."""
+        for name, (begin, more) in ENDLESS.items():
+            with self.subTest(name), GatewaySystem() as system:
+                system.set_scripts(endless(begin, more, DRIP_S))
+                reply = system.request("/job/", "POST", b"x", X_Deadline_Ms="700")
+                self.assertNotIn(reply.status, (200, 408, 421, 429, 503))
+                self.assertLess(reply.seconds, LATEST_S)
+
+    def test_endless_caller(self):
+        """The extensions of chunks would be read without a bound."""
+        with GatewaySystem() as system:
+            system.set_scripts(
+                lambda request: request.sock.sendall(sealed(request, b"ok"))
+            )
+            with gevent.socket.create_connection(system.address) as sock:
+                sock.sendall(
+                    b"POST /call/ HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\n"
+                    b"X-Attempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                )
+                sent = 0
+                with contextlib.suppress(OSError), gevent.Timeout(8.0):
+                    while sent < 4 << 20:
+                        sent += sock.send((b"1;" + b"e" * 1000 + b"\r\nx\r\n") * 10)
+                        gevent.sleep(0)
+                self.assertLess(sent, 4 << 20)
+                self.assertEqual(system.arrivals, [])
