Let nodes that are gone leave the list, and malformed rows end no task

Cause: rows of nodes went only at a planned stop, so nodes that were killed or replaced stayed in the division into groups, in every send, and in the number that must be heard before a group lends repeats. A row with an address that is none ("10.0.0.1:99999", "[x:80") raised ValueError in the task that reads the list of servers, and ended it for good; the same address of a node ended every send.

Change: a node renews its row every 120 s instead of only reading every 60 s; a row is of a node that is gone after 300 s on the store's clock, and the first node of a group removes it if it has not changed. The list then drops it, unless it is heard. A node that was not heard for 10 s is sent to every 2 s only, and is not waited for when the group lends; its own part stays set aside, for it may only be cut off. Addresses are checked as IP addresses with a port. An unexpected error in a task that reads the store or hears the others is logged, and the task goes on.

Store calls of a node: 3 at the start and 1 a minute, as before.

--- a/papayarelay/nodes/board.py
+++ b/papayarelay/nodes/board.py
@@ -19,7 +19,9 @@
 import msgspec
 
 from ..backends.restriction import Lifetime
+from ..events import Event
 from ..guard import run_step
+from ..logs import log
 from ..retry import RetryUse
 from ..routing import EngineWork
 from .groups import Group, divide
@@ -34,6 +36,10 @@
 SILENCE_S = 2.0
 # A node that is silent for this long takes no duties.
 LIVE_S = 1.0
+# A node that is silent for this long is absent: it is not waited for when the
+# group lends, and it is sent to only now and then, until the list drops it.
+ABSENT_S = 10.0
+ABSENT_SEND_S = 2.0
 DATAGRAM_BYTES = 60_000
 # Servers that leave in one datagram.
 MOST_LEAVING = 100
@@ -131,17 +137,32 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
+@dataclass(frozen=True)
+class NodeAddress:
+    """Where another node takes datagrams, and its data centre."""
+
+    address: tuple[str, int]
+    data_centre: str
+
+
 class _Peer:
-    """What is known of another node."""
+    """What is known of another node, first heard of at ``known_s``."""
 
-    def __init__(self, address: tuple[str, int], data_centre: str):
+    def __init__(self, address: tuple[str, int], data_centre: str, known_s: float):
         self.address = address
         self.data_centre = data_centre
+        self.known_s = known_s
+        self.sent_s = 0.0
         self.start = 0
         self.number = -1
         self.stamp_ms = 0
         self.heard_s: float | None = None
 
+    def is_absent(self, now_s: float) -> bool:
+        """Return whether the node has been silent for long."""
+        heard_s = self.known_s if self.heard_s is None else self.heard_s
+        return now_s - heard_s > ABSENT_S
+
 
 class BoardListener:
     """Takes what other nodes tell; the default takes nothing."""
@@ -161,6 +182,9 @@
     def regroup(self, groups: tuple[Group, ...]) -> None:
         """Take the groups into which the nodes are divided."""
 
+    def set_present(self, nodes: int) -> None:
+        """Take how many nodes of the group, with this one, are heard."""
+
 
 class WorkBoard:
     """Sends the figures of this node to its group, and takes theirs.
@@ -195,6 +219,7 @@
         self._group = divide({name: data_centre})[0]
         self._notices: list[bytes] = []
         self._told_s = -math.inf
+        self._present = 1
         self._sock: socket.socket | None = None
         self._changed = gevent.event.Event()
         self._urgent = gevent.event.Event()
@@ -232,8 +257,31 @@
 
     def add_peer(self, name: str, address: tuple[str, int], data_centre: str) -> None:
         """Take a node into the division into groups."""
-        if name != self._name and name not in self._peers:
-            self._peers[name] = _Peer(address, data_centre)
+        self.set_listed({name: NodeAddress(address, data_centre)}, False)
+
+    def set_listed(
+        self, listed: Mapping[str, NodeAddress], complete: bool = True
+    ) -> None:
+        """Take the nodes of the list into the division into groups.
+
+        Where the list is ``complete``, the others are dropped, unless they are
+        heard.
+        """
+        now_s = self._clock()
+        before = set(self._peers)
+        for name, node in listed.items():
+            if name != self._name and name not in before:
+                peer = _Peer(node.address, node.data_centre, now_s)
+                self._peers[name] = peer
+        gone = [
+            name
+            for name in before - set(listed)
+            if complete and self._peers[name].is_absent(now_s)
+        ]
+        for name in gone:
+            del self._peers[name]
+            self._listener.drop(name)
+        if set(self._peers) != before:
             self._regroup()
 
     def changed(self, urgent: bool = False) -> None:
@@ -253,6 +301,7 @@
         places = {name: peer.data_centre for name, peer in self._peers.items()}
         groups = divide({**places, self._name: self._data_centre})
         self._group = next(group for group in groups if self._name in group.nodes)
+        self._present = len(self._group.nodes)
         self._listener.regroup(groups)
         self._changed.set()
 
@@ -270,7 +319,11 @@
         if not members:
             return
         data = _ENCODER.encode(self._make_message())
+        now_s = self._clock()
         for peer in members:
+            if peer.is_absent(now_s) and now_s - peer.sent_s < ABSENT_SEND_S:
+                continue
+            peer.sent_s = now_s
             envelope = _Envelope(peer.start, peer.stamp_ms, msgspec.Raw(data))
             self._send_to(_ENCODER.encode(envelope), peer.address)
 
@@ -310,7 +363,12 @@
 
     def _receive(self) -> None:
         while True:
-            data, address = self._sock.recvfrom(DATAGRAM_BYTES)
+            try:
+                data, address = self._sock.recvfrom(DATAGRAM_BYTES)
+            except OSError as error:
+                log(Event.TASK_FAILED, task="board", error=error)
+                gevent.sleep(BATCH_S)
+                continue
             try:
                 envelope = _ENVELOPES.decode(data)
                 message = _MESSAGES.decode(envelope.message)
@@ -332,7 +390,8 @@
         if peer is None:
             if message.leaving:
                 return
-            peer = self._peers[message.sender] = _Peer(address, message.data_centre)
+            peer = _Peer(address, message.data_centre, self._clock())
+            self._peers[message.sender] = peer
             self._regroup()
         if message.start == peer.start and message.number <= peer.number:
             return
@@ -369,3 +428,10 @@
         for name, peer in self._peers.items():
             if peer.heard_s is not None and now_s - peer.heard_s > SILENCE_S:
                 self._listener.drop(name)
+        members = (self._peers.get(name) for name in self._group.nodes)
+        present = 1 + sum(
+            peer is not None and not peer.is_absent(now_s) for peer in members
+        )
+        if present != self._present:
+            self._present = present
+            self._listener.set_present(present)
--- a/papayarelay/platform/config.py
+++ b/papayarelay/platform/config.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import hashlib
+import ipaddress
+import re
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -122,6 +124,8 @@
 
 DOCUMENTS = msgspec.json.Decoder(Document)
 ENTRIES = msgspec.json.Decoder(ServerEntry)
+PORT = re.compile("[0-9]{1,5}")
+MOST_PORT = 65_535
 STATES = {"ready": "active", "draining": "leaving"}
 
 
@@ -131,12 +135,21 @@
         entry = ENTRIES.decode(value)
     except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
-    host, _, port = entry.address.rpartition(":")
-    if entry.state not in STATES or not host or not port.isdigit():
+    if entry.state not in STATES or not _is_address(entry.address):
         return None
     return entry
 
 
+def _is_address(text: str) -> bool:
+    """Return whether a text is an IP address with a port, and nothing else."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return bool(PORT.fullmatch(port)) and 0 < int(port) <= MOST_PORT
+
+
 def to_config(
     document: Document,
     entries: Mapping[str, ServerEntry],
--- a/papayarelay/platform/feed.py
+++ b/papayarelay/platform/feed.py
@@ -195,6 +195,11 @@
                 failures += 1
                 self._note_failure(error)
                 self._wait_to_retry(table, failures)
+            except Exception as error:
+                # The next rows may be sound, so the table is followed on.
+                failures += 1
+                log(Event.TASK_FAILED, task=f"feed:{table}", error=error)
+                self._wait_to_retry(table, failures)
 
     def _wait_to_retry(self, table: str, failures: int) -> None:
         """Wait before a table is read again that could not be read."""
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -114,8 +114,9 @@
             settings.name,
             f"{settings.ip}:{settings.first_port}",
             settings.data_centre,
-            self._board.add_peer,
+            self._board.set_listed,
             self._rng,
+            lambda: self._board.rank == 0,
         )
         self._gateway = Gateway(
             settings.caller_address,
@@ -135,6 +136,7 @@
             f"{settings.ip}:{METRICS_PORT}", self._serve_metrics
         )
         self._stalls = StallMeter()
+        self._nodes_total = 1
         self._observe()
         self.regroup(divide({settings.name: settings.data_centre}))
 
@@ -259,8 +261,15 @@
         name = self.settings.name
         self._serving.backends.set_groups(name, groups)
         group = next(group for group in groups if name in group.nodes)
-        total = sum(len(each.nodes) for each in groups)
-        self._budget.set_nodes(len(group.nodes), total)
+        self._nodes_total = sum(len(each.nodes) for each in groups)
+        self._budget.set_nodes(len(group.nodes), self._nodes_total)
+
+    def set_present(self, nodes: int) -> None:
+        """Let the nodes that are heard share the repeats of their group.
+
+        The others keep their own parts, for they may only be cut off from here.
+        """
+        self._budget.set_nodes(nodes, self._nodes_total)
 
     def _rank(self) -> int:
         return self._board.rank
--- a/papayarelay/platform/roster.py
+++ b/papayarelay/platform/roster.py
@@ -1,31 +1,49 @@
-"""The nodes of the system, which find one another in the platform's store."""
+"""The nodes of the system, which find one another in the platform's store.
+
+Each node keeps a row, renews it, and reads those of the others.  A row that was
+not renewed for the time of a lease is of a node that is gone; ages are counted on
+the store's clock alone, so that no clock of a node matters.
+"""
 
 from __future__ import annotations
 
+import ipaddress
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import gevent
 import msgspec
 
 from ..errors import StoreError
+from ..events import Event
 from ..guard import BackgroundTask, run_step
-from .store import StoreClient
+from ..logs import log
+from ..nodes.board import NodeAddress
+from .store import Row, StoreClient
 
 TABLE = "nodes"
 # Nodes that start together have all written their rows after this time.
 SECOND_READ_S = 1.5
-INTERVAL_S = 60.0
+# A row is read and renewed this often.
+INTERVAL_S = 120.0
+LEASE_S = 300.0
 RETRY_S = 0.5
+MOST_RETRY_S = 8.0
+MOST_PORT = 65_535
 
 
 class _Row(msgspec.Struct):
     address: str
     data_centre: str = ""
+    # When the row was renewed, on the store's clock.
+    renewed_ms: int = 0
 
 
 class Roster(BackgroundTask):
-    """Enters this node in the list and calls ``found`` with each other one."""
+    """Keeps this node in the list; calls ``listed`` with the others after a read.
+
+    ``first`` returns whether this node has the duty to remove expired rows.
+    """
 
     def __init__(
         self,
@@ -33,45 +51,101 @@
         name: str,
         address: str,
         data_centre: str,
-        found: Callable[[str, tuple[str, int], str], None],
+        listed: Callable[[Mapping[str, NodeAddress]], None],
         rng: random.Random,
+        first: Callable[[], bool] = lambda: False,
     ):
         self._store = store
         self._name = name
         self._address = address
         self._data_centre = data_centre
-        self._found = found
+        self._listed = listed
         self._rng = rng
-        self._entered = False
+        self._first = first
+        self._expired: list[Row] = []
 
     def leave(self) -> None:
-        """Remove the row of this node; a row that stays does no harm."""
+        """Remove the row of this node; one that stays expires."""
         try:
             self._store.remove(TABLE, [self._name])
         except StoreError:
             return
 
     def _run(self) -> None:
-        pause_s = SECOND_READ_S
+        self._repeat(self.renew)
+        gevent.sleep(SECOND_READ_S * self._rng.uniform(0.8, 1.2))
+        self._repeat(self.read)
+        while True:
+            gevent.sleep(INTERVAL_S * self._rng.uniform(0.8, 1.2))
+            self._repeat(self.renew)
+            run_step(self.remove_expired)
+
+    def _repeat(self, step: Callable[[], object]) -> None:
+        """Run a step until the store has answered; the pauses grow."""
+        pause_s = RETRY_S
         while True:
             try:
-                if not self._entered:
-                    row = msgspec.json.encode(_Row(self._address, self._data_centre))
-                    self._store.write(TABLE, self._name, row)
-                    self._entered = True
-                run_step(self._read)
+                step()
+                return
             except StoreError:
-                gevent.sleep(RETRY_S)
-                continue
+                pass
+            except Exception as error:
+                log(Event.TASK_FAILED, task="roster", error=error)
             gevent.sleep(pause_s * self._rng.uniform(0.8, 1.2))
-            pause_s = INTERVAL_S
+            pause_s = min(MOST_RETRY_S, 2 * pause_s)
 
-    def _read(self) -> None:
-        for row in self._store.read(TABLE).rows:
-            try:
-                entry = msgspec.json.decode(row.value or b"", type=_Row)
-            except msgspec.MsgspecError:
+    def renew(self) -> None:
+        """Read the list, and write the row of this node anew.
+
+        Raises ``StoreError``.
+        """
+        row = _Row(self._address, self._data_centre, self.read())
+        self._store.write(TABLE, self._name, msgspec.json.encode(row))
+
+    def read(self) -> int:
+        """Read the list; return the store's time in ms.  Raises ``StoreError``."""
+        rows = self._store.read(TABLE)
+        listed = {}
+        self._expired = []
+        for row in rows.rows:
+            entry = _decode(row)
+            if entry is None or row.key == self._name:
                 continue
-            host, _, port = entry.address.rpartition(":")
-            if port.isdigit():
-                self._found(row.key, (host, int(port)), entry.data_centre)
+            if rows.now_ms - entry.renewed_ms > LEASE_S * 1000:
+                self._expired.append(row)
+            else:
+                address = _socket_address(entry.address)
+                listed[row.key] = NodeAddress(address, entry.data_centre)
+        self._listed(listed)
+        return rows.now_ms
+
+    def remove_expired(self) -> None:
+        """Remove the rows that the last read has found expired.
+
+        A row that was renewed since stays.
+        """
+        if not self._expired or not self._first():
+            return
+        try:
+            self._store.remove_unchanged(TABLE, self._expired)
+        except StoreError:
+            return
+
+
+def _decode(row: Row) -> _Row | None:
+    """Return what a row says, None where no node has written it."""
+    try:
+        entry = msgspec.json.decode(row.value or b"", type=_Row)
+        _socket_address(entry.address)
+    except (msgspec.MsgspecError, ValueError):
+        return None
+    return entry
+
+
+def _socket_address(text: str) -> tuple[str, int]:
+    """Return the host and port of an address; raises ``ValueError``."""
+    host, _, port = text.rpartition(":")
+    number = int(port)
+    if not 0 < number <= MOST_PORT:
+        raise ValueError(f"no port: {number}")
+    return str(ipaddress.IPv4Address(host)), number
--- a/papayarelay/platform/store.py
+++ b/papayarelay/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -47,10 +46,11 @@
 
 @dataclass(frozen=True)
 class Rows:
-    """Rows as of a version of the store."""
+    """Rows as of a version of the store, read at a time on its clock."""
 
     rows: tuple[Row, ...]
     version: int
+    now_ms: int = 0
 
 
 class _Row(msgspec.Struct):
@@ -63,6 +63,7 @@
 class _Answer(msgspec.Struct):
     rows: list[_Row] = []
     ver: int = 0
+    now_ms: int = 0
     truncated: bool = False
 
 
@@ -106,7 +107,7 @@
             rows += [_read_row(each) for each in answer.rows]
             version = answer.ver if version is None else version
             if not answer.truncated or not answer.rows:
-                return Rows(tuple(rows), version)
+                return Rows(tuple(rows), version, answer.now_ms)
             start = answer.rows[-1].key + "\x00"
 
     def changes(
@@ -136,6 +137,15 @@
         rows = [{"table": table, "part": "", "key": key} for key in keys]
         self._transact({"expected_rev": [], "upserts": [], "remove": rows})
 
+    def remove_unchanged(self, table: str, rows: Sequence[Row]) -> None:
+        """Remove rows if none has changed since they were read.
+
+        Raises ``StoreError``, also where one has changed.
+        """
+        keys = [{"table": table, "part": "", "key": row.key} for row in rows]
+        checks = [{**k, "ver": r.version} for k, r in zip(keys, rows, strict=True)]
+        self._transact({"expected_rev": checks, "upserts": [], "remove": keys})
+
     def _transact(self, transaction: dict) -> None:
         body = json.dumps(transaction).encode()
         self._call("POST", "/rows-tx", None, TIMEOUT_S, body)
@@ -183,7 +193,8 @@
 def _read_row(row: _Row) -> Row:
     try:
         value = None if row.tombstone else base64.b64decode(row.value)
-    except binascii.Error:
+    except ValueError:
+        # Not ASCII, or not base64.
         value = None
     return Row(row.key, value, row.ver, row.tombstone)
 
--- a/papayarelay/tests/store_standin.py
+++ b/papayarelay/tests/store_standin.py
@@ -66,6 +66,8 @@
     """Serves the calls that nodes make, on loopback."""
 
     def __init__(self):
+        # How far the clock of the store is ahead of this machine's.
+        self.ahead_s = 0.0
         self.rows = Rows()
         self.faults = StoreFaults()
         self.calls: list[str] = []
@@ -125,7 +127,8 @@
         return self._answer(start_response, status, answer)
 
     def _answer(self, start_response, status: str, fields: dict):
-        fields |= {"ver": self.rows.version, "now_ms": int(time.monotonic() * 1000)}
+        now_ms = int((time.monotonic() + self.ahead_s) * 1000)
+        fields |= {"ver": self.rows.version, "now_ms": now_ms}
         start_response(status, [("Content-Type", "application/json")])
         return [json.dumps(fields).encode()]
 
@@ -160,6 +163,10 @@
         for row in (*transaction["upserts"], *transaction["remove"]):
             if row["table"] in READ_ONLY:
                 return "403 Forbidden", {"error": "read only"}
+        for check in transaction["expected_rev"]:
+            row = self.rows.tables.get(check["table"], {}).get(check["key"])
+            if check["ver"] != (0 if row is None or row.removed else row.version):
+                return "412 Precondition Failed", {"rows": []}
         for row in transaction["upserts"]:
             self.rows.put(row["table"], row["key"], base64.b64decode(row["value"]))
         for row in transaction["remove"]:
--- a/papayarelay/tests/test_board.py
+++ b/papayarelay/tests/test_board.py
@@ -4,6 +4,9 @@
 import socket
 import time
 import unittest
+from unittest import mock
+
+import msgspec
 
 from ..backends.restriction import Lifetime
 from ..local import wait_for
@@ -35,6 +38,7 @@
         self.stamps: list = []
         self.notices: list[bytes] = []
         self.groups: tuple = ()
+        self.present = 0
         self.age_s = 1000.0 * seed
         self.board = WorkBoard(
             name,
@@ -66,6 +70,10 @@
         """Keep the groups."""
         self.groups = groups
 
+    def set_present(self, nodes):
+        """Keep the number of nodes that are heard."""
+        self.present = nodes
+
 
 FIGURES = [board_module._Figures("e", 1, 0, 0, 0)]
 
@@ -175,6 +183,62 @@
         limit_s = board_module.SILENCE_S + 2 * board_module.HEARTBEAT_S
         wait_for(lambda: "n1" not in self.second.work, limit_s, "silence")
 
+    def _silence_first(self) -> None:
+        """Let the first node end without a word, and the second notice."""
+        wait_for(lambda: "n1" in self.second.told, LIMIT_S, "message")
+        for task in self.first.board._tasks:
+            task.kill()
+        patch = mock.patch.object(board_module, "ABSENT_S", 0.3)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_dropped(self):
+        """A node that is gone would stay in the division and in every send."""
+        self._silence_first()
+        wait_for(lambda: self.second.present == 1, LIMIT_S, "absence")
+        self.assertEqual(len(self.second.groups[0].nodes), 2)
+        self.second.board.set_listed({})
+        self.assertEqual(self.second.groups[0].nodes, ("n2",))
+
+    def test_listed_but_silent(self):
+        """A node that is only cut off from here would lose its part of the whole."""
+        self._silence_first()
+        wait_for(lambda: self.second.present == 1, LIMIT_S, "absence")
+        node = board_module.NodeAddress(self.first.address, "a")
+        self.second.board.set_listed({"n1": node})
+        self.assertEqual(len(self.second.groups[0].nodes), 2)
+
+    def test_heard_but_not_listed(self):
+        """A node whose row was lost would be dropped although it works."""
+        wait_for(lambda: "n1" in self.second.told, LIMIT_S, "message")
+        self.second.board.set_listed({})
+        self.assertEqual(len(self.second.groups[0].nodes), 2)
+
+    def test_present_again(self):
+        """A node that is back would not be counted again."""
+        self._silence_first()
+        wait_for(lambda: self.second.present == 1, LIMIT_S, "absence")
+        later = message(7, 5, [])
+        self.second.board._accept(
+            msgspec.structs.replace(later, sender="n1"), ("127.0.0.1", 9), None
+        )
+        wait_for(lambda: self.second.present == 2, LIMIT_S, "presence")
+
+    def test_receive_error(self):
+        """An error of the socket would end the task that hears the others."""
+        sock = self.second.board._sock
+        failing = mock.Mock(wraps=sock)
+        errors = [OSError(111, "refused")]
+
+        def receive(size):
+            if errors:
+                raise errors.pop()
+            return sock.recvfrom(size)
+
+        failing.recvfrom = receive
+        self.second.board._sock = failing
+        self.test_told_soon()
+
     def test_malformed(self):
         """A datagram from elsewhere would end the exchange."""
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
--- a/papayarelay/tests/test_platform.py
+++ b/papayarelay/tests/test_platform.py
@@ -12,6 +12,7 @@
 import unittest
 import urllib.request
 from pathlib import Path
+from unittest import mock
 
 import gevent
 
@@ -22,7 +23,7 @@
 from ..platform import settings as platform_settings
 from ..platform.feed import RETURN_S, Feed
 from ..platform.reload import SettingsWatch
-from ..platform.roster import Roster
+from ..platform.roster import INTERVAL_S, LEASE_S, Roster
 from ..platform.store import HistoryGoneError, Row, Rows, StoreClient
 from .platform_documents import SETTINGS, make_document, make_entry
 from .store_standin import StoreFaults, StoreStandIn
@@ -235,6 +236,11 @@
             json.dumps(make_entry(state="unknown")).encode(),
             json.dumps(make_entry(address=5)).encode(),
             json.dumps(make_entry(address="nowhere")).encode(),
+            json.dumps(make_entry(address="[10.0.0.1:80")).encode(),
+            json.dumps(make_entry(address="10.0.0.1:99999")).encode(),
+            json.dumps(make_entry(address="10.0.0.1:²")).encode(),
+            json.dumps(make_entry(address="x@10.0.0.1:80")).encode(),
+            json.dumps(make_entry(address="10.0.0.1/p:80")).encode(),
         ):
             self.assertIsNone(platform_config.read_entry(value))
 
@@ -545,6 +551,27 @@
         self.feed.take_notice(self.notices[0])
         self.assertEqual(sorted(self._states()), ["e1", "e2"])
 
+    def test_unexpected_error(self):
+        """One row that cannot be worked with would end the task for good."""
+        self._start()
+        bad = as_row("e3", make_entry(), 11)
+        more = as_row("e4", make_entry(address="10.0.0.4:80"), 12)
+        waits = [Rows((bad,), 11), Rows((more,), 12)]
+        self.store.tables["servers"] = waits
+        self.store.tables["op"] = [Rows((), 12)] * 1000
+        take = self.feed._take_server
+
+        def fail(row, now_s):
+            if row.key == "e3":
+                raise ValueError("unexpected")
+            return take(row, now_s)
+
+        self.now_s += 100.0
+        with mock.patch.object(self.feed, "_take_server", fail):
+            self.feed.start()
+            self.addCleanup(self.feed.close)
+            wait_for(lambda: "e4" in self.feed.config.backends, LIMIT_S, "next rows")
+
     def test_unreadable_entry(self):
         """Another writer's entry would take a server out of service."""
         self._start()
@@ -602,6 +629,14 @@
         with self.assertRaises(HistoryGoneError):
             self.client.changes("t", version, 0.0)
 
+    def test_value_that_is_not_ascii(self):
+        """A row that cannot be decoded would end the task that reads it."""
+        self.standin.put("t", "k", {})
+        encoded = {"key": "k", "value": "é", "ver": 1, "table": "t", "part": ""}
+        with mock.patch.object(self.standin, "_row", lambda *a: encoded):
+            (row,) = self.client.read("t").rows
+        self.assertIsNone(row.value)
+
     def test_faults(self):
         """A node would wait for a store that does not answer."""
         for mode in ("busy", "many", "silent", "reset"):
@@ -615,28 +650,122 @@
 
 
 class RosterTest(unittest.TestCase):
-    """Guards against nodes that do not know one another."""
+    """Guards against nodes that do not know one another, or know those gone."""
+
+    def setUp(self):
+        self.standin = StoreStandIn()
+        self.addCleanup(self.standin.close)
+        self.listed: dict[str, dict] = {}
+
+    def _make(self, name: str, host: str, first: bool = False) -> Roster:
+        client = StoreClient(self.standin.address)
+        client.start()
+        self.addCleanup(client.close)
+        return Roster(
+            client,
+            name,
+            f"{host}:7340",
+            "a",
+            lambda listed: self.listed.__setitem__(name, dict(listed)),
+            random.Random(1),
+            lambda: first,
+        )
 
     def test_found(self):
         """Nodes that start together would not find each other."""
-        standin = StoreStandIn()
-        self.addCleanup(standin.close)
-        standin.put("nodes", "broken", {"other": 1})
-        found: dict[str, dict] = {"n1": {}, "n2": {}}
-        for number, name in enumerate(found):
-            client = StoreClient(standin.address)
-            client.start()
-            self.addCleanup(client.close)
-            roster = Roster(
-                client,
-                name,
-                f"10.0.0.{number}:7340",
-                "a",
-                lambda n, address, place, seen=found[name]: seen.update({n: address}),
-                random.Random(1),
-            )
+        self.standin.put("nodes", "broken", {"other": 1})
+        for number, name in enumerate(("n1", "n2")):
+            roster = self._make(name, f"10.0.0.{number}")
             roster.start()
             self.addCleanup(roster.close)
         for name, other in (("n1", "n2"), ("n2", "n1")):
-            wait_for(lambda n=name, o=other: o in found[n], LIMIT_S, other)
-        self.assertEqual(found["n1"]["n2"], ("10.0.0.1", 7340))
+            wait_for(
+                lambda n=name, o=other: o in self.listed.get(n, {}), LIMIT_S, other
+            )
+        self.assertEqual(self.listed["n1"]["n2"].address, ("10.0.0.1", 7340))
+
+    def test_node_that_is_gone(self):
+        """A node that was killed would stay in the list and in all divisions."""
+        self._make("n1", "10.0.0.1").renew()
+        self.standin.ahead_s = LEASE_S - 10
+        other = self._make("n2", "10.0.0.2", first=True)
+        other.renew()
+        self.assertIn("n1", self.listed["n2"])
+        self.standin.ahead_s = LEASE_S + 10
+        other.renew()
+        other.remove_expired()
+        self.assertEqual(self.listed["n2"], {})
+        rows = other._store.read("nodes").rows
+        self.assertEqual([row.key for row in rows], ["n2"])
+
+    def test_renewed(self):
+        """A node that lives would be dropped, or its new row be removed."""
+        first, other = self._make("n1", "10.0.0.1"), self._make("n2", "10.0.0.2", True)
+        first.renew()
+        self.standin.ahead_s = LEASE_S + 10
+        other.renew()
+        first.renew()
+        other.remove_expired()
+        other.read()
+        self.assertIn("n1", self.listed["n2"])
+
+    def test_duty(self):
+        """Every node would remove the same rows."""
+        self._make("n1", "10.0.0.1").renew()
+        self.standin.ahead_s = LEASE_S + 10
+        other = self._make("n2", "10.0.0.2", first=False)
+        other.renew()
+        calls = len(self.standin.calls)
+        other.remove_expired()
+        self.assertEqual(len(self.standin.calls), calls)
+
+    def test_all_started_again(self):
+        """Nodes that all start at once would drop one another for their old rows."""
+        names = ("n1", "n2", "n3")
+        for name in names:
+            self._make(name, "10.0.0.1").renew()
+        self.standin.ahead_s = 10 * LEASE_S
+        rosters = [self._make(name, "10.0.0.1") for name in names]
+        for roster in rosters:
+            roster.renew()
+        for roster in rosters:
+            roster.read()
+        for name in names:
+            self.assertEqual(set(self.listed[name]), set(names) - {name})
+
+    def test_own_clock_does_not_matter(self):
+        """A node whose clock stood still would be dropped by the others."""
+        roster = self._make("n1", "10.0.0.1")
+        with mock.patch("time.time", return_value=0.0):
+            roster.renew()
+        self.standin.ahead_s = LEASE_S - 10
+        self._make("n2", "10.0.0.2").read()
+        self.assertIn("n1", self.listed["n2"])
+
+    def test_store_away(self):
+        """The nodes would forget one another while the store is away."""
+        self._make("n1", "10.0.0.1").renew()
+        other = self._make("n2", "10.0.0.2", first=True)
+        other.renew()
+        before = self.listed["n2"]
+        self.standin.faults = StoreFaults("busy")
+        with self.assertRaises(StoreError):
+            other.renew()
+        self.assertEqual(self.listed["n2"], before)
+
+    def test_calls(self):
+        """Renewals would load the store more than one read a minute did."""
+        roster = self._make("n1", "10.0.0.1")
+        roster.renew()
+        roster.remove_expired()
+        self.assertLessEqual(len(self.standin.calls) / INTERVAL_S, 1 / 60)
+
+    def test_addresses_of_other_writers(self):
+        """Datagrams to an address that is none would end those to all others."""
+        for number, address in enumerate(
+            ("h:7340", "10.0.0.1:99999", "10.0.0.1:0", "10.0.0.1:", "[::1:7", "")
+        ):
+            fields = {"address": address, "renewed_ms": 1 << 60}
+            self.standin.put("nodes", f"x{number}", fields)
+        self._make("n1", "10.0.0.1").read()
+        self.assertEqual(self.listed["n1"], {})
