Let the soak play servers that leave, turn away, or send without end

Cause: the soak had none of the three, so only unit tests showed that they hold when failures overlap.

What it has asked of each node process is checked when a request or a part of one arrives. Node processes have a module of their own.

--- a/papayarelay/tests/soak/backend.py
+++ b/papayarelay/tests/soak/backend.py
@@ -14,8 +14,13 @@
 
 from ..gateway_system import END, chunk, event, sealed, stream_head
 from ..raw_server import RawServer, Received, reset
+from ..test_bounds import ENDLESS, endless
+from .restrictions import Restrictions
 
 EVENT_INTERVAL_S = 0.02
+# An exchange may outlast its deadline by this much.
+LATE_S = 1.5
+PAUSES_S = (0.8, 1.5, 3.0)
 BEAT_S = 0.4
 
 
@@ -45,7 +50,9 @@
     """One server of a service, listed in the store.
 
     ``kind`` is ``engine`` or ``plain``.  ``mode`` makes it fail: ``hang``,
-    ``refuse``, ``cut`` (after it has run), ``torn``, ``extra``, or nothing.
+    ``refuse``, ``cut`` (after it has run), ``torn``, ``extra``, ``pause`` (it
+    wants no requests for a time), ``endless`` bytes, or nothing.  While it is
+    ``leaving``, each of its answers says so.
     """
 
     def __init__(self, world, server_id: str, service: str, kind: str, zone: str):
@@ -54,6 +61,8 @@
         self.kind = kind
         self.zone = zone
         self.mode = ""
+        self.leaving = False
+        self.restrictions = Restrictions()
         self.draining_s: float | None = None
         self.tickets: dict[str, Ticket] = {}
         self.born = int(time.time() * 1000)
@@ -80,6 +89,8 @@
         self.born = int(time.time() * 1000)
         self.tickets.clear()
         self.draining_s = None
+        self.leaving = False
+        self.restrictions = Restrictions()
         self.mode = ""
         self._server = RawServer(self._serve, self._port)
         self._beat = gevent.spawn(self._run)
@@ -125,16 +136,64 @@
             return self._reply(request, 200, {"tickets": names})
         if path == "/papayarelay/order":
             return self._order(request)
+        self._check_restrictions(request)
         if request.get(b"X-Expect-Instance") != self.id.encode():
             return self._reply(request, 421, {})
+        return self._begin(request)
+
+    def _begin(self, request: Received) -> bool | None:
+        """Refuse a request, or run it."""
         if self.mode == "refuse":
             return self._reply(request, 503, {}, b"X-Not-Executed: 1\r\n")
+        if self.mode == "pause":
+            return self._turn_away(request)
         self._check_arrival(request)
+        if self.mode == "endless":
+            return self._send_without_end(request)
         if self.mode == "hang":
             gevent.sleep(30)
             return False
         return self._answer(request)
 
+    def _check_restrictions(self, request: Received) -> None:
+        """Check that a request is one that this server wants."""
+        attempt = request.get(b"X-Attempt-Id").decode()
+        node = self._world.sent_to.get(attempt)
+        if node is None:
+            return
+        sent_s, now_s = self._world.sent_s[attempt], time.monotonic()
+        servers = [self]
+        for item in (request.get(b"X-Helpers") or b"").decode().split(","):
+            servers.append(self._world.backend_at(item.partition("/")[0]))
+        for server in filter(None, servers):
+            broken = server.restrictions.check(node, sent_s, now_s)
+            if broken:
+                text = f"{broken} {attempt} reached {server.id} by {node.name}"
+                self._world.ledger.note(text)
+
+    def _turn_away(self, request: Received) -> None:
+        pause_s = self._world.rng.choice(PAUSES_S)
+        attempt = request.get(b"X-Attempt-Id").decode()
+        node = self._world.sent_to[attempt]
+        self.restrictions.tell_pause(node, pause_s, time.monotonic())
+        extra = b"X-Not-Executed: 1\r\nRetry-After: %.1f\r\n" % pause_s
+        self._reply(request, 503, {}, extra)
+
+    def _send_without_end(self, request: Received) -> bool:
+        """Send bytes until the node closes the connection, which it has to."""
+        attempt = request.get(b"X-Attempt-Id")
+        begin, more = self._world.rng.choice(list(ENDLESS.values()))
+        begin = begin.replace(b"X-Id", b"X-Attempt-Id").replace(b"r1", attempt)
+        begun_s = time.monotonic()
+        endless(begin, more, EVENT_INTERVAL_S)(request)
+        took_s = time.monotonic() - begun_s
+        allowed_s = int(request.get(b"X-Deadline-Ms")) / 1000 + LATE_S
+        node = self._world.sent_to[attempt.decode()]
+        if took_s > allowed_s and node.in_touch(begun_s):
+            text = f"ENDLESS {attempt.decode()} {took_s:.1f} s by {node.name}"
+            self._world.ledger.note(text)
+        return False
+
     def _check_arrival(self, request: Received) -> None:
         world = self._world
         now_s = time.monotonic()
@@ -155,7 +214,7 @@
                 reset(request.sock)
                 return False
             body = f"answer to {attempt}".encode()
-            data = sealed(request, body)
+            data = sealed(request, body, extra=self._leaving_header(request))
             if self.mode == "torn":
                 request.sock.sendall(data[:-3])
                 return False
@@ -168,7 +227,9 @@
         tickets = self._use_tickets(request)
         try:
             first = int(request.get(b"Last-Event-Id") or 0) + 1
-            request.sock.sendall(stream_head(request, self.id.encode()))
+            head = stream_head(request, self.id.encode())
+            extra = b"\r\n" + self._leaving_header(request)
+            request.sock.sendall(head.replace(b"\r\n", extra, 1))
             for number in range(first, events + 1):
                 gevent.sleep(EVENT_INTERVAL_S)
                 if self.mode == "cut" and number > first + 1:
@@ -183,6 +244,14 @@
                 ticket.used_s = now_s
         return None
 
+    def _leaving_header(self, request: Received) -> bytes:
+        """Return what the answer to a request says of the server."""
+        if not self.leaving:
+            return b""
+        node = self._world.sent_to[request.get(b"X-Attempt-Id").decode()]
+        self.restrictions.tell_leaving(node, time.monotonic())
+        return b"Server-Leaving: 1\r\n"
+
     def _use_tickets(self, request: Received) -> list[Ticket]:
         used = []
         for item in (request.get(b"X-Helpers") or b"").decode().split(","):
--- a/papayarelay/tests/soak/client.py
+++ b/papayarelay/tests/soak/client.py
@@ -11,7 +11,8 @@
 from ...guard import BackgroundTask
 from ..gateway_system import event
 from ..platform_documents import HOST
-from .world import CONTACT_S, KEYS, STOP_S, NodeProcess, World
+from .process import CONTACT_S, STOP_S, NodeProcess
+from .world import KEYS, World
 
 KINDS = ("stream", "once", "job", "call")
 DEADLINES_S = {"stream": 4.0, "once": 4.0, "job": 1.5, "call": 1.5}
--- a/papayarelay/tests/soak/faults.py
+++ b/papayarelay/tests/soak/faults.py
@@ -8,12 +8,14 @@
 import gevent
 
 from ..store_standin import StoreFaults
-from .world import DATA_CENTRES, KEYS, NodeProcess, World
+from .process import NodeProcess
+from .world import DATA_CENTRES, KEYS, World
 
 # Backend servers that are never disturbed, so that requests can be served.
 SOUND = frozenset({"e0", "p0", "m0"})
 # Longer than keys are relied on without the store.
 KEPT_AWAY_S = 8.0
+MODES = ("hang", "refuse", "cut", "torn", "extra", "pause", "endless")
 
 
 class Injector:
@@ -35,6 +37,7 @@
             self._crash_backend,
             self._drain_backend,
             self._break_backend,
+            self._leave_backend,
             self._lose_orders,
             self._change_config,
             self._take_keys,
@@ -181,9 +184,24 @@
         gevent.sleep(self._some_s(6.0))
         backend.draining_s = None
 
+    def _leave_backend(self) -> None:
+        """Let a server say in its answers that it leaves, but not in the list."""
+        backend = self._backend()
+        self._note(f"{backend.id} says that it leaves")
+        backend.leaving = True
+        gevent.sleep(self._some_s(6.0))
+        if not backend.leaving:
+            return
+        backend.crash()
+        gevent.sleep(0.1)
+        try:
+            backend.restart(backend.id)
+        except OSError:
+            self._note(f"{backend.id} could not listen again")
+
     def _break_backend(self) -> None:
         backend = self._backend()
-        mode = self._world.rng.choice(("hang", "refuse", "cut", "torn", "extra"))
+        mode = self._world.rng.choice(MODES)
         self._note(f"{backend.id} {mode}")
         backend.mode = mode
         gevent.sleep(self._some_s(4.0))
--- /dev/null
+++ b/papayarelay/tests/soak/process.py
@@ -0,0 +1,85 @@
+"""Nodes as processes of their own, and the time limits that bind them."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..platform_documents import make_settings
+
+CONTACT_S = 3.0
+# Time limits of the settings below, with the time that a loaded machine takes.
+DRAIN_S, REVOKE_S, EVACUATE_S, CONFIG_S, STOP_S = 2.0, 5.0, 5.0, 2.0, 8.0
+SLACK_S = 0.6
+
+
+@dataclass
+class NodeProcess:
+    """A node as a process of its own, and when it was last disturbed."""
+
+    name: str
+    ip: str
+    zone: str
+    store: object
+    log_path: Path
+    settings_path: Path
+    popen: subprocess.Popen | None = None
+    disturbed_s: float = 0.0
+    stopping_s: float | None = None
+    paused: bool = False
+    _log: object = None
+
+    def start(self) -> None:
+        """Start the process."""
+        text = make_settings(self.name, self.ip, self.zone, self.store.address)
+        self.settings_path.write_text(text)
+        self._log = self.log_path.open("ab")
+        self.popen = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "papayarelay.platform",
+                "--settings",
+                str(self.settings_path),
+            ],
+            stdout=self._log,
+            stderr=self._log,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        self.stopping_s = None
+        self.paused = False
+        self.disturb()
+
+    def disturb(self) -> None:
+        """Note that this node or its links are not sound now."""
+        self.disturbed_s = time.monotonic()
+
+    def in_touch(self, now_s: float) -> bool:
+        """Return whether the time limits bind this node."""
+        calm = now_s - self.disturbed_s > CONTACT_S
+        return calm and not self.paused and self.running
+
+    @property
+    def running(self) -> bool:
+        """Return whether the process lives."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        if self.running:
+            self.popen.send_signal(number)
+            self.disturb()
+
+    def end(self) -> None:
+        """Kill the process."""
+        if self.running:
+            # Before the kill: callers notice the cut while this waits.
+            self.disturb()
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.kill()
+            self.popen.wait()
