Answer what has been accepted before a planned stop ends

On a connection in use again, an answer that names no request was taken for that to the next one, though it may be a second copy of the one before.

Change: Gateway.finish accepts on until nothing is left to answer, takes what the kernel holds, and then closes the address; a connection with bytes of a request is answered, idle ones end for reading only. An answer without an id counts on a fresh connection only.

The soak plays turning away and endless bytes as faults of their own, for longer.

--- a/papayarelay/backends/connection.py
+++ b/papayarelay/backends/connection.py
@@ -164,8 +164,7 @@
         for _ in range(STRAY_LIMIT):
             answer = self._read_head()
             heard(answer)
-            found = answer.get(answers) if wanted is not None else None
-            if found is None or found == wanted:
+            if self._belongs(answer, answers, wanted):
                 return answer
             self._skip_answer(head, body)
         raise self._error("only answers to other requests arrive")
@@ -202,6 +201,19 @@
         while part := self.read():
             yield part
 
+    def _belongs(self, answer: AnswerHead, name: bytes, wanted: bytes | None) -> bool:
+        """Return whether an answer is that to the request that is waiting.
+
+        On a connection that was used before, one that names no request may be
+        a second copy of an earlier answer.
+        """
+        if wanted is None:
+            return True
+        found = answer.get(name)
+        if found is None and self.used > 1:
+            raise self._error("answer names no request on a connection in use again")
+        return found is None or found == wanted
+
     def _encode(self, head: RequestHead, body: bytes) -> bytes:
         request = h11.Request(
             method=head.method, target=head.target, headers=head.headers
--- a/papayarelay/callers/connection.py
+++ b/papayarelay/callers/connection.py
@@ -38,6 +38,8 @@
 
     def __init__(self, sock: socket.socket, limits: CallerLimits):
         self.answered = False
+        # Whether bytes of a request have arrived that is not answered yet.
+        self.busy = False
         self.request_id = ""
         self._sock = sock
         self._limits = limits
@@ -77,10 +79,12 @@
         if self.answered:
             self._protocol.start_next_cycle()
             self.answered = False
+            self.busy = False
         self._sock.settimeout(None)
         self._allowed_bytes = 2 * self._limits.header_bytes + RECEIVE_BYTES
         if not self.has_unread and not self._wait_for_bytes():
             return None
+        self.busy = True
         try:
             with gevent.Timeout(self._limits.header_timeout_s):
                 event = self._next_event()
@@ -178,6 +182,11 @@
         self._send_bytes(self._encode(h11.EndOfMessage()))
         self.answered = True
 
+    def stop_reading(self) -> None:
+        """Take no further request; one that has arrived is still read."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RD)
+
     def abort(self) -> None:
         """Stop reading and writing; an answer that has begun stays incomplete."""
         with contextlib.suppress(OSError):
--- a/papayarelay/callers/gateway.py
+++ b/papayarelay/callers/gateway.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import random
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
@@ -40,6 +41,8 @@
 CONNECTIONS_LIMIT = 3000
 # What is left of a refused request is read for this long.
 DISCARD_LIMIT_S = 1.0
+# While a node stops, it looks this often whether all is answered.
+FINISH_CHECK_S = 0.01
 # A body takes at most this long to arrive.
 BODY_LIMIT_S = 10.0
 UNAVAILABLE = 503
@@ -129,7 +132,7 @@
             backlog=BACKLOG,
             spawn=Pool(CONNECTIONS_LIMIT),
         )
-        self._idle: set[CallerConnection] = set()
+        self._connections: set[CallerConnection] = set()
 
     @property
     def address(self) -> str:
@@ -146,11 +149,35 @@
         """Begin to listen; raises ``OSError`` when the address is taken."""
         self._server.start()
 
-    def stop_listening(self) -> None:
-        """Accept no new connection, and close those without a request."""
+    def finish(self, timeout_s: float) -> bool:
+        """Answer what has been accepted, and end the idle connections.
+
+        Connections are accepted until nothing is left to answer, since the
+        balancer may still send some; then the address is closed.  Returns whether
+        all was answered in time.
+        """
+        end_s = self._clock() + timeout_s
+        for connection in self._connections:
+            if not connection.busy:
+                connection.stop_reading()
+        while self._connections and self._clock() < end_s:
+            gevent.sleep(FINISH_CHECK_S)
+        for sock, address in self._accept_rest():
+            gevent.spawn(self._serve, sock, address)
+        gevent.sleep(0)
+        while self._connections and self._clock() < end_s:
+            gevent.sleep(FINISH_CHECK_S)
+        return not self._connections
+
+    def _accept_rest(self) -> list[tuple[socket.socket, tuple]]:
+        """Close the address; return the connections that had been opened."""
+        self._server.stop_accepting()
+        accepted = []
+        with contextlib.suppress(OSError):
+            while (opened := self._server.do_read()) is not None:
+                accepted.append(opened)
         self._server.close()
-        for connection in list(self._idle):
-            connection.abort()
+        return accepted
 
     def close(self) -> None:
         """End all connections."""
@@ -159,6 +186,7 @@
     def _serve(self, sock, address) -> None:
         """Serve the requests of one connection until it ends."""
         connection = CallerConnection(sock, self._config.caller_limits)
+        self._connections.add(connection)
         try:
             while self._serve_request(connection):
                 pass
@@ -166,17 +194,15 @@
             connection.abort()
         finally:
             connection.close()
+            self._connections.discard(connection)
 
     def _serve_request(self, connection: CallerConnection) -> bool:
         """Answer the next request; return whether another may follow."""
-        self._idle.add(connection)
         try:
             head = connection.read_request()
         except RelayError as error:
             self._refuse(connection, error)
             return False
-        finally:
-            self._idle.discard(connection)
         if head is None:
             return False
         received_s = self._clock()
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -160,9 +160,8 @@
         self.gate.leaving = True
         self._roster.leave()
         gevent.sleep(LEAVE_S)
-        self._gateway.stop_listening()
         self.gate.close()
-        self.gate.wait_until_empty(max(0.0, end_s - self._clock()))
+        self._gateway.finish(max(0.0, end_s - self._clock()))
 
     def close(self) -> None:
         """End all parts at once."""
--- a/papayarelay/tests/soak/backend.py
+++ b/papayarelay/tests/soak/backend.py
@@ -20,7 +20,7 @@
 EVENT_INTERVAL_S = 0.02
 # An exchange may outlast its deadline by this much.
 LATE_S = 1.5
-PAUSES_S = (0.8, 1.5, 3.0)
+PAUSES_S = (0.8, 3.0, 6.0)
 BEAT_S = 0.4
 
 
@@ -189,7 +189,7 @@
         took_s = time.monotonic() - begun_s
         allowed_s = int(request.get(b"X-Deadline-Ms")) / 1000 + LATE_S
         node = self._world.sent_to[attempt.decode()]
-        if took_s > allowed_s and node.in_touch(begun_s):
+        if took_s > allowed_s and node.running and node.disturbed_s < begun_s:
             text = f"ENDLESS {attempt.decode()} {took_s:.1f} s by {node.name}"
             self._world.ledger.note(text)
         return False
--- a/papayarelay/tests/soak/faults.py
+++ b/papayarelay/tests/soak/faults.py
@@ -15,7 +15,9 @@
 SOUND = frozenset({"e0", "p0", "m0"})
 # Longer than keys are relied on without the store.
 KEPT_AWAY_S = 8.0
-MODES = ("hang", "refuse", "cut", "torn", "extra", "pause", "endless")
+MODES = ("hang", "refuse", "cut", "torn", "extra")
+# Longer than a server that leaves may get requests.
+LONG_S = (4.0, 8.0)
 
 
 class Injector:
@@ -38,6 +40,8 @@
             self._drain_backend,
             self._break_backend,
             self._leave_backend,
+            self._turn_away,
+            self._send_without_end,
             self._lose_orders,
             self._change_config,
             self._take_keys,
@@ -189,7 +193,7 @@
         backend = self._backend()
         self._note(f"{backend.id} says that it leaves")
         backend.leaving = True
-        gevent.sleep(self._some_s(6.0))
+        gevent.sleep(self._world.rng.uniform(*LONG_S))
         if not backend.leaving:
             return
         backend.crash()
@@ -200,11 +204,20 @@
             self._note(f"{backend.id} could not listen again")
 
     def _break_backend(self) -> None:
+        self._hold_mode(self._world.rng.choice(MODES), self._some_s(4.0))
+
+    def _turn_away(self) -> None:
+        self._hold_mode("pause", self._world.rng.uniform(*LONG_S))
+
+    def _send_without_end(self) -> None:
+        self._hold_mode("endless", self._world.rng.uniform(*LONG_S))
+
+    def _hold_mode(self, mode: str, length_s: float) -> None:
+        """Let a backend server fail in one way for some time."""
         backend = self._backend()
-        mode = self._world.rng.choice(MODES)
         self._note(f"{backend.id} {mode}")
         backend.mode = mode
-        gevent.sleep(self._some_s(4.0))
+        gevent.sleep(length_s)
         backend.mode = ""
 
     def _lose_orders(self) -> None:
--- a/papayarelay/tests/test_gateway.py
+++ b/papayarelay/tests/test_gateway.py
@@ -1,9 +1,11 @@
 """Tests of requests that are passed on as they are."""
 
 import contextlib
+import http.client
 import socket
 import time
 import unittest
+from collections import Counter
 from dataclasses import replace
 from unittest import mock
 
@@ -12,6 +14,7 @@
 
 from ..absence import FIRST_S
 from ..config import Organisation
+from ..local import wait_for
 from ..platform.config import MEMBER
 from .gateway_system import (
     END,
@@ -587,13 +590,12 @@
         self.system.set_scripts(slow)
         task = gevent.spawn(self.send, "/call/")
         begun.wait(LIMIT_S)
-        self.system.gate.leaving = True
-        self.system.gateway.stop_listening()
-        self.system.gate.close()
+        stopping = self._stop()
         reply = task.get(timeout=LIMIT_S)
         self.assertEqual(reply.body, b"done")
         self.assertEqual(reply.headers["Connection"], "close")
-        self.assertTrue(self.system.gate.wait_until_empty(LIMIT_S))
+        self.assertTrue(stopping.get(timeout=LIMIT_S))
+        self.assertEqual(self.system.gate.inflight, 0)
 
     def test_open_connection(self):
         """A request on an open connection would be lost after the stop began."""
@@ -602,3 +604,66 @@
         reply = self.send("/job/", "POST", b"x")
         self.assertEqual(reply.status, 503)
         self.assertEqual(self.system.arrivals, [])
+
+    def _stop(self):
+        """Stop as a node does; return the task that waits for the end."""
+        self.system.gate.leaving = True
+        self.system.gate.close()
+        return gevent.spawn(self.system.gateway.finish, LIMIT_S)
+
+    def test_request_that_is_arriving(self):
+        """A request whose head was arriving would be cut without an answer."""
+        whole = (
+            b"POST /job/ HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\n"
+            b"X-Attempt-Id: a1\r\nContent-Length: 1\r\n\r\nx"
+        )
+        head = len(whole) - 1
+        for cut, status in ((1, 503), (30, 503), (head - 3, 503), (head, 200)):
+            with self.subTest(cut=cut), GatewaySystem() as self.system:
+                with socket.create_connection(self.system.address) as sock:
+                    sock.sendall(whole[:cut])
+                    gevent.sleep(0.05)
+                    stopping = self._stop()
+                    gevent.sleep(0.05)
+                    sock.sendall(whole[cut:])
+                    sock.settimeout(LIMIT_S)
+                    line = sock.recv(1000).partition(b"\r\n")[0]
+                    self.assertIn(b" %d " % status, line)
+                self.assertTrue(stopping.get(timeout=LIMIT_S))
+
+    def test_idle_connection(self):
+        """A stop would wait for callers who send nothing."""
+        with socket.create_connection(self.system.address) as sock:
+            gevent.sleep(0.05)
+            stopping = self._stop()
+            self.assertTrue(wait_until_closed(sock, LIMIT_S))
+            self.assertTrue(stopping.get(timeout=LIMIT_S))
+
+    def test_under_load(self):
+        """Requests that had just been accepted would be cut without an answer."""
+        self.system.set_scripts(
+            lambda request: (
+                gevent.sleep(0.01) or request.sock.sendall(sealed(request, b"done"))
+            )
+        )
+        ends, running = Counter(), [True]
+
+        def call():
+            while running:
+                try:
+                    ends[self.send("/job/", "POST", b"x").status] += 1
+                except ConnectionRefusedError:
+                    # No connection, so no request: the caller goes elsewhere.
+                    ends["refused"] += 1
+                    gevent.sleep(0.01)
+                except (OSError, http.client.HTTPException) as error:
+                    ends[type(error).__name__] += 1
+
+        tasks = [gevent.spawn(call) for _ in range(40)]
+        wait_for(lambda: ends[200] > 200, LIMIT_S, "load")
+        stopping = self._stop()
+        self.assertTrue(stopping.get(timeout=2 * LIMIT_S))
+        wait_for(lambda: ends["refused"] > 100, LIMIT_S, "end")
+        running.clear()
+        gevent.joinall(tasks, timeout=LIMIT_S)
+        self.assertEqual(set(ends) - {200, 503, "refused"}, set(), ends)
