Leave out a data centre whose servers do not answer

Cause: a request that was placed on a server behind a cut waited 1 s for its connection, and then went to the next silent server.

Change: two silent servers of a data centre within 2 s mean that this node does not reach it; then one request at a time tries it, each 0.5 s, until a server answers. A connection may take 0.4 s instead of 1 s: a lost packet of a new connection is sent again after 1 s, so waiting on for that gains nothing.

Test: test_reach.py plays 30 calls while six of eight servers are silent, and counts the tries; without the change each silent server is tried.

--- a/papayarelay/backends/connection.py
+++ b/papayarelay/backends/connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import time
 from collections.abc import Callable, Iterator
@@ -288,7 +289,9 @@
             raise self._error(f"no valid answer: {error}") from error
         except OSError as error:
             text = f"connection broke: {type(error).__name__}"
-            raise self._error(text) from error
+            failure = self._error(text)
+            failure.silent = error.errno == errno.ETIMEDOUT
+            raise failure from error
         if event is h11.PAUSED:
             raise self._error("bytes follow the answer")
         return event
--- a/papayarelay/backends/pool.py
+++ b/papayarelay/backends/pool.py
@@ -14,7 +14,9 @@
 from .protocol import CHAT, Protocol, Signals, read_signals
 from .restriction import Restriction
 
-CONNECT_TIMEOUT_S = 1.0
+# A lost packet of a new connection is sent again after 1 s only; another server is
+# reached sooner than that.
+CONNECT_TIMEOUT_S = 0.4
 # An engine sends a keep-alive comment every second, so three missed ones mean
 # that the connection has gone silent.
 STREAM_IDLE_LIMIT_S = 3.5
@@ -209,6 +211,7 @@
                 outcome=Outcome.NOT_RUN,
             )
             failure.fault = Fault.UNREACHABLE
+            failure.silent = isinstance(error, TimeoutError)
             raise failure from error
         return Connection(sock, self.backend_id, self._clock)
 
--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -25,6 +25,7 @@
 from .load import LoadReport
 from .pool import IDLE_CONNECTIONS, BackendPool
 from .protocol import CHAT, Protocol, Signals
+from .reach import Reach
 from .restriction import Lifetime, Restrictions
 
 # An engine counts as warm once it has answered this many times its cold bound.
@@ -166,6 +167,7 @@
         self._on_leaving = on_leaving
         self._clock = clock
         self._restrictions = Restrictions()
+        self._reach = Reach()
         self._paused_until_s = 0.0
         self._protocol = protocol
         self._own = ""
@@ -442,8 +444,21 @@
         entry.forget_figures()
         return work
 
-    def take_cold_room(self, entry: BackendEntry, now_s: float) -> None:
-        """Count a request that is sent to a server in cold start."""
+    def note_silent(self, entry: BackendEntry, now_s: float) -> None:
+        """Note that nothing came back from a server."""
+        place = entry.config.data_centre
+        if self._reach.note_silent(place, entry.id, now_s):
+            log(Event.DATA_CENTRE_SILENT, target=f"data_centre/{place}")
+
+    def note_reached(self, entry: BackendEntry) -> None:
+        """Note that a server answers."""
+        place = entry.config.data_centre
+        if self._reach.note_answer(place):
+            log(Event.DATA_CENTRE_BACK, target=f"data_centre/{place}")
+
+    def take_room(self, entry: BackendEntry, now_s: float) -> None:
+        """Count a request that is sent to a server."""
+        self._reach.note_try(entry.config.data_centre, now_s)
         if entry.is_cold(now_s) and entry.cold_rate is not None:
             entry.cold_rate.take(now_s)
 
@@ -495,6 +510,7 @@
             and not entry.pool.restriction.bars(now_s)
             and self._has_cold_room(entry, now_s)
         ]
+        found = self._reached(found, now_s)
         if self._scope is None:
             return found
         # The work of other groups on their engines is not known here, so these
@@ -506,6 +522,12 @@
         )
         return own if listed and len(own) >= LEAST_SCOPE_PART * listed else found
 
+    def _reached(self, found: list[BackendEntry], now_s: float) -> list[BackendEntry]:
+        """Return the servers of data centres that answer, or all where none does."""
+        cut_off = self._reach.is_cut_off
+        reached = [e for e in found if not cut_off(e.config.data_centre, now_s)]
+        return reached or found
+
     def _in_service(
         self, target: str, name: str, now_s: float
     ) -> Iterator[BackendEntry]:
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -219,7 +219,7 @@
             raise
         now_s = self._clock()
         entry.circuit.record_success(now_s)
-        entry.absence.note_answer()
+        self._scheduler.note_answer(entry)
         tokens = _cost_of(request).kv_tokens
         entry.warm_up.record_success(tokens, True, now_s)
 
@@ -248,7 +248,7 @@
             self._record_failure(entry, error)
             raise
         entry.circuit.record_success(self._clock())
-        entry.absence.note_answer()
+        self._scheduler.note_answer(entry)
         return answer
 
     def _describe(
@@ -278,6 +278,8 @@
         culprit = self._scheduler.find(getattr(error, "culprit", "")) or entry
         absence = culprit.absence
         fault = getattr(error, "fault", Fault.BROKEN)
+        if getattr(error, "silent", False):
+            self._scheduler.note_silent(entry)
         if fault is Fault.UNREACHABLE:
             absence.note_unreachable(now_s)
         elif fault is Fault.REPLACED:
--- a/papayarelay/errors.py
+++ b/papayarelay/errors.py
@@ -123,7 +123,8 @@
     """A backend server failed or broke its stream.
 
     ``fault`` is what that says of the server, or of another one whose id or
-    address is ``culprit``.  ``answer`` is the server's own answer, where it may be
+    address is ``culprit``.  ``silent`` says that nothing at all came back, not
+    even an acknowledgement.  ``answer`` is the server's own answer, where it may be
     passed on.
     """
 
@@ -132,6 +133,7 @@
     default_retry_after_s = RETRY_AFTER_S
     fault = Fault.BROKEN
     culprit = ""
+    silent = False
     answer: object | None = None
 
     @property
--- a/papayarelay/events.py
+++ b/papayarelay/events.py
@@ -217,6 +217,18 @@
         "backend server wants no requests",
         "An answer said so; the server gets no new work for pause_s.",
     )
+    DATA_CENTRE_SILENT = (
+        1218,
+        "warning",
+        "data centre does not answer",
+        "Several of its servers were silent; the others are tried one at a time.",
+    )
+    DATA_CENTRE_BACK = (
+        1219,
+        "info",
+        "data centre answers again",
+        "One of its servers has answered after several had been silent.",
+    )
 
     REQUEST_FINISHED = (
         1301,
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -148,11 +148,21 @@
 
     def mark_prefilled(self, grant: Grant) -> None:
         """Note that the server has answered, so its prefill is done."""
+        self._table.note_reached(grant.entry)
         self._table.mark_prefilled(grant.entry, grant.work)
         for entry, work in grant.helpers:
             self._table.mark_prefilled(entry, work)
         self._on_work(False)
 
+    def note_answer(self, entry: BackendEntry) -> None:
+        """Note a whole answer of a server."""
+        entry.absence.note_answer()
+        self._table.note_reached(entry)
+
+    def note_silent(self, entry: BackendEntry) -> None:
+        """Note that nothing came back from a server."""
+        self._table.note_silent(entry, self._clock())
+
     def find(self, name: str) -> BackendEntry | None:
         """Return the backend server of an id or an address, or None."""
         return self._table.find(name) if name else None
@@ -252,7 +262,7 @@
     """Count the work of a placement on its servers."""
     entry = table.get(placement.backend_id)
     entry.circuit.allow(now_s)
-    table.take_cold_room(entry, now_s)
+    table.take_room(entry, now_s)
     read_s = placement.read_s
     kept = cost.kv_tokens - sum(placement.reserved)
     work = table.hold(entry, cost, now_s, read_s=read_s, tokens=kept)
--- /dev/null
+++ b/papayarelay/tests/test_reach.py
@@ -0,0 +1,123 @@
+"""Tests of data centres that do not answer."""
+
+import time
+import unittest
+from collections import Counter
+from dataclasses import replace
+from unittest import mock
+
+from ..backends import pool as pool_module
+from ..backends.reach import FEWEST_SILENT, PAUSE_S, SIGN_S, Reach
+from ..config import DataCentre
+from .gateway_system import GatewaySystem, sealed
+
+SILENT = 6
+REQUESTS = 30
+
+
+class ReachTest(unittest.TestCase):
+    """Guards against requests that each try a data centre that is cut off."""
+
+    def setUp(self):
+        self.reach = Reach()
+
+    def _silence(self, now_s: float, count: int = FEWEST_SILENT) -> None:
+        for number in range(count):
+            self.reach.note_silent("b", f"e{number}", now_s)
+
+    def test_one_server(self):
+        """A server that has died would take its data centre with it."""
+        for now_s in (0.0, 0.1, 0.2):
+            self.reach.note_silent("b", "e1", now_s)
+            self.assertFalse(self.reach.is_cut_off("b", now_s))
+
+    def test_cut(self):
+        """Requests would try one silent server after the other."""
+        self._silence(10.0)
+        self.assertTrue(self.reach.is_cut_off("b", 10.1))
+        self.assertFalse(self.reach.is_cut_off("a", 10.1))
+
+    def test_old_signs(self):
+        """Servers that died minutes apart would count as a cut."""
+        self.reach.note_silent("b", "e1", 10.0)
+        self.reach.note_silent("b", "e2", 10.1 + SIGN_S)
+        self.assertFalse(self.reach.is_cut_off("b", 10.2 + SIGN_S))
+
+    def test_one_try(self):
+        """All requests would try the data centre again at the same time."""
+        self._silence(10.0)
+        now_s = 10.1 + PAUSE_S
+        self.assertFalse(self.reach.is_cut_off("b", now_s))
+        self.reach.note_try("b", now_s)
+        self.assertTrue(self.reach.is_cut_off("b", now_s))
+
+    def test_back(self):
+        """A data centre that answers again would be left out."""
+        self._silence(10.0)
+        self.assertTrue(self.reach.note_answer("b"))
+        self.assertFalse(self.reach.is_cut_off("b", 10.1))
+        self.reach.note_silent("b", "e1", 10.1)
+        self.assertFalse(self.reach.is_cut_off("b", 10.1))
+
+    def test_tries_do_not_begin_a_cut(self):
+        """A request to a sound data centre would keep others away from it."""
+        self.reach.note_silent("b", "e1", 10.0)
+        self.reach.note_try("b", 10.1)
+        self.assertFalse(self.reach.is_cut_off("b", 10.1))
+
+
+class LoadTest(unittest.TestCase):
+    """Plays a load while a data centre is cut off; checks what callers get."""
+
+    def setUp(self):
+        self.system = self.enterContext(GatewaySystem(plain=2 + SILENT))
+        silent = self.system.plain[2:]
+        backends = dict(self.system.config.backends)
+        for number in range(2, 2 + SILENT):
+            name = f"plain-{number}"
+            backends[name] = replace(backends[name], data_centre="dc2")
+        places = {**self.system.config.data_centres, "dc2": DataCentre("dc2", "r1")}
+        self.system.apply(
+            replace(self.system.config, backends=backends, data_centres=places)
+        )
+        for server in self.system.plain:
+            server.script = lambda r: r.sock.sendall(sealed(r, b"ok"))
+        self.ports = {int(each.address.rpartition(":")[2]) for each in silent}
+        self.tried: Counter = Counter()
+        self.cut = True
+        connect = pool_module.connect
+
+        def reach(host, port, timeout_s):
+            if self.cut and port in self.ports:
+                self.tried[port] += 1
+                raise TimeoutError
+            return connect(host, port, timeout_s)
+
+        patch = mock.patch.object(pool_module, "connect", reach)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_cut_off(self):
+        """Each silent server would cost a request the time of a connection."""
+        begun_s = time.monotonic()
+        for _ in range(REQUESTS):
+            self.assertEqual(self.send("/job/", "POST", b"x").status, 200)
+        tries = (time.monotonic() - begun_s) // PAUSE_S
+        self.assertLessEqual(self.tried.total(), FEWEST_SILENT + 1 + tries)
+
+    def test_back(self):
+        """The servers of a data centre that is back would stay idle."""
+        for _ in range(REQUESTS):
+            self.send("/call/")
+        self.cut = False
+        end_s = time.monotonic() + 5.0
+        while time.monotonic() < end_s:
+            self.send("/call/")
+            if sum(bool(s.requests) for s in self.system.plain[2:]) > 1:
+                return
+        self.fail("the data centre got no requests")
+
+    @property
+    def send(self):
+        """Return the way to send requests."""
+        return self.system.request
