--- a/papayarelay/backends/restriction.py
+++ b/papayarelay/backends/restriction.py
@@ -67,6 +67,7 @@
 
     def __init__(self):
         self._known: OrderedDict[Lifetime, Restriction] = OrderedDict()
+        self._news_until_s = 0.0
 
     def of(self, lifetime: Lifetime) -> Restriction:
         """Return the restriction of a lifetime."""
@@ -76,6 +77,12 @@
             self._known.popitem(last=False)
         return found
 
+    def note_news(self, now_s: float) -> None:
+        """Note that there is something of which the other nodes are to be told."""
+        self._news_until_s = now_s + TOLD_S
+
     def news(self, now_s: float) -> tuple[Lifetime, ...]:
         """Return the lifetimes of which the other nodes are to be told."""
+        if now_s >= self._news_until_s:
+            return ()
         return tuple(each for each, r in self._known.items() if r.is_news(now_s))
--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -456,7 +456,7 @@
         if self._reach.note_answer(place):
             log(Event.DATA_CENTRE_BACK, target=f"data_centre/{place}")
 
-    def take_room(self, entry: BackendEntry, now_s: float) -> None:
+    def note_sent(self, entry: BackendEntry, now_s: float) -> None:
         """Count a request that is sent to a server."""
         self._reach.note_try(entry.config.data_centre, now_s)
         if entry.is_cold(now_s) and entry.cold_rate is not None:
@@ -500,6 +500,7 @@
             log(Event.BACKEND_PAUSED, backend=pool.backend_id, pause_s=signals.pause_s)
         if signals.leaving and pool.restriction.note_leaving(now_s):
             log(Event.BACKEND_LEAVING, backend=pool.backend_id)
+            self._restrictions.note_news(now_s)
             self._on_leaving()
 
     def _available(self, target: str, name: str, now_s: float) -> list[BackendEntry]:
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -262,7 +262,7 @@
     """Count the work of a placement on its servers."""
     entry = table.get(placement.backend_id)
     entry.circuit.allow(now_s)
-    table.take_room(entry, now_s)
+    table.note_sent(entry, now_s)
     read_s = placement.read_s
     kept = cost.kv_tokens - sum(placement.reserved)
     work = table.hold(entry, cost, now_s, read_s=read_s, tokens=kept)
