--- /dev/null
+++ b/papayarelay/backends/entry.py
@@ -0,0 +1,77 @@
+"""One backend server as this node knows it."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from ..absence import Absence
+from ..bucket import TokenBucket
+from ..circuit import Circuit
+from ..config import Backend, Service
+from ..pace import Pace
+from ..routing import EngineWork
+from ..warmup import WarmUp
+from .load import LoadReport
+from .pool import BackendPool
+from .work import Work, WorkFigures, sum_up
+
+
+@dataclass
+class BackendEntry:
+    """One backend server: its configuration, connections, load and own work."""
+
+    id: str
+    config: Backend
+    pool: BackendPool
+    warm_up: WarmUp
+    circuit: Circuit
+    load: LoadReport = LoadReport()
+    reported_s: float = 0.0
+    work: set[Work] = field(default_factory=set)
+    service: Service | None = None
+    cold_until_s: float = 0.0
+    cold_rate: TokenBucket | None = None
+    absence: Absence = field(default_factory=Absence)
+    pace: Pace = field(default_factory=Pace)
+    _figures: WorkFigures | None = None
+
+    @property
+    def figures(self) -> WorkFigures:
+        """Return the sums over the work, made anew only after a change.
+
+        They are needed for each server at each decision.
+        """
+        if self._figures is None:
+            self._figures = sum_up(self.work, self.reported_s)
+        return self._figures
+
+    def own_work(self, now_s: float) -> EngineWork:
+        """Return the unfinished work that this node has sent."""
+        unread = [each for each in self.work if not each.prefilled]
+        return EngineWork(
+            writers=sum(not each.part for each in self.work),
+            reads=len(unread),
+            reading_s=sum(each.left_s(now_s) for each in unread),
+            tokens=sum(each.tokens for each in self.work),
+            pause_s=min(
+                (
+                    each.cost.gap_target_s
+                    for each in self.work
+                    if not each.part and each.cost.gap_target_s
+                ),
+                default=math.inf,
+            ),
+        )
+
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether the server has said that it is in cold start now."""
+        return now_s < self.cold_until_s
+
+    def forget_figures(self) -> None:
+        """Note a change of the work or of the load report."""
+        self._figures = None
+
+    def report_age_s(self, now_s: float) -> float | None:
+        """Return the age of the load report, None before the first one."""
+        return round(now_s - self.reported_s, 1) if self.reported_s else None
--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -3,30 +3,28 @@
 from __future__ import annotations
 
 import functools
-import math
 import random
 import time
 from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
 
 import msgspec
 
-from ..absence import Absence
 from ..bucket import TokenBucket
 from ..circuit import Circuit
-from ..config import Backend, Config, Service
+from ..config import Backend, Config
 from ..cost import Cost
 from ..events import Event
 from ..logs import log
 from ..nodes.groups import Group, engines_of, may_use_cold
-from ..pace import Pace
-from ..routing import BackendView, EngineWork, assign_homes, size_class
+from ..routing import BackendView, EngineWork, assign_homes
 from ..warmup import WarmUp
+from .entry import BackendEntry
 from .load import LoadReport
 from .pool import IDLE_CONNECTIONS, BackendPool
 from .protocol import CHAT, Protocol, Signals
 from .reach import Reach, ReachProbe
 from .restriction import Lifetime, Restrictions
+from .work import PeerWork, Work
 
 # An engine counts as warm once it has answered this many times its cold bound.
 FULL_COLD_BOUNDS = 16
@@ -41,114 +39,6 @@
 COLD_PART = 0.8
 
 
-class Work:
-    """A request of this node, or a part of one, on a backend server.
-
-    ``read_s`` is the time that reading it takes, and ``wait_s`` that for which
-    the server reads other prompts before.  A part (``part``) is read for
-    an engine that writes the answer, and may hold ``tokens`` of memory for it.
-    """
-
-    def __init__(
-        self,
-        cost: Cost,
-        sent_s: float,
-        read_s: float = 0.0,
-        part: bool = False,
-        tokens: int | None = None,
-        wait_s: float = 0.0,
-    ):
-        self.cost = cost
-        self.sent_s = sent_s
-        self._starts_s = sent_s + wait_s
-        self.read_s = read_s
-        self.part = part
-        self.tokens = cost.kv_tokens if tokens is None else tokens
-        self.prefilled = False
-
-    def left_s(self, now_s: float) -> float:
-        """Return the time that the server still reads it, as expected."""
-        done_s = max(0.0, now_s - self._starts_s)
-        return max(0.0, self.read_s - done_s)
-
-    @property
-    def prefill_tokens(self) -> int:
-        """Return the prompt tokens that the server may still have to compute."""
-        return 0 if self.prefilled else self.cost.prefill_tokens
-
-
-@dataclass(frozen=True)
-class WorkFigures:
-    """Sums over the own work on a server, in tokens, as views show them."""
-
-    inflight: int
-    prefill_tokens: int
-    tokens: int
-    unseen_prefill_tokens: int
-    unseen_tokens: int
-    prefill_by_size: tuple[int, int, int]
-
-
-@dataclass
-class BackendEntry:
-    """One backend server: its configuration, connections, load and own work."""
-
-    id: str
-    config: Backend
-    pool: BackendPool
-    warm_up: WarmUp
-    circuit: Circuit
-    load: LoadReport = LoadReport()
-    reported_s: float = 0.0
-    work: set[Work] = field(default_factory=set)
-    service: Service | None = None
-    cold_until_s: float = 0.0
-    cold_rate: TokenBucket | None = None
-    absence: Absence = field(default_factory=Absence)
-    pace: Pace = field(default_factory=Pace)
-    _figures: WorkFigures | None = None
-
-    @property
-    def figures(self) -> WorkFigures:
-        """Return the sums over the work, made anew only after a change.
-
-        They are needed for each server at each decision.
-        """
-        if self._figures is None:
-            self._figures = _sum_up(self.work, self.reported_s)
-        return self._figures
-
-    def own_work(self, now_s: float) -> EngineWork:
-        """Return the unfinished work that this node has sent."""
-        unread = [each for each in self.work if not each.prefilled]
-        return EngineWork(
-            writers=sum(not each.part for each in self.work),
-            reads=len(unread),
-            reading_s=sum(each.left_s(now_s) for each in unread),
-            tokens=sum(each.tokens for each in self.work),
-            pause_s=min(
-                (
-                    each.cost.gap_target_s
-                    for each in self.work
-                    if not each.part and each.cost.gap_target_s
-                ),
-                default=math.inf,
-            ),
-        )
-
-    def is_cold(self, now_s: float) -> bool:
-        """Return whether the server has said that it is in cold start now."""
-        return now_s < self.cold_until_s
-
-    def forget_figures(self) -> None:
-        """Note a change of the work or of the load report."""
-        self._figures = None
-
-    def report_age_s(self, now_s: float) -> float | None:
-        """Return the age of the load report, None before the first one."""
-        return round(now_s - self.reported_s, 1) if self.reported_s else None
-
-
 class BackendTable:
     """The backend servers of the configuration in force.
 
@@ -617,35 +507,6 @@
         )
 
 
-class PeerWork:
-    """The work of the other nodes, as each has told last."""
-
-    def __init__(self):
-        self._told: dict[str, tuple[float, Mapping[str, EngineWork]]] = {}
-
-    def set(self, peer: str, work: Mapping[str, EngineWork], now_s: float) -> None:
-        """Replace the work of a peer."""
-        self._told[peer] = (now_s, work)
-
-    def forget(self, peer: str) -> None:
-        """Drop a peer."""
-        self._told.pop(peer, None)
-
-    def on(self, backend_id: str, now_s: float) -> EngineWork:
-        """Return the work of all peers on a server."""
-        total = EngineWork()
-        for told_s, work in self._told.values():
-            each = work.get(backend_id)
-            if each is not None:
-                total += each.after(now_s - told_s)
-        return total
-
-    def age_s(self, backend_id: str, now_s: float) -> float:
-        """Return the age of the oldest word of a peer with work on a server."""
-        ages = (now_s - t for t, work in self._told.values() if backend_id in work)
-        return max(ages, default=0.0)
-
-
 def _is_same(old: Backend, new: Backend) -> bool:
     """Return whether two entries of an id are of the same start of a server."""
     return (old.url, old.started) == (new.url, new.started)
@@ -656,18 +517,3 @@
     return msgspec.structs.replace(
         load, kv_used_tokens=0, queued_prefill_tokens=0, running=0
     )
-
-
-def _sum_up(work: Collection[Work], reported_s: float) -> WorkFigures:
-    unseen = [each for each in work if each.sent_s > reported_s]
-    sizes = [0, 0, 0]
-    for each in work:
-        sizes[size_class(each.cost.prefill_tokens)] += each.prefill_tokens
-    return WorkFigures(
-        inflight=len(work),
-        prefill_tokens=sum(sizes),
-        tokens=sum(each.tokens for each in work),
-        unseen_prefill_tokens=sum(each.prefill_tokens for each in unseen),
-        unseen_tokens=sum(each.tokens for each in unseen),
-        prefill_by_size=(sizes[0], sizes[1], sizes[2]),
-    )
--- /dev/null
+++ b/papayarelay/backends/work.py
@@ -0,0 +1,102 @@
+"""Work on backend servers: what this node has sent, and what the others have told."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+from ..cost import Cost
+from ..routing import EngineWork, size_class
+
+
+class Work:
+    """A request of this node, or a part of one, on a backend server.
+
+    ``read_s`` is the time that reading it takes, and ``wait_s`` that for which
+    the server reads other prompts before.  A part (``part``) is read for
+    an engine that writes the answer, and may hold ``tokens`` of memory for it.
+    """
+
+    def __init__(
+        self,
+        cost: Cost,
+        sent_s: float,
+        read_s: float = 0.0,
+        part: bool = False,
+        tokens: int | None = None,
+        wait_s: float = 0.0,
+    ):
+        self.cost = cost
+        self.sent_s = sent_s
+        self._starts_s = sent_s + wait_s
+        self.read_s = read_s
+        self.part = part
+        self.tokens = cost.kv_tokens if tokens is None else tokens
+        self.prefilled = False
+
+    def left_s(self, now_s: float) -> float:
+        """Return the time that the server still reads it, as expected."""
+        done_s = max(0.0, now_s - self._starts_s)
+        return max(0.0, self.read_s - done_s)
+
+    @property
+    def prefill_tokens(self) -> int:
+        """Return the prompt tokens that the server may still have to compute."""
+        return 0 if self.prefilled else self.cost.prefill_tokens
+
+
+@dataclass(frozen=True)
+class WorkFigures:
+    """Sums over the own work on a server, in tokens, as views show them."""
+
+    inflight: int
+    prefill_tokens: int
+    tokens: int
+    unseen_prefill_tokens: int
+    unseen_tokens: int
+    prefill_by_size: tuple[int, int, int]
+
+
+class PeerWork:
+    """The work of the other nodes, as each has told last."""
+
+    def __init__(self):
+        self._told: dict[str, tuple[float, Mapping[str, EngineWork]]] = {}
+
+    def set(self, peer: str, work: Mapping[str, EngineWork], now_s: float) -> None:
+        """Replace the work of a peer."""
+        self._told[peer] = (now_s, work)
+
+    def forget(self, peer: str) -> None:
+        """Drop a peer."""
+        self._told.pop(peer, None)
+
+    def on(self, backend_id: str, now_s: float) -> EngineWork:
+        """Return the work of all peers on a server."""
+        total = EngineWork()
+        for told_s, work in self._told.values():
+            each = work.get(backend_id)
+            if each is not None:
+                total += each.after(now_s - told_s)
+        return total
+
+    def age_s(self, backend_id: str, now_s: float) -> float:
+        """Return the age of the oldest word of a peer with work on a server."""
+        ages = (now_s - t for t, work in self._told.values() if backend_id in work)
+        return max(ages, default=0.0)
+
+
+def sum_up(work: Collection[Work], reported_s: float) -> WorkFigures:
+    """Return the sums over the work, as of a load report."""
+    unseen = [each for each in work if each.sent_s > reported_s]
+    sizes = [0, 0, 0]
+    for each in work:
+        sizes[size_class(each.cost.prefill_tokens)] += each.prefill_tokens
+    return WorkFigures(
+        inflight=len(work),
+        prefill_tokens=sum(sizes),
+        tokens=sum(each.tokens for each in work),
+        unseen_prefill_tokens=sum(each.prefill_tokens for each in unseen),
+        unseen_tokens=sum(each.tokens for each in unseen),
+        prefill_by_size=(sizes[0], sizes[1], sizes[2]),
+    )
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -9,9 +9,9 @@
 import gevent
 
 from .backends import engine, service
+from .backends.entry import BackendEntry
 from .backends.monitor import StreamMonitor
 from .backends.protocol import KEEP_ALIVE, Attempt, Chunk, Helper, StreamCounters
-from .backends.table import BackendEntry
 from .cost import Cost, estimate_cost
 from .errors import (
     BackendError,
--- a/papayarelay/housekeeping.py
+++ b/papayarelay/housekeeping.py
@@ -6,7 +6,8 @@
 
 import gevent
 
-from .backends.table import BackendEntry, BackendTable
+from .backends.entry import BackendEntry
+from .backends.table import BackendTable
 from .circuit import CircuitState
 from .claim import Claims
 from .config_feed import ConfigFeed
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -11,7 +11,9 @@
 from gevent.event import AsyncResult, Event
 
 from .admission import AdmissionQueue
-from .backends.table import BackendEntry, BackendTable, Work
+from .backends.entry import BackendEntry
+from .backends.table import BackendTable
+from .backends.work import Work
 from .cost import Cost
 from .errors import DeadlineError, OverloadError
 from .events import Event as LogEvent
