Let a request whose placing fails end alone

Cause: an unexpected error in placing a queued request was raised in the task of whichever request came next, which got 500; the queue then never got past it.

Change: the request that cannot be placed is taken out and ends with the error, and the line is logged.

Test: UnexpectedErrorTest, both tests failed on the code before.

Measured: 41 tests of gateway errors, admission and restrictions passed.

--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -15,7 +15,7 @@
 from .backends.table import BackendTable
 from .backends.work import Work
 from .cost import Cost
-from .errors import DeadlineError, OverloadError
+from .errors import DeadlineError, OverloadError, RelayError
 from .events import Event as LogEvent
 from .guard import BackgroundTask, run_step
 from .logs import log
@@ -213,14 +213,22 @@
         """Give the next request that fits to its server; return whether one did."""
         now_s = self._clock()
         chosen: list[Placement] = []
+        failed: list[tuple[Ticket, Exception]] = []
 
         def fits(request: Request, cost: Cost) -> bool:
-            placement = self._place(self._tickets[request.id], cost, now_s)
+            ticket = self._tickets[request.id]
+            try:
+                placement = self._place(ticket, cost, now_s)
+            except Exception as error:
+                failed.append((ticket, error))
+                return False
             if placement is not None:
                 chosen.append(placement)
             return placement is not None
 
         request = self.queue.next(now_s, fits)
+        for ticket, error in failed:
+            self._give_up(ticket, error)
         if request is None:
             return False
         ticket = self._tickets.pop(request.id)
@@ -230,6 +238,14 @@
         self._on_work(placement.read_s > URGENT_READ_S)
         return True
 
+    def _give_up(self, ticket: Ticket, error: Exception) -> None:
+        """End a request that cannot be placed; the others must not wait for it."""
+        log(LogEvent.TASK_FAILED, task="place", error=error)
+        del self._tickets[ticket.request.id]
+        self.queue.remove(ticket.request.id)
+        failure = RelayError("internal error", step="place", peer="node")
+        ticket.granted.set_exception(failure)
+
     def _log_placement(
         self, ticket: Ticket, placement: Placement, now_s: float
     ) -> None:
--- a/papayarelay/tests/test_gateway.py
+++ b/papayarelay/tests/test_gateway.py
@@ -12,6 +12,7 @@
 import gevent
 import gevent.event
 
+from .. import scheduler as scheduler_module
 from ..absence import FIRST_S
 from ..config import Organisation
 from ..local import wait_for
@@ -575,6 +576,46 @@
             self.assertIn(b" 404 ", sock.recv(1000))
 
 
+class UnexpectedErrorTest(GatewayTestCase):
+    """Guards against an error of one request that reaches the others."""
+
+    def test_request_that_cannot_be_placed(self):
+        """A request whose placing fails would hold up the whole queue."""
+        place = scheduler_module.place
+
+        def fail(policy, cost, views, now_s, rng):
+            if cost.prefill_tokens == 7_777:
+                raise ValueError("unexpected")
+            return place(policy, cost, views, now_s, rng)
+
+        with mock.patch.object(scheduler_module, "place", fail):
+            bad = self.send("/stream/", X_Token_Counts="7777,10")
+            self.assertEqual(bad.status, 500)
+            for number in range(3):
+                other = self.send("/call/", X_Attempt_Id=f"b{number}")
+                self.assertEqual(other.status, 200)
+        self.assertEqual(len(self.system.serving.scheduler.queue), 0)
+
+    def test_queued_request_that_cannot_be_placed(self):
+        """The request after it would end with the error of the one before."""
+        place, broken = scheduler_module.place, []
+
+        def fail(policy, cost, views, now_s, rng):
+            if cost.prefill_tokens != 7_777:
+                return place(policy, cost, views, now_s, rng)
+            if broken:
+                raise ValueError("unexpected")
+            return None
+
+        with mock.patch.object(scheduler_module, "place", fail):
+            waiting = gevent.spawn(self.send, "/stream/", X_Token_Counts="7777,10")
+            gevent.sleep(0.1)
+            broken.append(True)
+            other = self.send("/call/", X_Attempt_Id="a2")
+            self.assertEqual(other.status, 200)
+            self.assertEqual(waiting.get(timeout=LIMIT_S).status, 500)
+
+
 class StopTest(GatewayTestCase):
     """Guards against a planned stop that loses requests."""
 
