Read addresses of the store's rows in one place

Cause: the list of servers and the list of nodes each checked an address and its port; a planned stop had the same wait twice, two tests the same steps.

Change: platform/address.py, Gateway._wait_until_answered and a step of the tests. The list of nodes takes a port of digits only, as that of servers did; nodes write no other.

Measured: 148 tests of restrictions, gateway, platform and board passed.

--- a/papayarelay/callers/gateway.py
+++ b/papayarelay/callers/gateway.py
@@ -160,14 +160,16 @@
         for connection in self._connections:
             if not connection.busy:
                 connection.stop_reading()
-        while self._connections and self._clock() < end_s:
-            gevent.sleep(FINISH_CHECK_S)
+        self._wait_until_answered(end_s)
         for sock, address in self._accept_rest():
             gevent.spawn(self._serve, sock, address)
         gevent.sleep(0)
+        self._wait_until_answered(end_s)
+        return not self._connections
+
+    def _wait_until_answered(self, end_s: float) -> None:
         while self._connections and self._clock() < end_s:
             gevent.sleep(FINISH_CHECK_S)
-        return not self._connections
 
     def _accept_rest(self) -> list[tuple[socket.socket, tuple]]:
         """Close the address; return the connections that had been opened."""
--- /dev/null
+++ b/papayarelay/platform/address.py
@@ -0,0 +1,20 @@
+"""Addresses in rows of the store, which other writers may have put there."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+
+PORT = re.compile("[0-9]{1,5}")
+MOST_PORT = 65_535
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Return the IP address and port of ``host:port``.
+
+    Raises ``ValueError`` for anything else.
+    """
+    host, _, port = text.rpartition(":")
+    if not PORT.fullmatch(port) or not 0 < int(port) <= MOST_PORT:
+        raise ValueError(f"no port: {port}")
+    return str(ipaddress.IPv4Address(host)), int(port)
--- a/papayarelay/platform/config.py
+++ b/papayarelay/platform/config.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import ipaddress
-import re
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -22,6 +20,7 @@
 )
 from ..request import RequestKind
 from ..timing import EngineTiming
+from .address import parse_address
 
 # The platform knows organisations only, so all belong to one member.
 MEMBER = "federation"
@@ -124,8 +123,6 @@
 
 DOCUMENTS = msgspec.json.Decoder(Document)
 ENTRIES = msgspec.json.Decoder(ServerEntry)
-PORT = re.compile("[0-9]{1,5}")
-MOST_PORT = 65_535
 STATES = {"ready": "active", "draining": "leaving"}
 
 
@@ -142,12 +139,11 @@
 
 def _is_address(text: str) -> bool:
     """Return whether a text is an IP address with a port, and nothing else."""
-    host, _, port = text.rpartition(":")
     try:
-        ipaddress.IPv4Address(host)
+        parse_address(text)
     except ValueError:
         return False
-    return bool(PORT.fullmatch(port)) and 0 < int(port) <= MOST_PORT
+    return True
 
 
 def to_config(
--- a/papayarelay/platform/roster.py
+++ b/papayarelay/platform/roster.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import random
 from collections.abc import Callable, Mapping
 
@@ -19,6 +18,7 @@
 from ..guard import BackgroundTask, run_step
 from ..logs import log
 from ..nodes.board import NodeAddress
+from .address import parse_address
 from .store import Row, StoreClient
 
 TABLE = "nodes"
@@ -29,7 +29,6 @@
 LEASE_S = 300.0
 RETRY_S = 0.5
 MOST_RETRY_S = 8.0
-MOST_PORT = 65_535
 
 
 class _Row(msgspec.Struct):
@@ -114,7 +113,7 @@
             if rows.now_ms - entry.renewed_ms > LEASE_S * 1000:
                 self._expired.append(row)
             else:
-                address = _socket_address(entry.address)
+                address = parse_address(entry.address)
                 listed[row.key] = NodeAddress(address, entry.data_centre)
         self._listed(listed)
         return rows.now_ms
@@ -136,16 +135,7 @@
     """Return what a row says, None where no node has written it."""
     try:
         entry = msgspec.json.decode(row.value or b"", type=_Row)
-        _socket_address(entry.address)
+        parse_address(entry.address)
     except (msgspec.MsgspecError, ValueError):
         return None
     return entry
-
-
-def _socket_address(text: str) -> tuple[str, int]:
-    """Return the host and port of an address; raises ``ValueError``."""
-    host, _, port = text.rpartition(":")
-    number = int(port)
-    if not 0 < number <= MOST_PORT:
-        raise ValueError(f"no port: {number}")
-    return str(ipaddress.IPv4Address(host)), number
--- a/papayarelay/tests/test_restriction.py
+++ b/papayarelay/tests/test_restriction.py
@@ -43,6 +43,14 @@
 
         server.script = script
 
+    def _list_again(self, server_id: str) -> None:
+        """Take a server out of the list, and put the same row back."""
+        whole = self.system.config
+        without = dict(whole.backends)
+        del without[server_id]
+        self.system.apply(replace(whole, backends=without))
+        self.system.apply(replace(whole, version=2))
+
     def _use_only(self, server_id: str) -> None:
         """Take all other servers out of the list."""
         kept = {server_id: self.system.config.backends[server_id]}
@@ -143,11 +151,7 @@
         leaving = self.system.plain[0]
         self._answer_once(leaving, b"200 OK", LEAVING)
         self._send_until_reached(leaving, "/call/")
-        whole = self.system.config
-        without = dict(whole.backends)
-        del without["plain-0"]
-        self.system.apply(replace(whole, backends=without))
-        self.system.apply(replace(whole, version=2))
+        self._list_again("plain-0")
         for _ in range(10):
             self.assertEqual(self.send("/call/").status, 200)
         self.assertEqual(len(leaving.requests), 1)
@@ -273,11 +277,7 @@
         busy, other = self.system.plain
         busy.script = sealed_with(REFUSED, turned_away(b"30"))
         self._send_until_reached(busy, "/call/")
-        whole = self.system.config
-        without = dict(whole.backends)
-        del without["plain-0"]
-        self.system.apply(replace(whole, backends=without))
-        self.system.apply(replace(whole, version=2))
+        self._list_again("plain-0")
         for _ in range(10):
             self.send("/call/")
         self.assertEqual(len(busy.requests), 1)
