Read the rate limits that servers name, and log them

The adapter decodes the header into a signal of the response; the node keeps the limit per server incarnation and logs its changes (PR1220, PR1221), its value and age with each placement (PR1307), and counts limited servers. Nothing acts on it yet, so requests go where they went.

A lower limit counts at once, from any response; a higher one or none only from the response to a request sent after the last naming, since responses overtake one another. An invalid value is no statement.

--- a/papayarelay/backends/pool.py
+++ b/papayarelay/backends/pool.py
@@ -90,8 +90,11 @@
         self.max_idle_connections = MAX_IDLE_CONNECTIONS
         self.connect_timeout_s = CONNECT_TIMEOUT_S
         self.restriction = Restriction()
-        # Called with the status signals in the server's response headers.
-        self.on_signals: Callable[[ServerSignals], None] = lambda signals: None
+        # Called with the status signals in the server's response headers, and with
+        # the time at which the request was sent, None if that is not known.
+        self.on_signals: Callable[[ServerSignals, float | None], None] = (
+            lambda signals, sent_s: None
+        )
         # Cancel requests in flight, by request id.
         self.cancels: dict[str, gevent.Greenlet] = {}
         self._clock = clock
@@ -146,6 +149,7 @@
         connection = (
             self._open(timeout_s) if new_connection else self._acquire(timeout_s)
         )
+        sent_s = self._clock()
         try:
             response = connection.exchange(
                 head, body, timeout_s, request_id_header, self._report_signals
@@ -153,6 +157,8 @@
         except BaseException:
             connection.close()
             raise
+        if request_id_header:
+            self._report_limit(response, sent_s)
         return Response(self, connection, response)
 
     def request(
@@ -196,10 +202,13 @@
         return error
 
     def _report_signals(self, head: ResponseHead) -> None:
-        """Report status signals in the head of a response."""
-        signals = read_signals(self.protocol, head)
-        if signals.leaving or signals.pause_s:
-            self.on_signals(signals)
+        """Report status signals in the head of a response to any request."""
+        self.on_signals(read_signals(self.protocol, head), None)
+
+    def _report_limit(self, head: ResponseHead, sent_s: float) -> None:
+        """Report the limit in the response to a request sent at ``sent_s``."""
+        limit_per_s = read_signals(self.protocol, head).limit_per_s
+        self.on_signals(ServerSignals(limit_per_s=limit_per_s), sent_s)
 
     def _acquire(self, timeout_s: float) -> Connection:
         now_s = self._clock()
--- a/papayarelay/backends/protocol.py
+++ b/papayarelay/backends/protocol.py
@@ -88,11 +88,14 @@
     """Server status signalled in response headers.
 
     A server that is ``leaving`` shuts down and accepts no new work; for ``pause_s``
-    it accepts no requests from this node.
+    it accepts no requests from this node.  ``limit_per_s`` is the rate of requests
+    that it accepts from all nodes together: infinite without a limit, None if the
+    response does not tell.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
+    limit_per_s: float | None = None
 
 
 NO_SIGNALS = ServerSignals()
--- a/papayarelay/backends/restriction.py
+++ b/papayarelay/backends/restriction.py
@@ -1,10 +1,12 @@
-"""Restrictions that backend servers signal: shutting down, or pausing requests."""
+"""Restrictions that backend servers signal: shutting down, pauses and rate limits."""
 
 from __future__ import annotations
 
 from collections import OrderedDict
 from typing import NamedTuple
 
+from .server_limit import KnownLimit
+
 # Limit on server incarnations whose restrictions are kept.
 MAX_RESTRICTIONS = 1024
 # Peers are notified for this long that a server is leaving; by then the list of
@@ -22,11 +24,13 @@
 class Restriction:
     """Restrictions signalled by one incarnation of a server.
 
-    Leaving is permanent for the incarnation; a pause expires.
+    Leaving is permanent for the incarnation; a pause expires; ``limit`` is the rate
+    limit for all nodes together.
     """
 
     def __init__(self):
         self.leaving = False
+        self.limit = KnownLimit()
         self._leaving_since_s: float | None = None
         self._paused_until_s = 0.0
 
--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -25,6 +25,7 @@
 from .protocol import CHAT, Protocol, ServerSignals
 from .reachability import Reachability, ReachabilityProbe
 from .restriction import Incarnation, Restrictions
+from .server_limit import KnownLimit
 
 # An engine counts as warm once the tokens of its completed responses reach this
 # multiple of its cold-start bound.
@@ -82,6 +83,13 @@
         """Return all backend servers, including those that take no new work."""
         return list(self._entries.values())
 
+    @property
+    def limited_count(self) -> int:
+        """Return the number of servers that name a rate limit."""
+        return sum(
+            entry.pool.restriction.limit.is_limited for entry in self._entries.values()
+        )
+
     @property
     def drained(self) -> list[str]:
         """Return the data centres and backend servers that are out of service."""
@@ -391,9 +399,13 @@
         circuit = Circuit(random.Random(self._rng.random()))
         return BackendEntry(backend_id, backend, pool, warm_up, circuit)
 
-    def _apply_signals(self, pool: BackendPool, signals: ServerSignals) -> None:
+    def _apply_signals(
+        self, pool: BackendPool, signals: ServerSignals, sent_s: float | None
+    ) -> None:
         """Apply the status signals in a server's response."""
         now_s = self._clock()
+        if signals.limit_per_s is not None:
+            self._apply_limit(pool, signals.limit_per_s, sent_s, now_s)
         if signals.pause_s:
             pool.restriction.record_pause(signals.pause_s, now_s)
             self._paused_until_s = max(self._paused_until_s, now_s + signals.pause_s)
@@ -403,6 +415,14 @@
             self._restrictions.start_announcing(now_s)
             self._on_leaving()
 
+    def _apply_limit(
+        self, pool: BackendPool, per_s: float, sent_s: float | None, now_s: float
+    ) -> None:
+        """Record the rate limit in a server's response."""
+        limit = pool.restriction.limit
+        if limit.record_response(per_s, sent_s, now_s):
+            log_limit(pool.backend_id, limit)
+
     def _available(self, target: str, name: str, now_s: float) -> list[BackendEntry]:
         found = [
             entry
@@ -517,6 +537,16 @@
         )
 
 
+def log_limit(backend_id: str, limit: KnownLimit) -> None:
+    """Log the changed rate limit of a server, and who reported it."""
+    fields = {"backend": backend_id, "version": limit.current.version}
+    if limit.is_limited:
+        per_s = limit.current.per_s
+        log(Event.LIMIT_LEARNED, limit_per_s=per_s, reason=limit.source, **fields)
+    else:
+        log(Event.LIMIT_ENDED, reason=limit.source, **fields)
+
+
 def _is_same_incarnation(old: Backend, new: Backend) -> bool:
     """Return whether two entries of an id describe the same server incarnation."""
     return (old.url, old.started) == (new.url, new.started)
--- a/papayarelay/events.py
+++ b/papayarelay/events.py
@@ -229,6 +229,18 @@
         "data centre answers again",
         "One of its servers has answered after several had been silent.",
     )
+    LIMIT_LEARNED = (
+        1220,
+        "info",
+        "rate limit learnt",
+        "The server takes limit_per_s from all nodes; reason says who reported it.",
+    )
+    LIMIT_ENDED = (
+        1221,
+        "info",
+        "rate limit ended",
+        "The server names no limit any more; reason says who reported it.",
+    )
 
     REQUEST_FINISHED = (
         1301,
--- a/papayarelay/platform/wire.py
+++ b/papayarelay/platform/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from dataclasses import dataclass
 
@@ -41,6 +42,11 @@
 RETRY_AFTER_PATTERN = re.compile(rb"\d{1,8}(\.\d{0,9})?")
 # Upper bound for the pause that a server may request.
 MAX_PAUSE_S = 3600.0
+# Requests per second that a server accepts from all nodes together; a server that
+# sends no such header has no limit.
+LIMIT = b"Server-Limit"
+LIMIT_PATTERN = re.compile(rb"(\d{1,64}(\.\d{0,64})?|\.\d{1,64})")
+MAX_LIMIT_PER_S = 1e6
 SERVICE_UNAVAILABLE = 503
 # On a rejection: the server that caused it.
 AT_FAULT = b"At-Server"
@@ -198,7 +204,30 @@
     pause_s = 0.0
     if head.status == SERVICE_UNAVAILABLE:
         pause_s = parse_retry_after_s(head.get(RETRY_AFTER.lower()) or b"")
-    return ServerSignals(leaving, pause_s)
+    limit_per_s = None
+    if head.status != MISDIRECTED_REQUEST:
+        limit_per_s = _read_limit_per_s(head)
+    return ServerSignals(leaving, pause_s, limit_per_s)
+
+
+def _read_limit_per_s(head: ResponseHead) -> float | None:
+    """Return the lowest limit in a response, infinite if it has none.
+
+    Returns None if there are only invalid ones.
+    """
+    values = [value for key, value in head.headers if key.lower() == LIMIT.lower()]
+    if not values:
+        return math.inf
+    limits = [limit for v in values if (limit := parse_limit_per_s(v)) is not None]
+    return min(limits, default=None)
+
+
+def parse_limit_per_s(value: bytes) -> float | None:
+    """Parse a rate limit in requests/s; return None if it is not valid."""
+    text = value.strip()
+    if not LIMIT_PATTERN.fullmatch(text):
+        return None
+    return min(MAX_LIMIT_PER_S, float(text))
 
 
 def parse_retry_after_s(value: bytes) -> float:
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -260,6 +260,7 @@
     ) -> None:
         """Log the known work on the chosen server and the age of that information."""
         work, age_s = self._table.total_work(placement.backend_id, now_s)
+        limit = self._table.get(placement.backend_id).pool.restriction.limit
         log(
             LogEvent.REQUEST_PLACED,
             request=queued.request.id,
@@ -272,6 +273,8 @@
             writers_count=work.decodes,
             reading_s=round(work.reading_s, 4),
             peers_age_s=round(age_s, 3),
+            limit_per_s=limit.current.per_s if limit.is_limited else None,
+            limit_age_s=round(limit.age_s(now_s), 3) if limit.is_limited else None,
         )
 
     def _place(
--- a/papayarelay/serving.py
+++ b/papayarelay/serving.py
@@ -56,6 +56,11 @@
         counters = self.dispatcher.counters
         queue = self.scheduler.queue
         metrics.register_gauge("requests_queued", "Requests queued", lambda: len(queue))
+        metrics.register_gauge(
+            "limited_servers",
+            "Backend servers that name a rate limit",
+            lambda: self.backends.limited_count,
+        )
         metrics.register_counter(
             "chunks_dropped",
             "Chunks that were not passed on to a caller",
