Show with a failing test that limits of servers are exceeded

Three node processes in front of the soak's backend servers, one of which names Server-Limit: 1.

The soak itself names none yet; that comes with the fix.

--- a/papayarelay/tests/soak/backend.py
+++ b/papayarelay/tests/soak/backend.py
@@ -15,6 +15,7 @@
 from ..gateway_system import LAST_CHUNK, chunk, event, sealed_response, stream_head
 from ..raw_server import RawServer, ReceivedRequest, reset
 from ..test_bounds import ENDLESS, endless
+from .limits import LimitCheck
 from .restrictions import Restrictions
 
 EVENT_INTERVAL_S = 0.02
@@ -53,7 +54,7 @@
     ``refuse``, ``cut`` (reset after the request has run), ``torn`` (truncated
     response), ``extra`` (a second response), ``pause`` (503 with Retry-After),
     ``endless`` (a response without end), or none.  While it is ``leaving``, its
-    responses carry ``Server-Leaving``.
+    responses carry ``Server-Leaving``; while it names a limit, ``Server-Limit``.
     """
 
     def __init__(self, environment, server_id: str, service: str, kind: str, zone: str):
@@ -64,6 +65,7 @@
         self.mode = ""
         self.leaving = False
         self.restrictions = Restrictions()
+        self.limit = LimitCheck()
         self.draining_s: float | None = None
         self.reservations: dict[str, Reservation] = {}
         self.born = int(time.time() * 1000)
@@ -92,6 +94,7 @@
         self.draining_s = None
         self.leaving = False
         self.restrictions = Restrictions()
+        self.limit = LimitCheck()
         self.mode = ""
         self._server = RawServer(self._serve, self._port)
         self._heartbeat = gevent.spawn(self._send_heartbeats)
@@ -132,6 +135,7 @@
 
     def _serve(self, request: ReceivedRequest) -> bool | None:
         path = request.target.decode()
+        self._check_limits(request)
         if path == "/papayarelay/report":
             names = [{"id": name} for name in self._live_reservations()]
             return self._reply(request, 200, {"tickets": names})
@@ -163,15 +167,29 @@
         if node is None:
             return
         sent_s, now_s = self._environment.sent_s[attempt], time.monotonic()
-        servers = [self]
-        for item in (request.get(b"X-Helpers") or b"").decode().split(","):
-            servers.append(self._environment.backend_at(item.partition("/")[0]))
-        for server in filter(None, servers):
+        for server in (self, *self._helpers(request)):
             broken = server.restrictions.check(node, sent_s, now_s)
             if broken:
                 text = f"{broken} {attempt} reached {server.id} by {node.name}"
                 self._environment.record.add_violation(text)
 
+    def _check_limits(self, request: ReceivedRequest) -> None:
+        """Check a request against the limits of this server and its helpers."""
+        node = self._environment.sender(request)
+        if node is None:
+            return
+        for server in (self, *self._helpers(request)):
+            broken = server.limit.check_arrival(node, time.monotonic())
+            if broken:
+                text = f"LIMIT {server.id} {broken}, the last one from {node.name}"
+                self._environment.record.add_violation(text)
+
+    def _helpers(self, request: ReceivedRequest) -> list[BackendStandIn]:
+        """Return the engines that prefill parts of a request."""
+        items = (request.get(b"X-Helpers") or b"").decode().split(",")
+        found = [self._environment.backend_at(i.partition("/")[0]) for i in items]
+        return [each for each in found if each is not None]
+
     def _reject_with_pause(self, request: ReceivedRequest) -> None:
         pause_s = self._environment.rng.choice(PAUSES_S)
         attempt = request.get(b"X-Attempt-Id").decode()
@@ -217,7 +235,7 @@
                 reset(request.sock)
                 return False
             body = f"answer to {attempt}".encode()
-            data = sealed_response(request, body, extra=self._leaving_header(request))
+            data = sealed_response(request, body, extra=self._signals(request))
             if self.mode == "torn":
                 request.sock.sendall(data[:-3])
                 return False
@@ -231,7 +249,7 @@
         try:
             first = int(request.get(b"Last-Event-Id") or 0) + 1
             head = stream_head(request, self.id.encode())
-            extra = b"\r\n" + self._leaving_header(request)
+            extra = b"\r\n" + self._signals(request)
             request.sock.sendall(head.replace(b"\r\n", extra, 1))
             for number in range(first, events + 1):
                 gevent.sleep(EVENT_INTERVAL_S)
@@ -247,13 +265,15 @@
                 reservation.used_s = now_s
         return None
 
-    def _leaving_header(self, request: ReceivedRequest) -> bytes:
-        """Return the ``Server-Leaving`` header field, or nothing."""
-        if not self.leaving:
-            return b""
-        node = self._environment.sent_to[request.get(b"X-Attempt-Id").decode()]
-        self.restrictions.record_leaving(node, time.monotonic())
-        return b"Server-Leaving: 1\r\n"
+    def _signals(self, request: ReceivedRequest) -> bytes:
+        """Return the header fields that tell how this server is doing."""
+        node = self._environment.sender(request)
+        now_s = time.monotonic()
+        fields = self.limit.header(node, now_s)
+        if self.leaving:
+            self.restrictions.record_leaving(node, now_s)
+            fields += b"Server-Leaving: 1\r\n"
+        return fields
 
     def _use_reservations(self, request: ReceivedRequest) -> list[Reservation]:
         used = []
@@ -318,10 +338,11 @@
             if not reservation.uses and now_s - reservation.used_s > limit_s
         ]
 
-    @staticmethod
     def _reply(
-        request: ReceivedRequest, status: int, fields: dict, extra: bytes = b""
+        self, request: ReceivedRequest, status: int, fields: dict, extra: bytes = b""
     ) -> None:
+        node = self._environment.sender(request)
+        extra += self.limit.header(node, time.monotonic())
         body = json.dumps(fields).encode()
         attempt = request.get(b"X-Attempt-Id") or b"-"
         request.sock.sendall(
--- a/papayarelay/tests/soak/environment.py
+++ b/papayarelay/tests/soak/environment.py
@@ -39,6 +39,11 @@
     return f"127.{10 + second}.{1 + third}"
 
 
+def _reservation_prefix(name: str) -> str:
+    """Return the part of a reservation's name that tells its node process."""
+    return name.partition("-")[0]
+
+
 @dataclass
 class Version:
     """A configuration version, and when the store confirmed it."""
@@ -66,6 +71,7 @@
     evacuated_s: dict[str, float] = field(default_factory=dict)
     command_fault: str = ""
     store_disturbed_s: float = 0.0
+    _reserved_by: dict[str, NodeProcess] = field(default_factory=dict)
 
     def __post_init__(self):
         self.rng = random.Random(self.seed)
@@ -142,6 +148,22 @@
         """Return the number of events in the stream of a request."""
         return 3 + int(attempt[:4], 16) % 25
 
+    def sender(self, request: ReceivedRequest) -> NodeProcess | None:
+        """Return the node that sent a request, None if that is not known.
+
+        A reservation is known once a request has used one of its node process.
+        """
+        attempt = (request.get(b"X-Attempt-Id") or b"").decode()
+        if not attempt:
+            command = json.loads(request.body) if request.body else {}
+            return self._reserved_by.get(_reservation_prefix(command.get("id", "")))
+        node = self.sent_to.get(attempt)
+        for item in (request.get(b"X-Helpers") or b"").decode().split(","):
+            reservation = item.partition("/")[2]
+            if reservation and node is not None:
+                self._reserved_by[_reservation_prefix(reservation)] = node
+        return node
+
     def draw_command_fault(self) -> str:
         """Return how a command to an engine fails: ``lost``, ``late`` or ``""``."""
         return (
