Refuse a queued stream with its error when its servers pause

Callers of a stream got 500 without Retry-After when all engines of its service paused requests while it was queued. The error of the queue was caught as that of an attempt, whose server was not known yet: UnboundLocalError, or AttributeError after a keep-alive.

An error of the queue ends the request, as the comment of _enqueue says; only errors of the attempt are retried. PauseTest.test_queued_stream got 500 before and gets 503 with the time to come back now.

--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -135,10 +135,11 @@
                 try:
                     while (assignment := queued.wait(QUEUE_KEEP_ALIVE_S)) is None:
                         yield KEEP_ALIVE
-                    yield from self._attempt(assignment, request, progress, guard)
-                    return
-                except (BackendError, OverloadError) as error:
-                    failure = error
+                    try:
+                        yield from self._attempt(assignment, request, progress, guard)
+                        return
+                    except (BackendError, OverloadError) as error:
+                        failure = error
                 finally:
                     self._scheduler.release(queued)
                 yield from self._wait_for_retry(request, failure, assignment, progress)
--- a/papayarelay/tests/test_restriction.py
+++ b/papayarelay/tests/test_restriction.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from ..backends.protocol import ServerSignals
 from ..backends.restriction import Incarnation
 from ..platform.wire import PlatformProtocol, parse_retry_after_s
 from ..reservations import reserve
@@ -283,6 +284,21 @@
         self.assertEqual(first.status, 503)
         self.assertEqual(sum(self._arrivals(self.system.plain)), 2)
 
+    def test_queued_stream(self):
+        """Guards against a queued stream that fails with 500 once all are paused."""
+        pools = [self.system.serving.backends.get(f"model-{n}").pool for n in range(2)]
+
+        def pause(pause_s: float) -> None:
+            for pool in pools:
+                pool.on_signals(ServerSignals(pause_s=pause_s), None)
+
+        pause(0.1)
+        gevent.spawn_later(0.05, pause, 7.0)
+        reply = self.send("/stream/")
+        self.assertEqual(reply.status, 503)
+        self.assertLess(reply.seconds, IMMEDIATE_S)
+        self.assertAlmostEqual(float(reply.headers["Retry-After"]), 7, delta=1)
+
     def test_helper(self):
         """Guards against KV cache reservations on a paused engine."""
         busy = self.system.engines[0]
