--- a/papayarelay/backends/backend_entry.py
+++ b/papayarelay/backends/backend_entry.py
@@ -15,6 +15,7 @@
 from .in_flight_work import InFlightWork, WorkTotals, compute_totals
 from .load_report import LoadReport
 from .pool import BackendPool
+from .restriction import Incarnation
 
 
 @dataclass
@@ -39,6 +40,11 @@
     slowdown_detector: SlowdownDetector = field(default_factory=SlowdownDetector)
     _totals: WorkTotals | None = None
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return the server incarnation."""
+        return Incarnation(self.id, self.config.started)
+
     @property
     def totals(self) -> WorkTotals:
         """Return aggregates over the requests in flight.
--- a/papayarelay/backends/engine.py
+++ b/papayarelay/backends/engine.py
@@ -60,7 +60,11 @@
     head, body = encode(pool.protocol, request, attempt)
     try:
         response = pool.send(
-            head, body, timeout_s, request_id_header=pool.protocol.request_id_header
+            head,
+            body,
+            timeout_s,
+            request_id_header=pool.protocol.request_id_header,
+            permit=attempt.permit,
         )
     except BackendError as error:
         if error.outcome is Outcome.UNKNOWN:
--- a/papayarelay/backends/pool.py
+++ b/papayarelay/backends/pool.py
@@ -12,7 +12,7 @@
 from ..request import Headers
 from .connection import Connection, RequestHead, ResponseHead, connect
 from .protocol import CHAT, Protocol, ServerSignals, read_signals
-from .restriction import Restriction
+from .restriction import Permit, Restriction
 
 # Shorter than the 1 s after which TCP retransmits a lost SYN: trying another server
 # is faster.
@@ -136,20 +136,23 @@
         new_connection: bool = False,
         request_id_header: bytes = b"",
         control: bool = False,
+        permit: Permit | None = None,
     ) -> Response:
         """Send a request and return its response once the head has arrived.
 
         ``new_connection`` avoids pooled connections: the server may close one just
         as the request is sent, which leaves it unknown whether the request ran.
         ``control`` marks control requests (such as cancels), which are sent even
-        while the server accepts no new work.  Raises ``BackendError``.
+        while the server accepts no new work.  ``permit`` allows a request to a server
+        with a rate limit.  Raises ``BackendError``.
         """
-        if not control and self.restriction.blocks_requests(self._clock()):
-            raise self.unavailable_error()
+        if not control:
+            self.check_allowed(permit)
         connection = (
             self._open(timeout_s) if new_connection else self._acquire(timeout_s)
         )
         sent_s = self._clock()
+        self.restriction.record_sent(permit, sent_s)
         try:
             response = connection.exchange(
                 head, body, timeout_s, request_id_header, self._report_signals
@@ -190,10 +193,15 @@
         connection.reusable_until_s = self._clock() + _idle_timeout_s(head)
         self._idle.append(connection)
 
+    def check_allowed(self, permit: Permit | None) -> None:
+        """Raise ``BackendError`` if the server accepts no request now."""
+        if not self.restriction.allows_request(permit, self._clock()):
+            raise self.unavailable_error()
+
     def unavailable_error(self) -> BackendError:
         """Return the error for a server that accepts no requests for now."""
         error = BackendError(
-            "server is leaving or has paused requests",
+            "server is leaving, or has paused or limited requests",
             step="connect",
             peer=self.backend_id,
             outcome=Outcome.NOT_RUN,
--- a/papayarelay/backends/protocol.py
+++ b/papayarelay/backends/protocol.py
@@ -13,6 +13,7 @@
 
 from ..request import Request
 from .connection import RequestHead, ResponseHead
+from .restriction import Permit
 
 if TYPE_CHECKING:
     from .pool import Response
@@ -42,7 +43,8 @@
 
     ``received`` is the stream offset from which to resume, ``time_left_s`` the time
     until the deadline and ``priority`` the scheduling priority at the server.
-    ``helpers`` are engines that prefill parts of the prompt.
+    ``helpers`` are engines that prefill parts of the prompt.  ``permit`` allows the
+    attempt on a server with a rate limit.
     """
 
     backend_id: str
@@ -51,6 +53,7 @@
     time_left_s: float = 0.0
     priority: int = 0
     helpers: tuple[PrefillHelper, ...] = ()
+    permit: Permit | None = None
 
 
 @dataclass(frozen=True)
@@ -90,12 +93,14 @@
     A server that is ``leaving`` shuts down and accepts no new work; for ``pause_s``
     it accepts no requests from this node.  ``limit_per_s`` is the rate of requests
     that it accepts from all nodes together: infinite without a limit, None if the
-    response does not tell.
+    response does not tell.  ``successor_limit_per_s`` is the limit of another server,
+    which responds at the same address.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
     limit_per_s: float | None = None
+    successor_limit_per_s: float | None = None
 
 
 NO_SIGNALS = ServerSignals()
--- a/papayarelay/backends/restriction.py
+++ b/papayarelay/backends/restriction.py
@@ -2,16 +2,32 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
+from dataclasses import dataclass
 from typing import NamedTuple
 
-from .server_limit import KnownLimit
+from .server_limit import KnownLimit, ServerLimit
 
 # Limit on server incarnations whose restrictions are kept.
 MAX_RESTRICTIONS = 1024
 # Peers are notified for this long that a server is leaving; by then the list of
 # servers shows it.
 ANNOUNCE_S = 10.0
+# Peers are notified for this long of a changed rate limit.
+ANNOUNCE_LIMITS_S = 2.0
+# Requests sent this long before a limit was learnt count against it.
+RECENT_S = 1.0
+MAX_RECENT = 256
+# A limit that the next server at an address has named is kept for this long.
+SUCCESSOR_LIMIT_TTL_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """A permit for one request to a server that names a rate limit."""
+
+    start_s: float
+    end_s: float
 
 
 class Incarnation(NamedTuple):
@@ -33,6 +49,8 @@
         self.limit = KnownLimit()
         self._leaving_since_s: float | None = None
         self._paused_until_s = 0.0
+        self._unpermitted_s: deque[float] = deque(maxlen=MAX_RECENT)
+        self._unpermitted = 0
 
     def record_leaving(self, now_s: float) -> bool:
         """Record a leaving signal; return whether it is the first this node got."""
@@ -58,6 +76,34 @@
         """Return whether new requests to the server are blocked."""
         return self.leaving or now_s < self._paused_until_s
 
+    def allows_request(self, permit: Permit | None, now_s: float) -> bool:
+        """Return whether a request may be sent now, with a permit if there is one."""
+        if self.blocks_requests(now_s):
+            return False
+        return not self.limit.is_limited or (
+            permit is not None and now_s < permit.end_s
+        )
+
+    def record_sent(self, permit: Permit | None, now_s: float) -> None:
+        """Count a request that is sent to the server, or a part of one."""
+        if permit is not None:
+            return
+        self._unpermitted_s.append(now_s)
+        self._unpermitted += self.limit.is_limited
+
+    def count_recent(self, now_s: float) -> None:
+        """Count the requests sent shortly before the limit was learnt.
+
+        The server has not finished with them, and gets that much less from now on.
+        """
+        recent = [at_s for at_s in self._unpermitted_s if now_s - at_s < RECENT_S]
+        self._unpermitted = len(recent)
+
+    def take_unpermitted(self) -> int:
+        """Return the number of requests sent without a permit, and reset it."""
+        count, self._unpermitted = self._unpermitted, 0
+        return count
+
     def must_announce(self, now_s: float) -> bool:
         """Return whether peers must still be notified that the server is leaving."""
         return (
@@ -76,10 +122,14 @@
     def __init__(self):
         self._restrictions: OrderedDict[Incarnation, Restriction] = OrderedDict()
         self._announce_until_s = 0.0
+        self._announce_limits_until_s = 0.0
+        self._successor_limits: dict[str, tuple[float, float]] = {}
 
     def get_or_create(self, incarnation: Incarnation) -> Restriction:
         """Return the restriction of an incarnation, creating it if needed."""
-        found = self._restrictions.setdefault(incarnation, Restriction())
+        found = self._restrictions.get(incarnation)
+        if found is None:
+            found = self._restrictions[incarnation] = Restriction()
         self._restrictions.move_to_end(incarnation)
         while len(self._restrictions) > MAX_RESTRICTIONS:
             self._restrictions.popitem(last=False)
@@ -89,6 +139,29 @@
         """Record that a server started leaving, of which peers must be notified."""
         self._announce_until_s = now_s + ANNOUNCE_S
 
+    def start_announcing_limits(self, now_s: float) -> None:
+        """Record that peers must be notified of the rate limits."""
+        self._announce_limits_until_s = now_s + ANNOUNCE_LIMITS_S
+
+    def limits_to_announce(self, now_s: float) -> dict[Incarnation, ServerLimit]:
+        """Return the limits, present and ended, of which peers must be notified."""
+        if now_s >= self._announce_limits_until_s:
+            return {}
+        return {
+            incarnation: restriction.limit.current
+            for incarnation, restriction in self._restrictions.items()
+            if restriction.limit.current.version
+        }
+
+    def record_successor_limit(self, address: str, per_s: float, now_s: float) -> None:
+        """Record the limit of a server that is not the one listed at its address."""
+        self._successor_limits[address] = (now_s, per_s)
+
+    def take_successor_limit(self, address: str, now_s: float) -> float | None:
+        """Return the limit recorded for the next server at an address, or None."""
+        at_s, per_s = self._successor_limits.pop(address, (0.0, None))
+        return per_s if now_s - at_s < SUCCESSOR_LIMIT_TTL_S else None
+
     def leaving_to_announce(self, now_s: float) -> tuple[Incarnation, ...]:
         """Return the leaving incarnations of which peers must be notified."""
         if now_s >= self._announce_until_s:
--- a/papayarelay/backends/server_limit.py
+++ b/papayarelay/backends/server_limit.py
@@ -57,7 +57,24 @@
             self._named_s = now_s
         if per_s == self.current.per_s:
             return False
-        self.current = ServerLimit(per_s, self.current.version + 1)
-        self.source = FROM_RESPONSE
-        self._learned_s = now_s
+        self._set(ServerLimit(per_s, self.current.version + 1), FROM_RESPONSE, now_s)
         return True
+
+    def merge(self, limit: ServerLimit, source: str, now_s: float) -> bool:
+        """Merge a limit that a node reports; return whether the known one changes.
+
+        The higher version wins, and of two limits with one version the lower limit.
+        """
+        known = self.current
+        if (limit.version, -limit.per_s) <= (known.version, -known.per_s):
+            return False
+        if limit.per_s < math.inf:
+            self._named_s = now_s
+        self._set(limit, source, now_s)
+        return limit.per_s != known.per_s
+
+    def _set(self, limit: ServerLimit, source: str, now_s: float) -> None:
+        if limit.per_s != self.current.per_s:
+            self.source = source
+            self._learned_s = now_s
+        self.current = limit
--- a/papayarelay/backends/service.py
+++ b/papayarelay/backends/service.py
@@ -55,6 +55,7 @@
         timeout_s,
         new_connection=not request.kind.idempotent,
         request_id_header=pool.protocol.request_id_header,
+        permit=attempt.permit,
     )
     try:
         check(pool.protocol, request, response, pool.backend_id)
--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -16,6 +16,7 @@
 from ..events import Event
 from ..logs import log
 from ..nodes.groups import Group, group_engines, may_use_cold_server
+from ..nodes.permits import Permits
 from ..routing import BackendView, EngineWork, assign_homes
 from ..warmup import WarmUp
 from .backend_entry import BackendEntry
@@ -24,8 +25,7 @@
 from .pool import MAX_IDLE_CONNECTIONS, BackendPool
 from .protocol import CHAT, Protocol, ServerSignals
 from .reachability import Reachability, ReachabilityProbe
-from .restriction import Incarnation, Restrictions
-from .server_limit import KnownLimit
+from .restriction import Incarnation, Permit, Restrictions
 
 # An engine counts as warm once the tokens of its completed responses reach this
 # multiple of its cold-start bound.
@@ -46,7 +46,8 @@
     """Registry of the backend servers of the current configuration.
 
     ``protocol`` is the wire protocol of all servers.  ``on_leaving`` is called when a
-    response signals that its server is leaving.
+    response signals that its server is leaving.  ``permits`` are those of this node
+    for servers with a rate limit; by default, it issues them alone.
     """
 
     def __init__(
@@ -55,11 +56,13 @@
         protocol: Protocol = CHAT,
         on_leaving: Callable[[], None] = lambda: None,
         clock: Callable[[], float] = time.monotonic,
+        permits: Permits | None = None,
     ):
         self._rng = rng
         self._on_leaving = on_leaving
         self._clock = clock
-        self._restrictions = Restrictions()
+        self._permits = permits or Permits("", "", Restrictions(), random.Random(0))
+        self._restrictions = self._permits.restrictions
         self._reachability = Reachability()
         self.reachability_probe = ReachabilityProbe(
             self._reachability, self._addresses_in, self._record_reachable, rng
@@ -164,15 +167,72 @@
         for incarnation in incarnations:
             self._restrictions.get_or_create(incarnation).record_peer_leaving()
 
-    def any_paused(self, now_s: float) -> bool:
-        """Return whether any server may have paused requests now."""
-        return now_s < self._paused_until_s
+    def any_restricted(self, now_s: float) -> bool:
+        """Return whether any server may have paused or limited requests now."""
+        return now_s < self._paused_until_s or self.any_limited
 
-    def shortest_pause_s(self, target: str, name: str, now_s: float) -> float:
-        """Return the time until the first pause ends, 0 if a server is not paused."""
+    @property
+    def any_limited(self) -> bool:
+        """Return whether any server names a rate limit."""
+        return self._permits.any_limited
+
+    def lacking_permits(
+        self, backend_ids: Iterable[str], now_s: float
+    ) -> tuple[BackendEntry, ...]:
+        """Return the servers to which no request may be sent without a permit."""
+        entries = (self._entries[backend_id] for backend_id in backend_ids)
+        return tuple(
+            entry for entry in entries if not self._has_permit(entry, now_s, None)
+        )
+
+    def ask_permits(
+        self,
+        entries: Iterable[BackendEntry],
+        request_id: str,
+        max_wait_s: float,
+        now_s: float,
+    ) -> bool:
+        """Ask for permits for a request; return whether replies are about to come."""
+        awaits = False
+        for entry in entries:
+            self._permits.ask(entry.incarnation, request_id, max_wait_s, now_s)
+            awaits |= self._permits.awaits_reply(entry.incarnation, now_s)
+        return awaits
+
+    def permits_start_s(
+        self, entries: Iterable[BackendEntry], request_id: str, now_s: float
+    ) -> float:
+        """Return the time until the permits for a request start, or infinity."""
+        return max(
+            self._permits.start_s(entry.incarnation, request_id, now_s)
+            for entry in entries
+        )
+
+    def take_permit(
+        self, backend_id: str, request_id: str, now_s: float
+    ) -> Permit | None:
+        """Return a permit for a request to be sent now, or None."""
+        return self._permits.take(
+            self._entries[backend_id].incarnation, request_id, now_s
+        )
+
+    def withdraw_demand(self, request_id: str) -> None:
+        """Ask for no more permits for a request."""
+        self._permits.forget(request_id)
+
+    def shortest_pause_s(
+        self, target: str, name: str, request_id: str, now_s: float
+    ) -> float:
+        """Return the time until a server may take a request, 0 if one may now.
+
+        Only pauses and rate limits count.
+        """
         first_s = 0.0
         for entry in self._in_service(target, name, now_s):
-            left_s = entry.pool.restriction.remaining_pause_s(now_s)
+            left_s = max(
+                entry.pool.restriction.remaining_pause_s(now_s),
+                self._permits.wait_s(entry.incarnation, request_id, now_s),
+            )
             if not left_s:
                 return 0.0
             first_s = min(first_s or left_s, left_s)
@@ -326,15 +386,21 @@
         """
         return any(self._in_service(target, name, now_s))
 
-    def views(self, target: str, name: str, now_s: float) -> list[BackendView]:
+    def views(
+        self,
+        target: str,
+        name: str,
+        now_s: float,
+        permit_wait_s: float | None = None,
+    ) -> list[BackendView]:
         """Return routing views of the servers that may take new work.
 
         ``name`` is the model if ``target`` is ``engine`` and the kind if it is
-        ``service``.
+        ``service``.  Of the servers with a rate limit, only those with a permit
+        count, or with ``permit_wait_s`` those with one that may start in this time.
         """
-        return [
-            self._view(entry, now_s) for entry in self._available(target, name, now_s)
-        ]
+        available = self._available(target, name, now_s, permit_wait_s)
+        return [self._view(entry, now_s) for entry in available]
 
     def hold(
         self,
@@ -392,7 +458,12 @@
         pool.start()
         incarnation = Incarnation(backend_id, backend.started)
         pool.restriction = self._restrictions.get_or_create(incarnation)
-        pool.on_signals = functools.partial(self._apply_signals, pool)
+        on_signals = functools.partial(self._apply_signals, pool, incarnation)
+        pool.on_signals = on_signals
+        now_s = self._clock()
+        limit_per_s = self._restrictions.take_successor_limit(pool.address, now_s)
+        if limit_per_s is not None:
+            on_signals(ServerSignals(limit_per_s=limit_per_s), None)
         warm_up = WarmUp(
             backend.cold_bound_tokens, backend.cold_bound_tokens * WARM_TOKENS_FACTOR
         )
@@ -400,12 +471,22 @@
         return BackendEntry(backend_id, backend, pool, warm_up, circuit)
 
     def _apply_signals(
-        self, pool: BackendPool, signals: ServerSignals, sent_s: float | None
+        self,
+        pool: BackendPool,
+        incarnation: Incarnation,
+        signals: ServerSignals,
+        sent_s: float | None,
     ) -> None:
         """Apply the status signals in a server's response."""
         now_s = self._clock()
-        if signals.limit_per_s is not None:
-            self._apply_limit(pool, signals.limit_per_s, sent_s, now_s)
+        limit = pool.restriction.limit
+        per_s = signals.limit_per_s
+        if per_s is not None and limit.record_response(per_s, sent_s, now_s):
+            self._permits.spread(incarnation, now_s)
+        if signals.successor_limit_per_s is not None:
+            self._restrictions.record_successor_limit(
+                pool.address, signals.successor_limit_per_s, now_s
+            )
         if signals.pause_s:
             pool.restriction.record_pause(signals.pause_s, now_s)
             self._paused_until_s = max(self._paused_until_s, now_s + signals.pause_s)
@@ -415,21 +496,16 @@
             self._restrictions.start_announcing(now_s)
             self._on_leaving()
 
-    def _apply_limit(
-        self, pool: BackendPool, per_s: float, sent_s: float | None, now_s: float
-    ) -> None:
-        """Record the rate limit in a server's response."""
-        limit = pool.restriction.limit
-        if limit.record_response(per_s, sent_s, now_s):
-            log_limit(pool.backend_id, limit)
-
-    def _available(self, target: str, name: str, now_s: float) -> list[BackendEntry]:
+    def _available(
+        self, target: str, name: str, now_s: float, permit_wait_s: float | None
+    ) -> list[BackendEntry]:
         found = [
             entry
             for entry in self._in_service(target, name, now_s)
             if not entry.ejection.is_ejected(now_s)
             and not entry.pool.restriction.blocks_requests(now_s)
             and self._may_send_to_cold(entry, now_s)
+            and self._has_permit(entry, now_s, permit_wait_s)
         ]
         found = self._without_unreachable(found)
         if self._scope is None:
@@ -471,6 +547,18 @@
             and entry.circuit.is_ready(now_s)
         )
 
+    def _has_permit(
+        self, entry: BackendEntry, now_s: float, permit_wait_s: float | None
+    ) -> bool:
+        """Return whether a limited server may take a request, or within a time."""
+        if not entry.pool.restriction.limit.is_limited:
+            return True
+        if self._permits.has_permit(entry.incarnation, now_s):
+            return True
+        if permit_wait_s is None:
+            return False
+        return self._permits.may_ask(entry.incarnation, permit_wait_s, now_s)
+
     def _may_send_to_cold(self, entry: BackendEntry, now_s: float) -> bool:
         """Return whether this node may send a cold server one more request."""
         if entry.cold_rate_limiter is None or not entry.is_cold(now_s):
@@ -537,16 +625,6 @@
         )
 
 
-def log_limit(backend_id: str, limit: KnownLimit) -> None:
-    """Log the changed rate limit of a server, and who reported it."""
-    fields = {"backend": backend_id, "version": limit.current.version}
-    if limit.is_limited:
-        per_s = limit.current.per_s
-        log(Event.LIMIT_LEARNED, limit_per_s=per_s, reason=limit.source, **fields)
-    else:
-        log(Event.LIMIT_ENDED, reason=limit.source, **fields)
-
-
 def _is_same_incarnation(old: Backend, new: Backend) -> bool:
     """Return whether two entries of an id describe the same server incarnation."""
     return (old.url, old.started) == (new.url, new.started)
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -12,6 +12,7 @@
 from .backends.backend_entry import BackendEntry
 from .backends.monitor import StreamMonitor
 from .backends.protocol import KEEP_ALIVE, Attempt, Chunk, PrefillHelper, StreamCounters
+from .backends.stream import EngineStream
 from .cost import Cost, estimate_cost
 from .errors import (
     BackendError,
@@ -192,11 +193,10 @@
         entry = assignment.entry
         guard.begin()
         try:
-            with (
-                self._reservations.hold(
-                    request.id, _memory_requirements(assignment)
-                ) as names,
-                engine.open_stream(
+            requirements = _memory_requirements(assignment)
+            with self._reservations.hold(request.id, requirements) as names:
+                self._admit_helper_parts(assignment)
+                with engine.open_stream(
                     entry.pool,
                     request,
                     self._attempt_metadata(assignment, request, progress, names),
@@ -204,16 +204,8 @@
                     self.counters,
                     self._monitor,
                     self._clock,
-                ) as stream,
-            ):
-                last_s = None
-                for chunk in stream:
-                    if chunk.event and not assignment.work.prefilled:
-                        self._scheduler.mark_prefilled(assignment)
-                    if chunk.event:
-                        last_s = self._record_event_gap(assignment, last_s)
-                    progress.received = stream.offset
-                    yield chunk
+                ) as stream:
+                    yield from self._read_stream(stream, assignment, progress)
         except RelayError as error:
             if error.outcome is Outcome.NOT_RUN:
                 guard.undo()
@@ -227,6 +219,19 @@
         tokens = _cost_of(request).kv_tokens
         entry.warm_up.record_success(tokens, True, now_s)
 
+    def _read_stream(
+        self, stream: EngineStream, assignment: Assignment, progress: _Progress
+    ) -> Iterator[Chunk]:
+        """Yield the chunks of a stream and record its progress."""
+        last_s = None
+        for chunk in stream:
+            if chunk.event and not assignment.work.prefilled:
+                self._scheduler.mark_prefilled(assignment)
+            if chunk.event:
+                last_s = self._record_event_gap(assignment, last_s)
+            progress.received = stream.offset
+            yield chunk
+
     def _record_event_gap(self, assignment: Assignment, last_s: float | None) -> float:
         """Record the time since the previous event; return the time of this one."""
         entry = assignment.entry
@@ -280,8 +285,25 @@
             time_left_s=request.time_left_s(self._clock()),
             priority=request.kind.priority,
             helpers=helpers,
+            permit=assignment.permits.get(assignment.entry.id),
         )
 
+    def _admit_helper_parts(self, assignment: Assignment) -> None:
+        """Count the parts that reach the helpers.
+
+        Raises ``BackendError`` if a helper accepts no request now.
+        """
+        now_s = self._clock()
+        permits = assignment.permits
+        for entry, _ in assignment.helpers:
+            try:
+                entry.pool.check_allowed(permits.get(entry.id))
+            except BackendError as error:
+                error.faulty_server = entry.id
+                raise
+        for entry, _ in assignment.helpers:
+            entry.pool.restriction.record_sent(permits.get(entry.id), now_s)
+
     def _record_failure(self, entry: BackendEntry, error: RelayError) -> None:
         """Update the state of the server that a failed attempt puts at fault."""
         now_s = self._clock()
--- a/papayarelay/events.py
+++ b/papayarelay/events.py
@@ -309,6 +309,12 @@
         "retry denied",
         "A failed attempt was the last one, for the reason that the line names.",
     )
+    REQUEST_HELD_BACK = (
+        1312,
+        "info",
+        "request held back",
+        "The server's rate limit allows no request of this node now.",
+    )
 
     STORE_DOWN = (
         1401,
@@ -366,6 +372,24 @@
         "list of VMs unavailable",
         "The list of VMs could not be read; the last one stays in use.",
     )
+    ISSUER_UNREACHABLE = (
+        1506,
+        "warning",
+        "permit issuer unreachable",
+        "A node does not reply; another one issues the permits of its limited servers.",
+    )
+    ISSUER_BACK = (
+        1507,
+        "info",
+        "permit issuer back",
+        "A node that did not reply was heard from again.",
+    )
+    PERMITS_TAKEN_OVER = (
+        1508,
+        "info",
+        "permits taken over",
+        "This node issues the permits of a limited server; backlog_s is used already.",
+    )
 
     LIBRARY_MESSAGE = (
         1901,
--- a/papayarelay/metrics.py
+++ b/papayarelay/metrics.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from bisect import bisect_left
 from collections.abc import Callable, Iterable, Iterator
@@ -160,6 +161,23 @@
 
         self._meter.create_observable_gauge(name, [observe], description=description)
 
+    def register_labelled_gauge(
+        self,
+        name: str,
+        description: str,
+        read: Callable[[], Iterable[tuple[float, dict[str, str]]]],
+    ) -> None:
+        """Export a gauge with labels; ``read`` returns its values at each scrape.
+
+        Only the first ``SERIES_LIMIT`` values are exported.
+        """
+
+        def observe(options: CallbackOptions) -> list[Observation]:
+            values = itertools.islice(read(), SERIES_LIMIT)
+            return [Observation(value, labels) for value, labels in values]
+
+        self._meter.create_observable_gauge(name, [observe], description=description)
+
     def register_counter(
         self, name: str, description: str, read: Callable[[], dict[str, int]]
     ) -> None:
--- a/papayarelay/nodes/broadcast.py
+++ b/papayarelay/nodes/broadcast.py
@@ -26,6 +26,7 @@
 from ..routing import EngineWork
 from .freshness import TableReport
 from .groups import Group, divide_into_groups
+from .permit_messages import LimitRecord
 
 # Changes within this time are coalesced into one datagram.
 BATCH_S = 0.02
@@ -42,8 +43,9 @@
 ABSENT_TIMEOUT_S = 10.0
 ABSENT_SEND_INTERVAL_S = 2.0
 MAX_DATAGRAM_BYTES = 60_000
-# Limit on the leaving servers listed in one datagram.
+# Limits on the leaving servers and on the rate limits in one datagram.
 MAX_LEAVING_SERVERS = 100
+MAX_LIMITS = 200
 
 
 class _WorkRecord(msgspec.Struct, array_like=True):
@@ -112,6 +114,7 @@
     notifications: list[bytes] = []
     # Incarnations of servers that have announced to the sender that they are leaving.
     leaving_servers: list[tuple[str, int]] = []
+    limits: list[LimitRecord] = []
 
 
 class _Envelope(msgspec.Struct, array_like=True):
@@ -128,13 +131,15 @@
 
     ``work`` is keyed by server id and None if unchanged, ``retries`` by service
     and ``table_reports`` by table.  ``leaving`` lists the servers that have
-    announced to the node that they are leaving.
+    announced to the node that they are leaving, ``limits`` the rate limits that
+    servers name.
     """
 
     work: Mapping[str, EngineWork] | None = field(default_factory=dict)
     retries: Mapping[str, RetryUsage] = field(default_factory=dict)
     table_reports: Mapping[str, TableReport] = field(default_factory=dict)
     leaving: tuple[Incarnation, ...] = ()
+    limits: tuple[LimitRecord, ...] = ()
 
 
 _ENVELOPE_DECODER = msgspec.msgpack.Decoder(_Envelope)
@@ -182,6 +187,9 @@
     def on_notification(self, notification: bytes) -> None:
         """Handle a change notification that a peer has published."""
 
+    def on_peer_started(self, peer: str) -> None:
+        """Handle the first message of a peer's process."""
+
     def on_peer_gone(self, peer: str) -> None:
         """Discard the work of a peer that has left or gone silent."""
 
@@ -246,6 +254,26 @@
             rank += heard_s is not None and now_s - heard_s < LIVE_TIMEOUT_S
         return rank
 
+    @property
+    def presence_ratio(self) -> float:
+        """Return the part of the group's present nodes that are heard from.
+
+        This node counts as heard from.
+        """
+        now_s = self._clock()
+        members = [self._peers[n] for n in self._group.nodes if n in self._peers]
+        present = [peer for peer in members if not peer.is_absent(now_s)]
+        heard = sum(
+            peer.heard_s is not None and now_s - peer.heard_s < LIVE_TIMEOUT_S
+            for peer in present
+        )
+        return (1 + heard) / (1 + len(present))
+
+    def find_address(self, name: str) -> tuple[str, int] | None:
+        """Return the address of a node, None if it is unknown."""
+        peer = self._peers.get(name)
+        return None if peer is None else peer.address
+
     def start(self) -> None:
         """Start sending and receiving."""
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -358,6 +386,7 @@
             ],
             notifications,
             list(status.leaving[:MAX_LEAVING_SERVERS]),
+            list(status.limits[:MAX_LIMITS]),
         )
 
     def _send_to(self, data: bytes, address: tuple[str, int]) -> None:
@@ -405,6 +434,8 @@
         ):
             return
         peer.address = address
+        if message.instance_id != peer.instance_id:
+            self._listener.on_peer_started(message.sender)
         peer.instance_id, peer.sequence = message.instance_id, message.sequence
         peer.sent_ms = message.sent_ms
         peer.heard_s = self._clock()
@@ -429,6 +460,7 @@
                 for w in message.table_reports
             },
             tuple(Incarnation(*each) for each in message.leaving_servers),
+            tuple(message.limits),
         )
         self._listener.on_status(message.sender, status, echoed_s)
 
--- a/papayarelay/nodes/permit_issuer.py
+++ b/papayarelay/nodes/permit_issuer.py
@@ -82,16 +82,24 @@
         self._check = check
         self._servers: dict[Incarnation, _Server] = {}
 
-    def reply(self, request: PermitRequest, now_s: float) -> PermitReply:
-        """Return the reply to a request, whose limit is known here by now."""
+    def reply(self, request: PermitRequest, now_s: float) -> PermitReply | None:
+        """Return the reply to a request, whose limit is known here by now.
+
+        Returns None after forwarding it to the node that issues the permits.
+        """
         incarnation = request.limit.incarnation
         limit = self._known_limit(incarnation)
         if not limit.is_limited:
             self._servers.pop(incarnation, None)
             return self._make_reply(request)
-        refusal = self._refer(request, now_s)
-        if refusal is not None:
-            return refusal
+        first = self._issuers.first(incarnation.id)
+        if first in request.unreachable and not self._issuers.is_heard(first, now_s):
+            self._check(first, now_s)
+            return self._make_reply(request, retry_ms=_milliseconds(RETRY_S))
+        if first != self._own:
+            self._servers.pop(incarnation, None)
+            self._send(first, request)
+            return None
         server = self._servers.get(incarnation) or self._take_over(incarnation, now_s)
         server.used_s = now_s
         if server.former:
@@ -137,18 +145,6 @@
             if now_s - server.used_s > IDLE_S:
                 del self._servers[incarnation]
 
-    def _refer(self, request: PermitRequest, now_s: float) -> PermitReply | None:
-        """Return a reply that names the issuer, or None if this node is the issuer."""
-        server_id = request.limit.server
-        first = self._issuers.first(server_id)
-        if first == self._own:
-            return None
-        if first in request.unreachable and not self._issuers.is_heard(first, now_s):
-            self._check(first, now_s)
-            return self._make_reply(request, retry_ms=_milliseconds(RETRY_S))
-        self._servers.pop(request.limit.incarnation, None)
-        return self._make_reply(request, issuer=first)
-
     def _take_over(self, incarnation: Incarnation, now_s: float) -> _Server:
         """Ask the nodes that rank next for the backlog of their permits."""
         former = set(self._issuers.below(incarnation.id)[:HANDOVER_NODES])
@@ -187,7 +183,8 @@
         if sent is not None and sent[1].number == request.number:
             return sent[1]
         schedule = server.schedule
-        schedule.set_rate(self._rate_per_s(limit.current), now_s)
+        rate_per_s = self._rate_per_s(limit.current)
+        schedule.set_rate(rate_per_s, now_s)
         schedule.refund(request.unused, now_s)
         schedule.charge(request.sent, now_s)
         count = min(request.count, MAX_PERMITS)
@@ -197,6 +194,7 @@
             request,
             delays_ms=[_milliseconds(delay_s) for delay_s in delays_s],
             next_free_ms=_milliseconds(schedule.next_free_s(now_s)),
+            rate_per_s=rate_per_s,
         )
         self._keep_reply(server, request, reply, now_s)
         return reply
@@ -217,9 +215,7 @@
         incarnation = request.limit.incarnation
         limit = self._known_limit(incarnation).current
         record = LimitRecord.create(incarnation, limit)
-        return PermitReply(
-            self._own, request.number, record, fields.pop("delays_ms", []), **fields
-        )
+        return PermitReply(self._own, request.number, record, **fields)
 
 
 def _milliseconds(seconds: float) -> int:
--- a/papayarelay/nodes/permit_messages.py
+++ b/papayarelay/nodes/permit_messages.py
@@ -42,6 +42,7 @@
     """Asks for ``count`` permits that start within ``max_wait_ms``.
 
     ``instance_id`` and ``number`` identify the request; a repeat gets the same reply.
+    A node that does not issue the server's permits forwards the request unchanged.
     ``sent`` counts the requests that the sender sent without a permit, ``unused`` its
     expired permits, both since its last request that was replied to.  ``unreachable``
     are nodes that did not reply to the sender.
@@ -60,17 +61,17 @@
 class PermitReply(_Message):
     """Reply to a ``PermitRequest``; each permit starts after one of ``delays_ms``.
 
-    ``next_free_ms`` is the time until another permit can start.  If the permits of
-    the server are issued elsewhere, ``issuer`` is that node.  With ``retry_ms``, the
-    sender does not know yet whether it issues them.
+    ``next_free_ms`` is the time until another permit can start, ``rate_per_s`` the
+    rate at which the sender issues permits.  With ``retry_ms``, the sender does not
+    know yet whether it issues them.
     """
 
     number: int
     limit: LimitRecord
-    delays_ms: list[int]
+    delays_ms: list[int] = []
     next_free_ms: int = 0
+    rate_per_s: float = 0.0
     retry_ms: int = 0
-    issuer: str = ""
 
 
 class HandoverRequest(_Message):
--- a/papayarelay/nodes/permits.py
+++ b/papayarelay/nodes/permits.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 
@@ -20,6 +20,7 @@
 from ..logs import log
 from .groups import Group
 from .issuers import Issuers
+from .node_checks import MAX_SENDS, REPLY_TIMEOUT_S, NodeChecks
 from .permit_issuer import MAX_PERMITS, PermitIssuer
 from .permit_messages import (
     HandoverReply,
@@ -41,22 +42,14 @@
 SHORT_PERMIT_WAIT_S = 0.02
 # A request that another server can take waits this long for the reply of the issuer.
 REPLY_WAIT_S = 0.03
-# Time after which a message without a reply is sent again, and number of times that
-# it is sent.
-REPLY_TIMEOUT_S = 0.15
-MAX_SENDS = 2
 # Pause after a request for permits that was not granted in full.
 DENIED_PAUSE_S = 0.02
 # Requests for permits that were not renewed within this time are dropped.
 DEMAND_TTL_S = 0.2
 # Limit on the unreachable nodes that a request for permits lists.
 MAX_UNREACHABLE = 16
-# Limit on the nodes that refer a request for permits to one another.
-MAX_REFERRALS = 3
-# Nodes that are asked at once whether they are reachable, when the issuer is not.
+# Number of nodes that are checked at once when an issuer does not reply.
 CHECKED_NODES = 3
-# Interval at which unreachable nodes that would issue permits are asked again.
-CHECK_INTERVAL_S = 1.0
 # A changed limit is sent to this many nodes of each other group.
 NEWS_NODES = 2
 
@@ -70,7 +63,6 @@
     asked_s: float
     sent_s: float
     sends: int = 1
-    referrals: int = 0
 
 
 @dataclass
@@ -91,7 +83,23 @@
     sent: int = 0
     unused: int = 0
     pending: _Pending | None = None
-    issuer: str = ""
+    rate_per_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class LimitDescription:
+    """A server's limit as a node knows it.
+
+    ``source`` says who reported it, ``age_s`` how long ago.  ``issuer`` issues the
+    server's permits, at ``issued_per_s`` when this node last asked it.
+    """
+
+    backend: str
+    per_s: float
+    age_s: float
+    source: str
+    issuer: str
+    issued_per_s: float
 
 
 class PermitListener:
@@ -125,14 +133,13 @@
         share: Callable[[], float] = lambda: 1.0,
         listener: PermitListener | None = None,
     ):
-        self.held_back = 0
-        self.sent_without = 0
         self.restrictions = restrictions
         self._own = own
         self._rng = rng
         self._send = send
         self._listener = listener or PermitListener()
         self._issuers = Issuers(own)
+        self._checks = NodeChecks(own, self._issuers, send)
         self._issuer = PermitIssuer(
             own,
             data_centre,
@@ -140,18 +147,26 @@
             self._known_limit,
             share,
             send,
-            self._check_node,
+            self._checks.check,
         )
+        self._held_back = 0
+        self._unpermitted = 0
         self._instance_id = rng.getrandbits(62)
         self._number = 0
         self._servers: dict[Incarnation, _Server] = {}
         self._other_groups: tuple[Group, ...] = ()
-        self._checks: dict[str, tuple[float, int]] = {}
 
     @property
-    def issued(self) -> int:
-        """Return the number of permits that this node has issued."""
-        return self._issuer.issued
+    def counts(self) -> dict[str, int]:
+        """Return the numbers of permits issued, and of requests held back or sent.
+
+        ``unpermitted`` requests are commands, and those sent before a limit was learnt.
+        """
+        return {
+            "issued": self._issuer.issued,
+            "held_back": self._held_back,
+            "unpermitted": self._unpermitted,
+        }
 
     @property
     def any_limited(self) -> bool:
@@ -166,6 +181,18 @@
             for server in self._servers.values()
         )
 
+    def describe_limits(self, now_s: float) -> Iterator[LimitDescription]:
+        """Yield the limits that this node knows."""
+        for incarnation, server in self._servers.items():
+            yield LimitDescription(
+                incarnation.id,
+                server.limit.current.per_s,
+                server.limit.age_s(now_s),
+                server.limit.source,
+                self._issuers.first(incarnation.id),
+                server.rate_per_s,
+            )
+
     def set_groups(self, own: Group, groups: Iterable[Group]) -> None:
         """Set the nodes that may issue permits, and the groups to notify."""
         groups = tuple(groups)
@@ -174,8 +201,7 @@
 
     def record_heard(self, node: str, now_s: float) -> None:
         """Record that another node was heard from, in any protocol."""
-        if self._issuers.record_heard(node, now_s):
-            log(Event.ISSUER_BACK, peer=node)
+        self._checks.record_heard(node, now_s)
 
     def issuer(self, incarnation: Incarnation) -> str:
         """Return the node that issues the permits of a server."""
@@ -194,11 +220,15 @@
     def may_ask(
         self, incarnation: Incarnation, max_wait_s: float, now_s: float
     ) -> bool:
-        """Return whether a permit that starts in time may be had."""
+        """Return whether one more request may get a permit that starts in time."""
         server = self._servers.get(incarnation)
         if server is None or server.pending is not None:
             return True
-        return now_s + max_wait_s >= server.next_free_s
+        self._expire(server, now_s)
+        latest_s = now_s + max_wait_s
+        if len(server.permits) > len(server.demand):
+            return server.permits[len(server.demand)].start_s <= latest_s
+        return latest_s >= server.next_free_s
 
     def awaits_reply(self, incarnation: Incarnation, now_s: float) -> bool:
         """Return whether the issuer is about to reply."""
@@ -206,14 +236,22 @@
         pending = None if server is None else server.pending
         return pending is not None and now_s - pending.asked_s < REPLY_WAIT_S
 
+    def start_s(self, incarnation: Incarnation, request_id: str, now_s: float) -> float:
+        """Return the time until a request's permit starts, infinite without one."""
+        server = self._servers.get(incarnation)
+        if server is None or request_id not in server.demand:
+            return math.inf
+        position = list(server.demand).index(request_id)
+        if position >= len(server.permits):
+            return math.inf
+        return max(0.0, server.permits[position].start_s - now_s)
+
     def wait_s(self, incarnation: Incarnation, request_id: str, now_s: float) -> float:
         """Return the time until a permit can start, 0 if a request can get one."""
         server = self._servers.get(incarnation)
         if server is None or self.may_ask(incarnation, MAX_PERMIT_WAIT_S, now_s):
             return 0.0
-        self._expire(server, now_s)
-        covered = list(server.demand)[: len(server.permits)]
-        if request_id in covered or len(server.demand) < len(server.permits):
+        if self.start_s(incarnation, request_id, now_s) < math.inf:
             return 0.0
         return server.next_free_s - now_s
 
@@ -227,14 +265,15 @@
         """Ask for a permit for a request, to start within ``max_wait_s``."""
         server = self._server(incarnation, now_s)
         self._expire(server, now_s)
-        if request_id not in server.demand:
-            self.held_back += 1
-            self._log_held_back(server, request_id, now_s)
+        is_new = request_id not in server.demand
         server.demand[request_id] = now_s
         missing = len(server.demand) - len(server.permits)
         free = now_s + max_wait_s >= server.next_free_s and now_s >= server.ask_after_s
         if missing > 0 and free and server.pending is None:
             self._ask_issuer(server, min(missing, MAX_PERMITS), max_wait_s, now_s)
+        if is_new and not self.has_permit(incarnation, now_s):
+            self._held_back += 1
+            self._log_held_back(server, request_id, now_s)
 
     def take(
         self, incarnation: Incarnation, request_id: str, now_s: float
@@ -251,8 +290,19 @@
         for server in self._servers.values():
             server.demand.pop(request_id, None)
 
-    def learn(self, records: Iterable[LimitRecord], source: str, now_s: float) -> None:
-        """Learn the limits that another node has reported."""
+    def learn(
+        self,
+        records: Iterable[LimitRecord],
+        source: str,
+        now_s: float,
+        *,
+        announced: bool = False,
+    ) -> None:
+        """Learn the limits that another node has reported.
+
+        Limits that the node has ``announced`` to the whole group are not announced
+        again.
+        """
         changed = [
             record.incarnation
             for record in records
@@ -260,7 +310,7 @@
         ]
         for incarnation in changed:
             self.apply_change(incarnation, now_s)
-        if changed:
+        if changed and not announced:
             self._listener.on_limit_changed()
 
     def to_announce(self, now_s: float) -> tuple[LimitRecord, ...]:
@@ -309,13 +359,11 @@
                 self._ask_issuer(server, 0, 0.0, now_s)
             if server.demand:
                 self._check_above(server, now_s)
-        for node, (sent_s, sends) in list(self._checks.items()):
-            self._repeat_check(node, sent_s, sends, now_s)
+        self._checks.poll(now_s)
 
     def receive(self, message: Message, now_s: float) -> None:
         """Handle a message of another node."""
         self.record_heard(message.sender, now_s)
-        self._checks.pop(message.sender, None)
         self._handle(message, now_s)
 
     @singledispatchmethod
@@ -325,7 +373,9 @@
     @_handle.register
     def _(self, message: PermitRequest, now_s: float) -> None:
         self.learn([message.limit], message.sender, now_s)
-        self._send(message.sender, self._issuer.reply(message, now_s))
+        reply = self._issuer.reply(message, now_s)
+        if reply is not None:
+            self._send(message.sender, reply)
 
     @_handle.register
     def _(self, message: PermitReply, now_s: float) -> None:
@@ -380,7 +430,7 @@
         restriction = self.restrictions.get_or_create(server.incarnation)
         count = restriction.take_unpermitted()
         server.sent += count
-        self.sent_without += count
+        self._unpermitted += count
 
     def _expire(self, server: _Server, now_s: float) -> None:
         while server.permits and server.permits[0].end_s <= now_s:
@@ -408,28 +458,22 @@
             server.unused,
             list(self._issuers.above(server.incarnation.id, issuer)[:MAX_UNREACHABLE]),
         )
-        self._send_request(server, _Pending(issuer, message, now_s, now_s), now_s)
-
-    def _send_request(self, server: _Server, pending: _Pending, now_s: float) -> None:
-        server.pending = pending
-        if pending.issuer != self._own:
-            self._send(pending.issuer, pending.message)
+        server.pending = _Pending(issuer, message, now_s, now_s)
+        if issuer != self._own:
+            self._send(issuer, message)
             return
-        self._accept(server, self._issuer.reply(pending.message, now_s), now_s)
+        self._accept(server, self._issuer.reply(message, now_s), now_s)
 
     def _accept(self, server: _Server, reply: PermitReply, now_s: float) -> None:
         """Apply the issuer's reply to the pending request."""
         pending, server.pending = server.pending, None
-        if reply.issuer:
-            self._follow(server, reply.issuer, pending, now_s)
-            return
         if reply.retry_ms:
             server.ask_after_s = now_s + reply.retry_ms / 1000
             return
         server.sent -= pending.message.sent
         server.unused -= pending.message.unused
         server.next_free_s = now_s + reply.next_free_ms / 1000
-        server.issuer = reply.sender
+        server.rate_per_s = reply.rate_per_s
         if reply.limit.per_s > server.limit.current.per_s:
             return
         for delay_ms in reply.delays_ms:
@@ -438,24 +482,6 @@
         if len(reply.delays_ms) < pending.message.count:
             server.ask_after_s = now_s + DENIED_PAUSE_S
 
-    def _follow(
-        self, server: _Server, issuer: str, pending: _Pending, now_s: float
-    ) -> None:
-        """Ask the node that another one has named as the issuer."""
-        known = issuer in self._issuers.names
-        reachable = known and not self._issuers.is_unreachable(issuer)
-        if not reachable or pending.referrals >= MAX_REFERRALS:
-            server.ask_after_s = now_s + REPLY_TIMEOUT_S
-            return
-        referred = replace(
-            pending,
-            issuer=issuer,
-            sent_s=now_s,
-            sends=1,
-            referrals=pending.referrals + 1,
-        )
-        self._send_request(server, referred, now_s)
-
     def _resend(self, server: _Server, now_s: float) -> None:
         pending = server.pending
         if now_s - pending.sent_s < REPLY_TIMEOUT_S:
@@ -463,9 +489,10 @@
         if pending.sends < MAX_SENDS:
             server.pending = replace(pending, sends=pending.sends + 1, sent_s=now_s)
             self._send(pending.issuer, pending.message)
-            self._check_next(server, now_s)
+            ranked = self._issuers.ranked(server.incarnation.id)
+            self._checks.check_first(ranked, CHECKED_NODES, now_s)
             return
-        self._record_unreachable(pending.issuer)
+        self._checks.record_unreachable(pending.issuer)
         server.pending = None
         if server.demand:
             self._ask_issuer(
@@ -475,42 +502,12 @@
                 now_s,
             )
 
-    def _check_next(self, server: _Server, now_s: float) -> None:
-        """Ask the next nodes in the rank whether they are reachable."""
-        for name in self._issuers.ranked(server.incarnation.id):
-            if len(self._checks) >= CHECKED_NODES:
-                return
-            if not self._issuers.is_unreachable(name):
-                self._check_node(name, now_s)
-
     def _check_above(self, server: _Server, now_s: float) -> None:
-        """Ask again the unreachable nodes that rank above the current issuer."""
-        issuer = self._issuers.first(server.incarnation.id)
-        for name in self._issuers.above(server.incarnation.id, issuer)[:CHECKED_NODES]:
-            if name not in self._checks:
-                self._check_node(name, now_s)
-
-    def _check_node(self, name: str, now_s: float) -> None:
-        if name != self._own and name not in self._checks:
-            self._checks[name] = (now_s, 1)
-            self._send(name, LivenessRequest(self._own))
-
-    def _repeat_check(self, node: str, sent_s: float, sends: int, now_s: float) -> None:
-        """Ask a node again, or record that it is unreachable."""
-        if self._issuers.is_unreachable(node):
-            if now_s - sent_s >= CHECK_INTERVAL_S:
-                del self._checks[node]
-        elif now_s - sent_s >= REPLY_TIMEOUT_S:
-            if sends < MAX_SENDS:
-                self._checks[node] = (now_s, sends + 1)
-                self._send(node, LivenessRequest(self._own))
-            else:
-                self._record_unreachable(node)
-
-    def _record_unreachable(self, node: str) -> None:
-        if not self._issuers.is_unreachable(node):
-            self._issuers.record_unreachable(node)
-            log(Event.ISSUER_UNREACHABLE, peer=node)
+        """Check the unreachable nodes that rank above the current issuer again."""
+        server_id = server.incarnation.id
+        above = self._issuers.above(server_id, self._issuers.first(server_id))
+        for name in above[:CHECKED_NODES]:
+            self._checks.check(name, now_s)
 
     def _log_held_back(self, server: _Server, request_id: str, now_s: float) -> None:
         limit = server.limit
@@ -522,5 +519,7 @@
             limit_age_s=round(limit.age_s(now_s), 3),
             reason=limit.source,
             peer=self._issuers.first(server.incarnation.id),
+            issued_per_s=server.rate_per_s,
+            permits_count=len(server.permits),
             next_free_s=round(max(0.0, server.next_free_s - now_s), 3),
         )
--- a/papayarelay/operators/explain.py
+++ b/papayarelay/operators/explain.py
@@ -28,6 +28,7 @@
     "PR1305": "failed, outcome unknown",
     "PR1310": "not admitted",
 }
+HELD_BACK = "PR1312"
 NOT_IN_END = frozenset({"request", "member", "kind"})
 
 
@@ -79,6 +80,19 @@
                 found[-1] += f" ({reason}, outcome {line.fields.get('outcome')})"
         return tuple(found)
 
+    @property
+    def held_back(self) -> tuple[str, ...]:
+        """Return the rate limits that held the request back."""
+        return tuple(
+            f"{line.fields.get('backend')}: {line.fields.get('limit_per_s')} a second "
+            f"for all nodes, learnt {line.fields.get('limit_age_s')} s before from "
+            f"{line.fields.get('reason')}; {line.fields.get('peer')} issued "
+            f"{line.fields.get('issued_per_s')} a second, the next in "
+            f"{line.fields.get('next_free_s')} s"
+            for line in self.lines
+            if line.event == HELD_BACK
+        )
+
 
 def parse_line(text: str) -> Line | None:
     """Parse a log line, also after a prefix; return None for other text."""
@@ -133,6 +147,8 @@
         yield f"other events of its nodes, from {CONTEXT_S:g} s before the request"
         for line in trace.context_lines:
             yield line.describe(start_s)
+    for text in trace.held_back:
+        yield f"held back by the limit of {text}"
     yield f"sent to: {', '.join(trace.attempts) or 'no server'}"
     yield f"end: {trace.end}"
 
@@ -167,6 +183,7 @@
         "request": trace.request,
         "end": trace.end,
         "attempts": trace.attempts,
+        "held_back": trace.held_back,
         "lines": [line.describe(trace.lines[0].time_s) for line in trace.lines],
         "beliefs": [
             line.describe(trace.lines[0].time_s) for line in trace.context_lines
--- a/papayarelay/placement.py
+++ b/papayarelay/placement.py
@@ -37,6 +37,11 @@
     prefill_s: float = 0.0
     expected_s: float = 0.0
 
+    @property
+    def servers(self) -> tuple[str, ...]:
+        """Return the engine and the helpers."""
+        return (self.backend_id, *self.helpers)
+
 
 @dataclass(frozen=True)
 class PackAndSplit:
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -5,13 +5,14 @@
 import random
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 
 import gevent
 from gevent.event import Event
 
 from ..admission import AdmissionQueue
+from ..backends.restriction import Restrictions
 from ..callers.body import BodyMemory
 from ..callers.gateway import Gateway
 from ..callers.readiness import Gate
@@ -24,6 +25,8 @@
 from ..metrics import Metrics
 from ..nodes.broadcast import BroadcastListener, NodeStatus, WorkBroadcaster
 from ..nodes.groups import Group, divide_into_groups
+from ..nodes.permit_exchange import PermitExchange
+from ..nodes.permits import PermitListener, Permits
 from ..placement import PackAndSplit
 from ..process import create_wsgi_server
 from ..request import Request
@@ -50,12 +53,15 @@
 # Requests still running this long before the platform kills the process are aborted.
 KILL_MARGIN_S = 0.5
 METRICS_PORT = 9464
+# Port of the datagrams about permits, after the one of the broadcasts.
+PERMIT_PORT_OFFSET = 1
+MAJORITY_RATIO = 0.5
 # Maximum queue wait as a multiple of the target latency, and its lower bound.
 MAX_QUEUE_WAIT_TARGETS = 2.0
 MIN_QUEUE_WAIT_S = 1.2
 
 
-class PlatformNode(BroadcastListener):
+class PlatformNode(BroadcastListener, PermitListener):
     """A gateway node; ``start`` begins to serve callers, ``close`` stops at once."""
 
     def __init__(
@@ -73,6 +79,20 @@
         self._budget = SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_reserve
         )
+        self._permit_exchange = PermitExchange(
+            (settings.ip, settings.first_port + PERMIT_PORT_OFFSET),
+            self._find_permit_address,
+            clock,
+        )
+        self._permits = Permits(
+            settings.name,
+            settings.data_centre,
+            Restrictions(),
+            self._rng,
+            self._permit_exchange.send,
+            self._permit_share,
+            self,
+        )
         policy = PackAndSplit()
         queue = AdmissionQueue(
             service_s=_min_service_s,
@@ -87,6 +107,7 @@
             clock,
             protocol=PlatformProtocol(),
             on_work=self._announce_work,
+            permits=self._permits,
         )
         self.store = StoreClient(settings.store_address)
         self.feed = PlatformFeed(
@@ -152,6 +173,7 @@
         self._serving.start()
         self._gateway.start()
         self._broadcaster.start()
+        self._permit_exchange.start(self._permits)
         self.feed.start()
         self._node_registry.start()
         log(LogEvent.NODE_STARTED, address=self.settings.caller_address)
@@ -171,6 +193,7 @@
         self._node_registry.close()
         self.feed.close()
         self._broadcaster.close()
+        self._permit_exchange.close()
         self._gateway.close()
         self._serving.close()
         self._ready_server.stop(timeout=0)
@@ -217,6 +240,46 @@
             lambda: {"malformed": self._broadcaster.malformed},
         )
         self._serving.register_metrics(self.metrics)
+        self._register_permit_metrics()
+
+    def _register_permit_metrics(self) -> None:
+        """Register the metrics of servers with a rate limit."""
+        self.metrics.register_counter(
+            "permits",
+            "Permits issued, and requests held back or sent without one",
+            lambda: self._permits.counts,
+        )
+        self.metrics.register_gauge(
+            "permit_share_ratio",
+            "Part of a server's rate limit that this node may issue",
+            self._permit_share,
+        )
+        observe = self.metrics.register_labelled_gauge
+
+        def limits(value: str) -> Iterator[tuple[float, dict[str, str]]]:
+            for limit in self._permits.describe_limits(self._clock()):
+                labels = {
+                    "backend": limit.backend,
+                    "source": limit.source,
+                    "issuer": limit.issuer,
+                }
+                yield getattr(limit, value), labels
+
+        observe(
+            "server_limit_per_s",
+            "Rate limit of a server for all nodes, in requests per second",
+            lambda: limits("per_s"),
+        )
+        observe(
+            "server_limit_age_seconds",
+            "Time since this node learnt the limit of a server",
+            lambda: limits("age_s"),
+        )
+        observe(
+            "permits_issued_per_s",
+            "Rate at which the permits of a server were issued when last asked for",
+            lambda: limits("issued_per_s"),
+        )
 
     def _apply(self, config: Config) -> None:
         self._serving.backends.apply(config)
@@ -236,11 +299,14 @@
             self._budget.own_usage(now_s),
             self.feed.table_reports(),
             self._serving.backends.leaving_to_announce(now_s),
+            self._permits.to_announce(now_s),
         )
 
     def on_status(self, peer: str, status: NodeStatus, echoed_s: float | None) -> None:
         """Apply the status that a peer broadcasts."""
         now_s = self._clock()
+        self._permits.record_heard(peer, now_s)
+        self._permits.learn(status.limits, peer, now_s, announced=True)
         if status.work is not None:
             self._serving.backends.set_peer_work(peer, status.work, now_s)
             self._serving.scheduler.wake()
@@ -253,6 +319,27 @@
         """Apply a change notification of a peer."""
         self.feed.apply_notification(notification)
 
+    def on_peer_started(self, peer: str) -> None:
+        """Notify a new process of the limits that servers name."""
+        if self._permits.any_limited:
+            self.on_limit_changed()
+
+    def on_permits(self) -> None:
+        """Retry the queued requests, since a limited server may take one."""
+        self._permit_exchange.wake()
+        self._serving.scheduler.wake()
+
+    def on_limit_changed(self) -> None:
+        """Notify the group of a changed limit."""
+        self._permits.restrictions.start_announcing_limits(self._clock())
+        self._broadcaster.notify_change(True)
+
+    def on_unknown_node(self, name: str, data_centre: str) -> None:
+        """Add a node that is not in the list yet, but sends messages."""
+        host, port = self._permit_exchange.source
+        address = (host, port - PERMIT_PORT_OFFSET)
+        self._broadcaster.add_peer(name, address, data_centre)
+
     def on_peer_gone(self, peer: str) -> None:
         """Discard the state of a peer that has left or failed."""
         self._serving.backends.forget_peer(peer)
@@ -265,6 +352,7 @@
         group = next(group for group in groups if name in group.nodes)
         self._nodes_total = sum(len(each.nodes) for each in groups)
         self._budget.set_nodes(len(group.nodes), self._nodes_total)
+        self._permits.set_groups(group, groups)
 
     def on_present_count(self, nodes: int) -> None:
         """Divide the group's retry budget among the nodes that are heard from.
@@ -274,6 +362,21 @@
         """
         self._budget.set_nodes(nodes, self._nodes_total)
 
+    def _find_permit_address(self, node: str) -> tuple[str, int] | None:
+        address = self._broadcaster.find_address(node)
+        if address is None:
+            return None
+        return address[0], address[1] + PERMIT_PORT_OFFSET
+
+    def _permit_share(self) -> float:
+        """Return the part of a server's limit that this node may issue.
+
+        A node that hears less than half of its group may be partitioned from the
+        node that issues the permits for the others.
+        """
+        ratio = self._broadcaster.presence_ratio
+        return 1.0 if ratio >= MAJORITY_RATIO else ratio
+
     def _rank(self) -> int:
         return self._broadcaster.rank
 
--- a/papayarelay/platform/wire.py
+++ b/papayarelay/platform/wire.py
@@ -204,10 +204,13 @@
     pause_s = 0.0
     if head.status == SERVICE_UNAVAILABLE:
         pause_s = parse_retry_after_s(head.get(RETRY_AFTER.lower()) or b"")
-    limit_per_s = None
+    limit_per_s = _read_limit_per_s(head)
     if head.status != MISDIRECTED_REQUEST:
-        limit_per_s = _read_limit_per_s(head)
-    return ServerSignals(leaving, pause_s, limit_per_s)
+        return ServerSignals(leaving, pause_s, limit_per_s)
+    # The request reached the next server at the address.
+    named = limit_per_s is not None and math.isfinite(limit_per_s)
+    successor_limit_per_s = limit_per_s if named else None
+    return ServerSignals(leaving, successor_limit_per_s=successor_limit_per_s)
 
 
 def _read_limit_per_s(head: ResponseHead) -> float | None:
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -4,8 +4,8 @@
 
 import itertools
 import random
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
 
 import gevent
 from gevent.event import AsyncResult, Event
@@ -13,12 +13,14 @@
 from .admission import AdmissionQueue
 from .backends.backend_entry import BackendEntry
 from .backends.in_flight_work import InFlightWork
+from .backends.restriction import Permit
 from .backends.table import BackendTable
 from .background import BackgroundTask, run_step
 from .cost import Cost
 from .errors import DeadlineError, OverloadError, RelayError
 from .events import Event as LogEvent
 from .logs import log
+from .permit_placement import place_with_permits
 from .placement import Placement, place
 from .request import Request
 from .routing import CostAware
@@ -39,12 +41,14 @@
     """A backend server assigned to a request, with the work registered on it.
 
     ``helpers`` prefill parts of the prompt; their work is registered as well.
+    ``permits`` are those for the servers with a rate limit, by server id.
     """
 
     entry: BackendEntry
     work: InFlightWork
     placement: Placement
     helpers: tuple[tuple[BackendEntry, InFlightWork], ...] = ()
+    permits: Mapping[str, Permit] = field(default_factory=dict)
 
 
 class QueuedAttempt:
@@ -126,17 +130,22 @@
         return queued
 
     def check_paused(self, request: Request) -> None:
-        """Raise ``OverloadError`` while all servers have paused new requests.
+        """Raise ``OverloadError`` while all servers have paused or limited requests.
 
         A pause that ends early enough for the request's latency target is waited for.
         """
         now_s = self._clock()
+        if not self._table.any_restricted(now_s):
+            return
         kind = request.kind
-        left_s = self._table.shortest_pause_s(kind.target, request.target_name, now_s)
+        left_s = self._table.shortest_pause_s(
+            kind.target, request.target_name, request.id, now_s
+        )
         target_left_s = request.received_s + request.kind.target_s - now_s
         if left_s > max(0.0, MAX_PAUSE_FRACTION * target_left_s):
             raise OverloadError(
-                f"all backend servers for {request.target_name!r} have paused requests",
+                f"all backend servers for {request.target_name!r} have paused or "
+                "limited requests",
                 step="route",
                 peer="backends",
                 retry_after_s=left_s,
@@ -147,6 +156,7 @@
         if self._queued.get(queued.request.id) is queued:
             del self._queued[queued.request.id]
             self.queue.remove(queued.request.id)
+            self._table.withdraw_demand(queued.request.id)
         elif queued.assigned.successful():
             assignment = queued.assigned.get()
             self._table.release(assignment.entry, assignment.work)
@@ -205,8 +215,8 @@
                 queued.assigned.set_exception(error)
 
     def _reject_paused(self) -> None:
-        """Reject the queued requests whose servers stay paused for too long."""
-        if not self._table.any_paused(self._clock()):
+        """Reject the queued requests whose servers take none of them for too long."""
+        if not self._table.any_restricted(self._clock()):
             return
         for queued in list(self._queued.values()):
             try:
@@ -214,6 +224,7 @@
             except OverloadError as error:
                 del self._queued[queued.request.id]
                 self.queue.remove(queued.request.id)
+                self._table.withdraw_demand(queued.request.id)
                 queued.assigned.set_exception(error)
 
     def _assign_next(self) -> bool:
@@ -242,7 +253,7 @@
         placement = chosen[-1]
         self._log_placement(queued, placement, now_s)
         queued.assigned.set(
-            register_placement(self._table, queued.cost, placement, now_s)
+            register_placement(self._table, queued.cost, placement, now_s, request.id)
         )
         self._on_work_change(placement.prefill_s > URGENT_PREFILL_S)
         return True
@@ -280,19 +291,46 @@
     def _place(
         self, queued: QueuedAttempt, cost: Cost, now_s: float
     ) -> Placement | None:
-        request = queued.request
-        waited_s = now_s - request.received_s
+        waited_s = now_s - queued.request.received_s
         cost = replace(cost, target_s=max(0.0, cost.target_s - waited_s))
-        views = self._table.views(request.kind.target, request.target_name, now_s)
+        return place_with_permits(
+            self._table,
+            lambda permit_wait_s: self._choose(queued, cost, permit_wait_s, now_s),
+            queued.request.id,
+            now_s,
+        )
+
+    def _choose(
+        self,
+        queued: QueuedAttempt,
+        cost: Cost,
+        permit_wait_s: float | None,
+        now_s: float,
+    ) -> Placement | None:
+        """Return the policy's placement on servers that were not tried, if any."""
+        request = queued.request
+        views = self._table.views(
+            request.kind.target, request.target_name, now_s, permit_wait_s
+        )
         untried = [view for view in views if view.id not in queued.tried] or views
         return place(self._policy, cost, untried, now_s, self._rng)
 
 
 def register_placement(
-    table: BackendTable, cost: Cost, placement: Placement, now_s: float
+    table: BackendTable,
+    cost: Cost,
+    placement: Placement,
+    now_s: float,
+    request_id: str = "",
 ) -> Assignment:
-    """Register the work of a placement on its servers."""
+    """Register the work of a placement on its servers, and take its permits."""
     entry = table.get(placement.backend_id)
+    permits = {
+        backend_id: permit
+        for backend_id in placement.servers
+        if (permit := table.take_permit(backend_id, request_id, now_s)) is not None
+    }
+    table.withdraw_demand(request_id)
     entry.circuit.allow(now_s)
     table.record_sent(entry, now_s)
     prefill_s = placement.prefill_s
@@ -307,4 +345,4 @@
             helper, cost, now_s, prefill_s=prefill_s, part=True, tokens=tokens
         )
         helpers.append((helper, part))
-    return Assignment(entry, work, placement, tuple(helpers))
+    return Assignment(entry, work, placement, tuple(helpers), permits)
--- a/papayarelay/serving.py
+++ b/papayarelay/serving.py
@@ -11,6 +11,7 @@
 from .backends.table import BackendTable
 from .dispatch import Dispatcher
 from .metrics import Metrics
+from .nodes.permits import Permits
 from .reservations import Reservations
 from .retry import RetryBudget, SharedRetryBudget
 from .scheduler import Scheduler
@@ -21,7 +22,8 @@
 
     ``on_failure`` is called with the id of a server that failed an attempt.
     ``on_work`` is called when the work of this node on a server has changed; its
-    argument says whether the other nodes must be informed at once.
+    argument says whether the other nodes must be informed at once.  ``permits`` are
+    the node's permits for servers with a rate limit.
     """
 
     def __init__(
@@ -34,10 +36,15 @@
         protocol: Protocol = CHAT,
         on_failure: Callable[[str], None] = lambda backend_id: None,
         on_work: Callable[[bool], None] = lambda urgent: None,
+        permits: Permits | None = None,
     ):
         self.budget = budget
         self.backends = BackendTable(
-            rng, protocol, on_leaving=lambda: on_work(True), clock=clock
+            rng,
+            protocol,
+            on_leaving=lambda: on_work(True),
+            clock=clock,
+            permits=permits,
         )
         self.scheduler = Scheduler(self.backends, policy, queue, rng, clock, on_work)
         self._monitor = StreamMonitor(clock)
--- a/papayarelay/tests/test_broadcast.py
+++ b/papayarelay/tests/test_broadcast.py
@@ -95,6 +95,16 @@
             self.addCleanup(node.broadcaster.close)
         self.first.broadcaster.add_peer("n2", self.second.address, "a")
 
+    def test_presence_ratio(self):
+        """Guards against an isolated node that takes itself for the whole group."""
+        broadcaster = self.first.broadcaster
+        wait_for(lambda: broadcaster.presence_ratio == 1.0, TIMEOUT_S, "all present")
+        for number in range(3, 6):
+            broadcaster.add_peer(f"n{number}", ("127.0.0.1", 9), "a")
+        self.assertEqual(broadcaster.presence_ratio, 0.4)
+        self.second.broadcaster.close()
+        wait_for(lambda: broadcaster.presence_ratio == 0.25, TIMEOUT_S, "leaving")
+
     def test_work_sent_soon(self):
         """Nodes would pick the same engine at once, as changed work arrives late."""
         self.first.own = NodeStatus(WORK)
--- a/papayarelay/tests/test_explain.py
+++ b/papayarelay/tests/test_explain.py
@@ -46,6 +46,16 @@
             (Event.REQUEST_FAILED, {"request": "r1", "error": ERROR}),
         )
 
+    def test_held_back(self):
+        """Guards against a request that waits or is refused without a known reason."""
+        fields = {"limit_per_s": 1.2, "limit_age_s": 3.5, "reason": "n4", "peer": "n5"}
+        fields |= {"issued_per_s": 0.6, "next_free_s": 1.4, "permits_count": 0}
+        held = {"request": "r1", "backend": "e1", **fields}
+        lines = log_lines("n1", (Event.REQUEST_HELD_BACK, held))
+        (text,) = trace_request("r1", [*self.lines, *lines]).held_back
+        for value in ("e1", "1.2", "3.5", "n4", "n5", "0.6", "1.4"):
+            self.assertIn(value, text)
+
     def test_trace(self):
         """Guards against unrelated lines in a trace, and against missing ones."""
         other = log_lines("n2", (Event.STORE_BACK, {}))
--- a/papayarelay/tests/test_fleet.py
+++ b/papayarelay/tests/test_fleet.py
@@ -2,9 +2,16 @@
 
 import heapq
 import itertools
+import math
 import unittest
 
-from ..bench.fleet import DEFAULT_TIMING, ENGRAVERS, FleetSimulation, LoadKind
+from ..bench.fleet import (
+    DEFAULT_TIMING,
+    ENGRAVERS,
+    FleetSimulation,
+    LoadKind,
+    NamedLimit,
+)
 from ..bench.fleet_engine import EngineRequest, FleetEngine, split_prompt
 from ..bench.fleet_experiments import (
     POLICIES,
@@ -173,6 +180,47 @@
                 self.assertLess(each.last_event_s - each.sent_s, each.kind.deadline_s)
 
 
+class LimitTest(unittest.TestCase):
+    """Guards against placement that breaks the rate limits of engines."""
+
+    def _run(self, seed: int, limits: dict[str, NamedLimit]) -> FleetSimulation:
+        policy = POLICIES[DEFAULT_POLICY]()
+        simulation = FleetSimulation(ENGRAVERS, policy, seed, limits)
+        simulation.run()
+        return simulation
+
+    def _check(self, simulation: FleetSimulation, limits: dict[str, NamedLimit]):
+        for name, limit in limits.items():
+            times = simulation.arrivals[name]
+            for end_s in times:
+                if limit.start_s + 4.0 <= end_s < limit.end_s:
+                    count = sum(end_s - 4.0 <= at_s <= end_s for at_s in times)
+                    self.assertLessEqual(count, 6 * limit.per_s + 5, (name, end_s))
+
+    def test_some_engines(self):
+        """Guards against packing on engines that name a limit."""
+        limits = {f"e{number}": NamedLimit(1.2, 8.0, 30.0) for number in range(4)}
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                simulation = self._run(seed, limits)
+                self._check(simulation, limits)
+                short = ENGRAVERS.kinds[0]
+                late = [
+                    each.met_targets
+                    for each in simulation.outcomes
+                    if each.kind is short
+                ].count(False)
+                self.assertLess(late, 0.05 * len(simulation.outcomes))
+
+    def test_all_engines(self):
+        """Guards against prompts that no engine serves if all name limits."""
+        limits = {f"e{number}": NamedLimit(2.5, 8.0) for number in range(18)}
+        simulation = self._run(1, limits)
+        self._check(simulation, limits)
+        served = [each.last_event_s < math.inf for each in simulation.outcomes]
+        self.assertGreater(served.count(True), 0.95 * len(served))
+
+
 class TableTest(unittest.TestCase):
     """Guards against wrong values in the comparison table."""
 
