End a queued request whose id is used again

A caller's queued request never ended, beyond its deadline, if another request with the same id was queued behind it: the queue keeps one entry for an id, and the second replaced the first.

The second one gets 409 with an unknown outcome now, since the first may run; it is not told that the id was not run. PauseTest.test_queued_twice timed out before.

--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -17,7 +17,7 @@
 from .backends.table import BackendTable
 from .background import BackgroundTask, run_step
 from .cost import Cost
-from .errors import DeadlineError, OverloadError, RelayError
+from .errors import ConflictError, DeadlineError, Outcome, OverloadError, RelayError
 from .events import Event as LogEvent
 from .logs import log
 from .permit_placement import place_with_permits
@@ -109,9 +109,17 @@
         """Queue an attempt that prefers servers not in ``tried``.
 
         Raises ``OverloadError`` when no server is available, the queue is full, or
-        the request cannot finish before its deadline.
+        the request cannot finish before its deadline; ``ConflictError`` when one with
+        its id is queued, which may still run.
         """
         now_s = self._clock()
+        if request.id in self._queued:
+            raise ConflictError(
+                f"a request with the id {request.id!r} is queued already",
+                step="queue",
+                peer="caller",
+                outcome=Outcome.UNKNOWN,
+            )
         if not self._table.serves(request.kind.target, request.target_name, now_s):
             raise OverloadError(
                 f"no backend server is available for {request.target_name!r}",
--- a/papayarelay/tests/test_restriction.py
+++ b/papayarelay/tests/test_restriction.py
@@ -299,6 +299,16 @@
         self.assertLess(reply.seconds, IMMEDIATE_S)
         self.assertAlmostEqual(float(reply.headers["Retry-After"]), 7, delta=1)
 
+    def test_queued_twice(self):
+        """Guards against a queued request that never ends if its id is used again."""
+        for number in range(2):
+            pool = self.system.serving.backends.get(f"plain-{number}").pool
+            pool.on_signals(ServerSignals(pause_s=0.1), None)
+        tasks = [gevent.spawn(self.send, "/call/") for _ in range(2)]
+        gevent.joinall(tasks)
+        statuses = sorted(task.value.status for task in tasks)
+        self.assertEqual(statuses, [200, 409])
+
     def test_helper(self):
         """Guards against KV cache reservations on a paused engine."""
         busy = self.system.engines[0]
