Limit cold servers by permits of all nodes together

A cold start is a rate limit like one that the server names now: 0.8 of the configured rate for all nodes, by permits. The division, its hash and its token buckets go. A permit lasts no longer than ten permits take at the rate, so that saved permits cannot pile up within a second; an issuer waits for permits of a former one only if one did not answer; requests that had no permit take up 4.5 s at most, a window of the rule and a little.

GroupsTest.test_cold_engine checked that few nodes may use a cold server; that function is gone. ColdStartTest replaces it: at 6, 67, 195 and 370 nodes a cold server gets at most 1.5 times its rate and 5 in any second from all nodes, and at least 0.6 of it, under the load of all nodes or of one.

--- a/papayarelay/backends/backend_entry.py
+++ b/papayarelay/backends/backend_entry.py
@@ -5,7 +5,6 @@
 import math
 from dataclasses import dataclass, field
 
-from ..bucket import TokenBucket
 from ..circuit import Circuit
 from ..config import Backend, Service
 from ..ejection import Ejection
@@ -34,8 +33,6 @@
     reported_s: float = 0.0
     work: set[InFlightWork] = field(default_factory=set)
     service: Service | None = None
-    cold_until_s: float = 0.0
-    cold_rate_limiter: TokenBucket | None = None
     ejection: Ejection = field(default_factory=Ejection)
     slowdown_detector: SlowdownDetector = field(default_factory=SlowdownDetector)
     _totals: WorkTotals | None = None
@@ -76,7 +73,7 @@
 
     def is_cold(self, now_s: float) -> bool:
         """Return whether the server has announced a cold start that still lasts."""
-        return now_s < self.cold_until_s
+        return self.pool.restriction.is_cold(now_s)
 
     def invalidate_totals(self) -> None:
         """Invalidate the cached aggregates."""
--- a/papayarelay/backends/restriction.py
+++ b/papayarelay/backends/restriction.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -41,7 +42,7 @@
     """Restrictions signalled by one incarnation of a server.
 
     Leaving is permanent for the incarnation; a pause expires; ``limit`` is the rate
-    limit for all nodes together.
+    limit for all nodes together.  In a cold start, a second rate limit applies.
     """
 
     def __init__(self):
@@ -49,6 +50,8 @@
         self.limit = KnownLimit()
         self._leaving_since_s: float | None = None
         self._paused_until_s = 0.0
+        self._cold_per_s = math.inf
+        self._cold_until_s = 0.0
         self._unpermitted_s: deque[float] = deque(maxlen=MAX_RECENT)
         self._unpermitted = 0
 
@@ -76,20 +79,34 @@
         """Return whether new requests to the server are blocked."""
         return self.leaving or now_s < self._paused_until_s
 
+    def record_cold_start(self, per_s: float, left_s: float, now_s: float) -> None:
+        """Record a cold start that lasts ``left_s`` more, and its rate limit."""
+        self._cold_per_s = per_s
+        self._cold_until_s = now_s + left_s
+
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether the server has announced a cold start that still lasts."""
+        return now_s < self._cold_until_s
+
+    def rate_per_s(self, now_s: float) -> float:
+        """Return the rate limit for all nodes together, or infinity."""
+        per_s = self.limit.current.per_s
+        return min(per_s, self._cold_per_s) if self.is_cold(now_s) else per_s
+
     def allows_request(self, permit: Permit | None, now_s: float) -> bool:
         """Return whether a request may be sent now, with a permit if there is one."""
         if self.blocks_requests(now_s):
             return False
-        return not self.limit.is_limited or (
-            permit is not None and now_s < permit.end_s
-        )
+        if permit is not None:
+            return now_s < permit.end_s
+        return math.isinf(self.rate_per_s(now_s))
 
     def record_sent(self, permit: Permit | None, now_s: float) -> None:
         """Count a request that is sent to the server, or a part of one."""
         if permit is not None:
             return
         self._unpermitted_s.append(now_s)
-        self._unpermitted += self.limit.is_limited
+        self._unpermitted += math.isfinite(self.rate_per_s(now_s))
 
     def count_recent(self, now_s: float) -> None:
         """Count the requests sent shortly before the limit was learnt.
--- a/papayarelay/backends/table.py
+++ b/papayarelay/backends/table.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 import functools
+import math
 import random
 import time
 from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
 import msgspec
 
-from ..bucket import TokenBucket
 from ..circuit import Circuit
 from ..config import Backend, Config
 from ..cost import Cost
 from ..events import Event
 from ..logs import log
-from ..nodes.groups import Group, group_engines, may_use_cold_server
+from ..nodes.groups import Group, group_engines
 from ..nodes.permits import Permits
 from ..routing import BackendView, EngineWork, assign_homes
 from ..warmup import WarmUp
@@ -252,8 +252,12 @@
     def record_cold_start(self, backend_id: str, left_s: float, now_s: float) -> None:
         """Record the remaining cold-start time that a server reports."""
         entry = self._entries.get(backend_id)
-        if entry is not None:
-            entry.cold_until_s = now_s + left_s if left_s > 0 else 0.0
+        if entry is None or (left_s <= 0 and not entry.is_cold(now_s)):
+            return
+        per_s = entry.service.cold_per_s if entry.service else 0.0
+        limit_per_s = COLD_RATE_FRACTION * per_s if per_s else math.inf
+        entry.pool.restriction.record_cold_start(limit_per_s, left_s, now_s)
+        self._permits.apply_rate(entry.incarnation, now_s)
 
     def _update_shares(self) -> None:
         """Compute this node's share of the engines and of fleet-wide limits."""
@@ -268,7 +272,6 @@
         for entry in self._entries.values():
             if entry.service is not None:
                 self._share_connections(entry)
-                self._share_cold_rate_limit(entry)
 
     def _senders(self, entry: BackendEntry) -> tuple[str, ...]:
         """Return the nodes that send requests to a server."""
@@ -282,26 +285,6 @@
             share = int(most * IDLE_CONNECTIONS_FRACTION / len(self._senders(entry)))
             entry.pool.max_idle_connections = min(MAX_IDLE_CONNECTIONS, share)
 
-    def _share_cold_rate_limit(self, entry: BackendEntry) -> None:
-        """Limit the request rate of this node to a server during its cold start.
-
-        A token bucket passes up to its burst plus its rate in one second, so each
-        gets half of the share.  A burst below one request would pass nothing, so
-        only some nodes share a low rate limit.
-        """
-        per_s = entry.service.cold_per_s
-        if not per_s:
-            return
-        names = self._senders(entry)
-        most = max(1, int(per_s * COLD_RATE_FRACTION / 2))
-        share = max(1.0, per_s * COLD_RATE_FRACTION / 2 / min(most, len(names)))
-        if not may_use_cold_server(self._own_node, names, entry.id, most):
-            share = 0.0
-        if entry.cold_rate_limiter is None:
-            entry.cold_rate_limiter = TokenBucket(share, share)
-        entry.cold_rate_limiter.rate_per_s = share
-        entry.cold_rate_limiter.burst = share
-
     def override_drain(self, target: str, drained: bool) -> None:
         """Override the drain state of a target.
 
@@ -431,11 +414,6 @@
         """Record that a server is reachable."""
         self._record_reachable(entry.config.data_centre)
 
-    def record_sent(self, entry: BackendEntry, now_s: float) -> None:
-        """Count a sent request against a cold server's rate limit."""
-        if entry.is_cold(now_s) and entry.cold_rate_limiter is not None:
-            entry.cold_rate_limiter.take(now_s)
-
     def mark_prefilled(self, entry: BackendEntry, work: InFlightWork) -> None:
         """Record that a server has completed the prefill of a request."""
         if not work.prefilled:
@@ -504,7 +482,6 @@
             for entry in self._in_service(target, name, now_s)
             if not entry.ejection.is_ejected(now_s)
             and not entry.pool.restriction.blocks_requests(now_s)
-            and self._may_send_to_cold(entry, now_s)
             and self._has_permit(entry, now_s, permit_wait_s)
         ]
         found = self._without_unreachable(found)
@@ -551,7 +528,7 @@
         self, entry: BackendEntry, now_s: float, permit_wait_s: float | None
     ) -> bool:
         """Return whether a limited server may take a request, or within a time."""
-        if not entry.pool.restriction.limit.is_limited:
+        if math.isinf(entry.pool.restriction.rate_per_s(now_s)):
             return True
         if self._permits.has_permit(entry.incarnation, now_s):
             return True
@@ -559,14 +536,6 @@
             return False
         return self._permits.may_ask(entry.incarnation, permit_wait_s, now_s)
 
-    def _may_send_to_cold(self, entry: BackendEntry, now_s: float) -> bool:
-        """Return whether this node may send a cold server one more request."""
-        if entry.cold_rate_limiter is None or not entry.is_cold(now_s):
-            return True
-        if self._scope is not None and entry.id not in self._scope:
-            return False
-        return entry.cold_rate_limiter.wait_s(now_s) <= 0
-
     def _serves(self, backend: Backend, target: str, name: str) -> bool:
         if self._is_drained(backend):
             return False
--- a/papayarelay/bench/limits.py
+++ b/papayarelay/bench/limits.py
@@ -185,6 +185,16 @@
             return True
         return False
 
+    def record_cold_start(
+        self, server: LimitedServer, per_s: float, end_s: float
+    ) -> None:
+        """Apply the entry of a cold server in the list."""
+        now_s = self._simulation.now_s
+        restriction = self.permits.restrictions.get_or_create(server.incarnation)
+        restriction.record_cold_start(per_s, end_s - now_s, now_s)
+        self.permits.apply_rate(server.incarnation, now_s)
+        self.schedule_poll()
+
     def receive_response(
         self, server: LimitedServer, per_s: float, sent_s: float
     ) -> None:
@@ -249,6 +259,17 @@
         self.servers.append(server)
         return server
 
+    def start_cold(
+        self, server: LimitedServer, per_s: float, duration_s: float, lag_s: float
+    ) -> None:
+        """Let a server start cold; each node learns it within ``lag_s``."""
+        end_s = self.now_s + duration_s
+        for node in self.nodes.values():
+            self.schedule(
+                self._rng.uniform(0.0, lag_s),
+                lambda n=node: n.record_cold_start(server, per_s, end_s),
+            )
+
     def add_node(self, name: str, known_by: Sequence[str] = ()) -> SimulatedNode:
         """Start a node that knows all others; only some of them know it."""
         node = self._create_node(name)
--- a/papayarelay/nodes/groups.py
+++ b/papayarelay/nodes/groups.py
@@ -102,14 +102,6 @@
             ids_by_group[recipient].add(moved)
 
 
-def may_use_cold_server(
-    own: str, nodes: tuple[str, ...], server_id: str, max_nodes: int
-) -> bool:
-    """Return whether a node is among the ``max_nodes`` that may use a cold server."""
-    ranked = sorted(nodes, key=lambda name: _hash(server_id, name))
-    return own in ranked[:max_nodes]
-
-
 def _hash(first: str, second: str) -> int:
     return zlib.crc32(f"{first}/{second}".encode())
 
--- a/papayarelay/nodes/permit_issuer.py
+++ b/papayarelay/nodes/permit_issuer.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..backends.restriction import Incarnation
-from ..backends.server_limit import KnownLimit, ServerLimit
+from ..backends.restriction import Incarnation, Restriction
 from ..events import Event
 from ..logs import log
 from .issuers import Issuers
@@ -24,8 +24,8 @@
 HANDOVER_NODES = 3
 # A former issuer that does not reply within this time is unreachable.
 HANDOVER_TIMEOUT_S = 0.3
-# Permits that an unreachable issuer, or an earlier process of this node, has issued
-# may start until this long after the handover.
+# Permits that an unreachable issuer has issued may start until this long after the
+# handover.
 FORMER_PERMITS_S = 1.0
 # A server that accepts less is tried at this rate: only a response shows a change.
 MIN_RATE_PER_S = 0.25
@@ -42,13 +42,16 @@
 
 @dataclass
 class _Server:
-    """Permits of one server; ``former`` are the nodes whose handover is awaited."""
+    """Permits of one server; ``former`` are the nodes whose handover is awaited.
+
+    ``is_certain`` says whether the backlog of an earlier issuer is known.
+    """
 
     schedule: PermitSchedule
     former: set[str]
     started_s: float
     used_s: float
-    taken_over: bool = False
+    is_certain: bool
     replies: dict[int, tuple[float, PermitReply]] = field(default_factory=dict)
 
 
@@ -57,8 +60,8 @@
 
     The first reachable node in the rank of a server issues its permits.  Before the
     first one it takes over the backlog from the nodes that rank next, one of which
-    may have issued permits so far.  ``known_limit`` returns what this node knows of a
-    server's limit, and ``share`` the part of a limit that this node may issue.
+    may have issued permits so far.  ``restriction`` returns what this node knows of a
+    server, and ``share`` the part of a rate limit that this node may issue.
     ``send`` sends a message to a node, and ``check`` asks whether one is reachable.
     """
 
@@ -67,7 +70,7 @@
         own: str,
         data_centre: str,
         issuers: Issuers,
-        known_limit: Callable[[Incarnation], KnownLimit],
+        restriction: Callable[[Incarnation], Restriction],
         share: Callable[[], float],
         send: Callable[[str, Message], None],
         check: Callable[[str, float], None],
@@ -76,7 +79,7 @@
         self._own = own
         self._data_centre = data_centre
         self._issuers = issuers
-        self._known_limit = known_limit
+        self._restriction = restriction
         self._share = share
         self._send = send
         self._check = check
@@ -88,8 +91,9 @@
         Returns None after forwarding it to the node that issues the permits.
         """
         incarnation = request.limit.incarnation
-        limit = self._known_limit(incarnation)
-        if not limit.is_limited:
+        known_per_s = self._restriction(incarnation).rate_per_s(now_s)
+        limit_per_s = min(known_per_s, request.rate_per_s)
+        if math.isinf(limit_per_s):
             self._servers.pop(incarnation, None)
             return self._make_reply(request)
         first = self._issuers.first(incarnation.id)
@@ -100,11 +104,14 @@
             self._servers.pop(incarnation, None)
             self._send(first, request)
             return None
-        server = self._servers.get(incarnation) or self._take_over(incarnation, now_s)
+        rate_per_s = max(limit_per_s, MIN_RATE_PER_S) * self._share()
+        server = self._servers.get(incarnation)
+        if server is None:
+            server = self._take_over(incarnation, rate_per_s, now_s)
         server.used_s = now_s
         if server.former:
             return self._make_reply(request, retry_ms=_milliseconds(RETRY_S))
-        return self._issue(server, limit, request, now_s)
+        return self._issue(server, rate_per_s, request, now_s)
 
     def accept_handover(
         self, request: HandoverRequest, now_s: float
@@ -130,7 +137,7 @@
             return
         server.former.discard(reply.sender)
         if reply.backlog_ms is not None:
-            server.taken_over = True
+            server.is_certain = True
             server.schedule.postpone(reply.backlog_ms / 1000, now_s)
         self._start_if_ready(reply.limit.incarnation, server, now_s)
 
@@ -141,17 +148,22 @@
                 for name in server.former:
                     self._issuers.record_unreachable(name)
                 server.former.clear()
+                server.is_certain = False
                 self._start_if_ready(incarnation, server, now_s)
             if now_s - server.used_s > IDLE_S:
                 del self._servers[incarnation]
 
-    def _take_over(self, incarnation: Incarnation, now_s: float) -> _Server:
+    def _take_over(
+        self, incarnation: Incarnation, rate_per_s: float, now_s: float
+    ) -> _Server:
         """Ask the nodes that rank next for the backlog of their permits."""
         former = set(self._issuers.below(incarnation.id)[:HANDOVER_NODES])
-        limit = self._known_limit(incarnation).current
-        schedule = PermitSchedule(self._rate_per_s(limit), now_s)
-        server = _Server(schedule, former, now_s, now_s)
+        # The first node in the rank may have issued permits before it failed.
+        is_certain = not self._issuers.above(incarnation.id)
+        schedule = PermitSchedule(rate_per_s, now_s)
+        server = _Server(schedule, former, now_s, now_s, is_certain)
         self._servers[incarnation] = server
+        limit = self._restriction(incarnation).limit.current
         record = LimitRecord.create(incarnation, limit)
         for name in former:
             self._send(name, HandoverRequest(self._own, record, self._data_centre))
@@ -164,18 +176,15 @@
         """Start issuing once all former issuers have replied or are unreachable."""
         if server.former:
             return
-        if not server.taken_over:
+        if not server.is_certain:
             server.schedule.postpone(FORMER_PERMITS_S, now_s)
         backlog_s = round(server.schedule.backlog_s(now_s), 3)
         log(Event.PERMITS_TAKEN_OVER, backend=incarnation.id, backlog_s=backlog_s)
 
-    def _rate_per_s(self, limit: ServerLimit) -> float:
-        return max(limit.per_s, MIN_RATE_PER_S) * self._share()
-
     def _issue(
         self,
         server: _Server,
-        limit: KnownLimit,
+        rate_per_s: float,
         request: PermitRequest,
         now_s: float,
     ) -> PermitReply:
@@ -183,7 +192,6 @@
         if sent is not None and sent[1].number == request.number:
             return sent[1]
         schedule = server.schedule
-        rate_per_s = self._rate_per_s(limit.current)
         schedule.set_rate(rate_per_s, now_s)
         schedule.refund(request.unused, now_s)
         schedule.charge(request.sent, now_s)
@@ -213,7 +221,7 @@
 
     def _make_reply(self, request: PermitRequest, **fields: object) -> PermitReply:
         incarnation = request.limit.incarnation
-        limit = self._known_limit(incarnation).current
+        limit = self._restriction(incarnation).limit.current
         record = LimitRecord.create(incarnation, limit)
         return PermitReply(self._own, request.number, record, **fields)
 
--- a/papayarelay/nodes/permit_messages.py
+++ b/papayarelay/nodes/permit_messages.py
@@ -43,14 +43,16 @@
 
     ``instance_id`` and ``number`` identify the request; a repeat gets the same reply.
     A node that does not issue the server's permits forwards the request unchanged.
-    ``sent`` counts the requests that the sender sent without a permit, ``unused`` its
+    ``rate_per_s`` is the rate limit that the sender applies, which a cold start may
+    lower.  ``sent`` counts the requests that it sent without a permit, ``unused`` its
     expired permits, both since its last request that was replied to.  ``unreachable``
-    are nodes that did not reply to the sender.
+    are nodes that did not reply to it.
     """
 
     instance_id: int
     number: int
     limit: LimitRecord
+    rate_per_s: float
     count: int
     max_wait_ms: int
     sent: int
--- a/papayarelay/nodes/permit_schedule.py
+++ b/papayarelay/nodes/permit_schedule.py
@@ -5,7 +5,7 @@
 # Unused rate is saved for this long, which lets a short burst through.
 BURST_S = 0.25
 # Longest time that requests sent without a permit can take up.
-MAX_BACKLOG_S = 3.0
+MAX_BACKLOG_S = 4.5
 
 
 class PermitSchedule:
--- a/papayarelay/nodes/permits.py
+++ b/papayarelay/nodes/permits.py
@@ -34,8 +34,11 @@
     PermitRequest,
 )
 
-# A permit may be used for this long after its start.
+# A permit may be used for this long after its start, but no longer than this number
+# of permits takes at the rate limit.
 PERMIT_TTL_S = 1.0
+MIN_PERMIT_TTL_S = 0.25
+PERMIT_TTL_PERMITS = 10
 # Longest time until the start of a permit, for requests that no other server can take.
 MAX_PERMIT_WAIT_S = 1.0
 # The same for requests that another server can take.
@@ -144,7 +147,7 @@
             own,
             data_centre,
             self._issuers,
-            self._known_limit,
+            restrictions.get_or_create,
             share,
             send,
             self._checks.check,
@@ -186,9 +189,9 @@
         for incarnation, server in self._servers.items():
             yield LimitDescription(
                 incarnation.id,
-                server.limit.current.per_s,
+                server.per_s,
                 server.limit.age_s(now_s),
-                server.limit.source,
+                server.limit.source if server.limit.is_limited else "cold",
                 self._issuers.first(incarnation.id),
                 server.rate_per_s,
             )
@@ -209,7 +212,7 @@
 
     def has_permit(self, incarnation: Incarnation, now_s: float) -> bool:
         """Return whether a request may be sent to a server now."""
-        if not self._known_limit(incarnation).is_limited:
+        if math.isinf(self._rate_per_s(incarnation, now_s)):
             return True
         server = self._servers.get(incarnation)
         if server is None:
@@ -280,10 +283,11 @@
     ) -> Permit | None:
         """Return a permit for a request to be sent now, None if there is none."""
         server = self._servers.get(incarnation)
-        if server is None or not self.has_permit(incarnation, now_s):
+        if server is None:
             return None
         server.demand.pop(request_id, None)
-        return server.permits.popleft()
+        has_permit = bool(server.permits) and self.has_permit(incarnation, now_s)
+        return server.permits.popleft() if has_permit else None
 
     def forget(self, request_id: str) -> None:
         """Withdraw the demand of a request that another server has taken."""
@@ -309,7 +313,8 @@
             if self._known_limit(record.incarnation).merge(record.limit, source, now_s)
         ]
         for incarnation in changed:
-            self.apply_change(incarnation, now_s)
+            self._log_limit(incarnation)
+            self.apply_rate(incarnation, now_s)
         if changed and not announced:
             self._listener.on_limit_changed()
 
@@ -320,7 +325,8 @@
 
     def spread(self, incarnation: Incarnation, now_s: float) -> None:
         """Tell other groups of a limit that this node has read in a response."""
-        self.apply_change(incarnation, now_s)
+        self._log_limit(incarnation)
+        self.apply_rate(incarnation, now_s)
         record = LimitRecord.create(incarnation, self._known_limit(incarnation).current)
         for group in self._other_groups:
             count = min(NEWS_NODES, len(group.nodes))
@@ -328,29 +334,29 @@
                 self._send(name, LimitNews(self._own, [record]))
         self._listener.on_limit_changed()
 
-    def apply_change(self, incarnation: Incarnation, now_s: float) -> None:
-        """Apply a changed limit; permits of a higher one are void."""
-        limit = self._known_limit(incarnation)
-        fields = {"backend": incarnation.id, "version": limit.current.version}
-        if not limit.is_limited:
-            log(Event.LIMIT_ENDED, reason=limit.source, **fields)
-            self._servers.pop(incarnation, None)
-            self._listener.on_permits()
+    def apply_rate(self, incarnation: Incarnation, now_s: float) -> None:
+        """Apply the rate limit of a server; permits of a higher one are void."""
+        per_s = self._rate_per_s(incarnation, now_s)
+        if math.isinf(per_s):
+            if self._servers.pop(incarnation, None) is not None:
+                self._listener.on_permits()
             return
-        per_s = limit.current.per_s
-        log(Event.LIMIT_LEARNED, limit_per_s=per_s, reason=limit.source, **fields)
         server = self._server(incarnation, now_s)
-        if limit.current.per_s < server.per_s:
+        if per_s < server.per_s:
             server.permits.clear()
-        else:
+        elif per_s > server.per_s:
             server.next_free_s = -math.inf
-        server.per_s = limit.current.per_s
-        self._listener.on_permits()
+        if per_s != server.per_s:
+            server.per_s = per_s
+            self._listener.on_permits()
 
     def poll(self, now_s: float) -> None:
         """Send messages again, and report requests that had no permit."""
         self._issuer.poll(now_s)
         for server in list(self._servers.values()):
+            if math.isinf(self._rate_per_s(server.incarnation, now_s)):
+                self.apply_rate(server.incarnation, now_s)
+                continue
             self._collect_sent(server)
             self._expire(server, now_s)
             if server.pending is not None:
@@ -411,6 +417,9 @@
     def _(self, message: LimitNews, now_s: float) -> None:
         self.learn(message.limits, message.sender, now_s)
 
+    def _rate_per_s(self, incarnation: Incarnation, now_s: float) -> float:
+        return self.restrictions.get_or_create(incarnation).rate_per_s(now_s)
+
     def _known_limit(self, incarnation: Incarnation) -> KnownLimit:
         return self.restrictions.get_or_create(incarnation).limit
 
@@ -419,8 +428,8 @@
         server = self._servers.get(incarnation)
         if server is None:
             restriction = self.restrictions.get_or_create(incarnation)
-            limit = restriction.limit
-            server = _Server(incarnation, limit, limit.current.per_s)
+            per_s = restriction.rate_per_s(now_s)
+            server = _Server(incarnation, restriction.limit, per_s)
             restriction.count_recent(now_s)
             self._servers[incarnation] = server
         return server
@@ -452,6 +461,7 @@
             self._instance_id,
             self._number,
             LimitRecord.create(server.incarnation, server.limit.current),
+            self._rate_per_s(server.incarnation, now_s),
             count,
             round(max_wait_s * 1000),
             server.sent,
@@ -474,11 +484,13 @@
         server.unused -= pending.message.unused
         server.next_free_s = now_s + reply.next_free_ms / 1000
         server.rate_per_s = reply.rate_per_s
-        if reply.limit.per_s > server.limit.current.per_s:
+        if pending.message.rate_per_s > server.per_s:
             return
+        lasting_s = PERMIT_TTL_PERMITS / max(reply.rate_per_s, 1.0)
+        lasting_s = min(PERMIT_TTL_S, max(MIN_PERMIT_TTL_S, lasting_s))
         for delay_ms in reply.delays_ms:
             start_s = now_s + delay_ms / 1000
-            server.permits.append(Permit(start_s, start_s + PERMIT_TTL_S))
+            server.permits.append(Permit(start_s, start_s + lasting_s))
         if len(reply.delays_ms) < pending.message.count:
             server.ask_after_s = now_s + DENIED_PAUSE_S
 
@@ -509,15 +521,26 @@
         for name in above[:CHECKED_NODES]:
             self._checks.check(name, now_s)
 
+    def _log_limit(self, incarnation: Incarnation) -> None:
+        """Log the changed limit of a server, and who reported it."""
+        limit = self._known_limit(incarnation)
+        fields = {"backend": incarnation.id, "version": limit.current.version}
+        if limit.is_limited:
+            per_s = limit.current.per_s
+            log(Event.LIMIT_LEARNED, limit_per_s=per_s, reason=limit.source, **fields)
+        else:
+            log(Event.LIMIT_ENDED, reason=limit.source, **fields)
+
     def _log_held_back(self, server: _Server, request_id: str, now_s: float) -> None:
         limit = server.limit
+        named = limit.is_limited
         log(
             Event.REQUEST_HELD_BACK,
             request=request_id,
             backend=server.incarnation.id,
-            limit_per_s=limit.current.per_s,
-            limit_age_s=round(limit.age_s(now_s), 3),
-            reason=limit.source,
+            limit_per_s=server.per_s,
+            limit_age_s=round(limit.age_s(now_s), 3) if named else None,
+            reason=limit.source if named else "cold",
             peer=self._issuers.first(server.incarnation.id),
             issued_per_s=server.rate_per_s,
             permits_count=len(server.permits),
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -340,7 +340,6 @@
     }
     table.withdraw_demand(request_id)
     entry.circuit.allow(now_s)
-    table.record_sent(entry, now_s)
     prefill_s = placement.prefill_s
     own_tokens = cost.kv_tokens - sum(placement.reserved_tokens)
     work = table.hold(entry, cost, now_s, prefill_s=prefill_s, tokens=own_tokens)
--- a/papayarelay/tests/test_limit_fleet.py
+++ b/papayarelay/tests/test_limit_fleet.py
@@ -280,6 +280,56 @@
         self._check(server, CONTACT_S, 25.0)
 
 
+class ColdStartTest(LimitFleetTestCase):
+    """Guards against cold servers that get too much, or are left idle.
+
+    The limit is that of a second; nodes use 0.8 of it.
+    """
+
+    PER_S = 36.0
+
+    def _run(self, nodes: int, offer) -> float:
+        """Run a cold start of 3 s; return the requests per second that it got."""
+        simulation = LimitSimulation(nodes, seed=22)
+        server = simulation.add_server()
+        simulation.start_cold(server, 0.8 * self.PER_S, 3.0, 0.0)
+        offer(simulation, server)
+        simulation.run(3.0)
+        most = server.largest_count(1.0, 0.0, 3.0)
+        self.assertLessEqual(most, 1.5 * self.PER_S + 5)
+        return server.count(0.0, 3.0) / 3.0
+
+    def test_load_of_all_nodes(self):
+        """Guards against more requests than a cold server takes from all nodes."""
+        for nodes in SIZES:
+            with self.subTest(nodes=nodes):
+                used = self._run(nodes, lambda sim, s: sim.offer_load(s, 300, 0, 3))
+                self.assertGreaterEqual(used, 0.6 * self.PER_S)
+
+    def test_end(self):
+        """Guards against requests that fail, or wait, when a cold start ends."""
+        simulation = LimitSimulation(6, seed=23)
+        server = simulation.add_server()
+        simulation.start_cold(server, 2.0, 1.0, 0.0)
+        simulation.offer_load(server, 200.0, 0.0, 3.0)
+        simulation.run(4.0)
+        self.assertGreater(server.count(1.2, 3.1), 0.9 * 200.0 * 1.8)
+
+    def test_load_of_one_node(self):
+        """Guards against shares of a cold server that other nodes leave unused."""
+
+        def offer(simulation, server):
+            busy = simulation.nodes["n2"]
+            for step in range(300):
+                simulation.schedule(
+                    0.01 * step, lambda: simulation.offer_burst(busy, server, 1)
+                )
+
+        for nodes in SIZES:
+            with self.subTest(nodes=nodes):
+                self.assertGreaterEqual(self._run(nodes, offer), 0.6 * self.PER_S)
+
+
 class CostTest(LimitFleetTestCase):
     """Guards against messages that grow with the nodes and the servers."""
 
