Answer a restarted node at its listed address

A node that came back with an earlier clock stayed refused as old_incarnation (67 frames), so it never learnt to raise its incarnation, and nothing that it published arrived.

Cause, from a run that prints the view at the failure: the other node's view had the address of the earlier process, though the list of VMs had the new one. A late frame of the earlier process, with its higher incarnation, had arrived after the list; what a node says itself goes before the list for good, and the frames of the new process were refused before their address was read.

SocketTest.test_late_frame_of_an_earlier_process plays the late frame and failed each time before.

--- a/papayarelay/nodes/exchange.py
+++ b/papayarelay/nodes/exchange.py
@@ -613,9 +613,7 @@
         try:
             frame = self._codec.decode(data)
         except OldIncarnationError as error:
-            # The acknowledgement on the return link makes the sender raise its
-            # incarnation.
-            self._accept_link(error.sender, now_s)
+            self._answer_old_incarnation(error.sender, now_s)
             return
         except FrameError:
             return
@@ -634,6 +632,21 @@
         else:
             self._on_config_chunk(frame.sender, message)
 
+    def _answer_old_incarnation(self, name: str, now_s: float) -> None:
+        """Open a link to a node whose incarnation is lower than the known one.
+
+        The acknowledgement there makes the node raise its incarnation.  While the
+        process with the known incarnation is silent, the node's address is the one
+        on the VM list: the known one may come from a late frame of that process.
+        """
+        peer = self._view.get(name)
+        if (
+            peer is not None
+            and now_s - peer.heard_s > self._settings.timing.idle_limit_s
+        ):
+            self._view.use_listed_address(name, now_s)
+        self._accept_link(name, now_s)
+
     def _reset_peer(self, frame: Frame, now_s: float) -> None:
         """Reset the state kept for a peer that is new or has restarted."""
         self._disseminator.reset(frame.sender, now_s)
--- a/papayarelay/nodes/view.py
+++ b/papayarelay/nodes/view.py
@@ -184,6 +184,15 @@
         )
         return True
 
+    def use_listed_address(self, name: str, now_s: float) -> None:
+        """Use the address on the VM list for a peer, in place of the one it told.
+
+        The peer's process may have been replaced by one with a lower incarnation.
+        """
+        peer = self._peers.get(name)
+        if peer is not None and peer.listed:
+            self._update(replace(peer, address=peer.listed_address), now_s)
+
     def suspect(self, name: str, now_s: float) -> Peer | None:
         """Mark a live peer suspect; return it if its state changed."""
         peer = self._peers.get(name)
--- a/papayarelay/tests/test_exchange.py
+++ b/papayarelay/tests/test_exchange.py
@@ -230,6 +230,23 @@
                 self.assertGreater(new.status(0.0)["incarnation"], 2_000_000)
                 self.assertGreater(a.status(0.0)["refused"]["old_incarnation"], 0)
 
+    def test_late_frame_of_an_earlier_process(self):
+        """Guards against a restarted node that is only answered at its old address.
+
+        A frame of the earlier process arrives after the list has the new address.
+        """
+        a = self.start("a")
+        old = self.start("b", wall_s=2_000.0)
+        self.set_vm_list([a, old])
+        wait_until(lambda: self.is_live(a, "b"))
+        late = a._view.get("b")
+        old.close()
+        new = self.start("b", wall_s=1_000.0)
+        self.set_vm_list([a, new])
+        a._view.merge_hello(late, time.monotonic())
+        new.publish_drain("backend/e", DrainState.DRAINED, time.monotonic())
+        wait_until(a.drain_marks, 8.0)
+
     def test_clock_offset(self):
         """Guards against ages and ordering that depend on synchronised clocks."""
         a = self.start("a", offset_s=50_000.0)
