Give truncated jobs a deadline that a busy machine does not reach

Cause: the test gives each job 400 ms, and the node answers 504 when they are over, as it must. Four processes of the test beside 36 busy ones (5 cores) got 504 or 503 six times in 32 runs, each after 0.40 s or more, and a 503 only where the server had got no request; beside 10 busy ones the slowest of 36 runs took 0.17 s.

The job's deadline is 4 s now.

--- a/papayarelay/tests/test_broken_answers.py
+++ b/papayarelay/tests/test_broken_answers.py
@@ -20,6 +20,7 @@
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 EVENTS = 3
+JOB_DEADLINE_MS = 4000
 
 
 def unframed(request, body: bytes) -> bytes:
@@ -74,7 +75,9 @@
     The servers end the connection, with FIN or RST, at many positions of a response.
     """
 
-    def _send_truncated(self, path: str, data: bytes, end, method: str = "GET"):
+    def _send_truncated(
+        self, path: str, data: bytes, end, method: str = "GET", deadline_ms=400
+    ):
         """Send a request whose attempts all fail; return the reply and their number."""
         self.system.set_scripts(truncate(data, end))
         for entry in self.system.serving.backends.entries:
@@ -83,7 +86,9 @@
         before = len(self.system.received_requests)
         body = b"x" if method == "POST" else None
         try:
-            reply = self.system.request(path, method, body, X_Deadline_Ms="400")
+            reply = self.system.request(
+                path, method, body, X_Deadline_Ms=str(deadline_ms)
+            )
         except OSError:
             reply = None
         return reply, len(self.system.received_requests) - before
@@ -97,8 +102,9 @@
                 with GatewaySystem() as self.system:
                     for cut in range(len(whole)):
                         with self.subTest(make=make, end=end, cut=cut):
+                            # Only the deadline may end a job in another way.
                             reply, runs = self._send_truncated(
-                                "/job/", whole[:cut], end, "POST"
+                                "/job/", whole[:cut], end, "POST", JOB_DEADLINE_MS
                             )
                             self.assertEqual(runs, 1)
                             self.assertEqual(reply.status, 502)
