Let make demo install only the libraries of the program

The demo runs no development tool, but one stamp stood for both lock files. The virtual environment has a stamp for each now; the other targets need both.

--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,21 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
+RUNTIME := $(VENV)/.runtime
 STAMP := $(VENV)/.installed
 
 .PHONY: bench demo test model format binary clean
 
-$(STAMP): requirements.lock requirements-dev.lock
+$(RUNTIME): requirements.lock
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --require-hashes -r requirements.lock
+	touch $(RUNTIME)
+
+$(STAMP): $(RUNTIME) requirements-dev.lock
 	$(BIN)/pip install --quiet --require-hashes -r requirements-dev.lock
 	touch $(STAMP)
 
-demo: $(STAMP)
+demo: $(RUNTIME)
 	$(BIN)/python -m papayarelay demo
 
 test: $(STAMP)
