--- a/papayarelay/callers/gateway.py
+++ b/papayarelay/callers/gateway.py
@@ -29,6 +29,7 @@
 from ..events import Event
 from ..logs import log
 from ..request import Headers, Request, RequestKind
+from ..segments import segment_name
 from . import response
 from .body import BodyMemory
 from .connection import CallerConnection
@@ -68,7 +69,8 @@
     """Request fields that callers send in headers.
 
     ``allowed_s`` is the caller's timeout in seconds, None if it sets none.
-    ``headers`` are those forwarded to the backend server.
+    ``headers`` are those forwarded to the backend server, ``segments`` the digests of
+    the prompt segments but the last.
     """
 
     request_id: str
@@ -79,6 +81,7 @@
     max_tokens: int = 0
     resume_from: int = 0
     headers: Headers = ()
+    segments: tuple[int, ...] = ()
 
 
 class CallerDialect(ABC):
@@ -264,6 +267,7 @@
             headers=fields.headers,
             service=service,
             resume_from=fields.resume_from,
+            segments=fields.segments,
         )
         self._recorder.record_admitted(request)
         log(
@@ -274,6 +278,7 @@
             service=request.service,
             prompt_tokens=request.prompt_tokens,
             received=request.resume_from,
+            segments=tuple(map(segment_name, request.segments)),
             allowed_s=round(allowed_s, 3),
             config_version=self._config.version,
             config_age_s=round(self._config_age_s(), 3),
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -79,6 +79,8 @@
     received: int = 0
     tried: set[str] = field(default_factory=set)
     attempts: int = 0
+    # Time of the first event of the current attempt.
+    first_event_s: float | None = None
     # Attempts that reached a server, and attempts that may have been executed.
     reached: int = 0
     possible_executions: int = 0
@@ -88,6 +90,10 @@
         """Return whether any attempt may have been executed."""
         return self.possible_executions > 0
 
+    def streamed_s(self, now_s: float) -> float:
+        """Return the time since the first event of the current attempt, or 0."""
+        return 0.0 if self.first_event_s is None else now_s - self.first_event_s
+
     def set_final_outcome(self, error: RelayError) -> None:
         """Set the outcome of the final error from all attempts together."""
         if self.may_have_run:
@@ -191,6 +197,7 @@
     ) -> Iterator[Chunk]:
         """Yield the remaining chunks of the answer from one engine."""
         entry = assignment.entry
+        progress.first_event_s = None
         guard.begin()
         try:
             requirements = _memory_requirements(assignment)
@@ -227,6 +234,7 @@
         for chunk in stream:
             if chunk.event and not assignment.work.prefilled:
                 self._scheduler.mark_prefilled(assignment)
+                progress.first_event_s = self._clock()
             if chunk.event:
                 last_s = self._record_event_gap(assignment, last_s)
             progress.received = stream.offset
@@ -365,6 +373,7 @@
             reason=fault.value,
             target=getattr(error, "faulty_server", "") or None,
             status=getattr(getattr(error, "response", None), "status", None),
+            streamed_s=round(progress.streamed_s(self._clock()), 4),
         )
         reason = find_retry_denial(
             request.kind, progress.possible_executions, progress.reached
--- a/papayarelay/logs.py
+++ b/papayarelay/logs.py
@@ -51,6 +51,7 @@
         "region",
         "request",
         "section",
+        "segments",
         "service",
         "signal",
         "state",
--- a/papayarelay/platform/wire.py
+++ b/papayarelay/platform/wire.py
@@ -23,6 +23,7 @@
 from ..callers.gateway import CallerDialect, RequestFields, end_to_end
 from ..errors import BackendError, Fault, Outcome, RequestError
 from ..request import Headers, Request
+from ..segments import digest_segments
 
 REQUEST_ID = b"X-Attempt-Id"
 API_KEY = b"X-Key"
@@ -32,6 +33,8 @@
 MODEL = b"X-Model"
 # Number of prompt tokens and maximum number of output tokens.
 TOKEN_COUNTS = b"X-Token-Counts"
+# Segments of the prompt in order, as ID:TOKENS; the last one is the request's own.
+SEGMENTS = b"X-Prompt-Prefix"
 BACKEND_ID = b"X-Expect-Instance"
 # Digest of the response; without it, the response is not the backend server's own.
 RESPONSE_DIGEST = b"X-Response-Seal"
@@ -99,6 +102,7 @@
             max_tokens=output,
             resume_from=_parse_number(_header_text(values, LAST_EVENT)) or 0,
             headers=kept,
+            segments=_shared_segments(headers),
         )
 
 
@@ -262,6 +266,13 @@
     return int(text) if text.isascii() and text.isdigit() and len(text) < 12 else None
 
 
+def _shared_segments(headers: Headers) -> tuple[int, ...]:
+    """Return the digests of the prompt segments but the last."""
+    values = [value for name, value in headers if name.lower() == SEGMENTS.lower()]
+    items = [item.partition(b":")[0].strip() for item in b",".join(values).split(b",")]
+    return digest_segments(item.lower() for item in items[:-1] if item)
+
+
 def _token_counts(text: str) -> tuple[int, int]:
     """Return prompt and output tokens, 0 for each one that is missing or invalid."""
     prompt, _, output = text.partition(",")
--- a/papayarelay/request.py
+++ b/papayarelay/request.py
@@ -38,6 +38,8 @@
     request also has a ``method`` and ``headers``; its ``path`` is the request
     target with the query.  ``service`` is the group of backend servers selected
     by the route, ``resume_from`` the last event that the caller has received.
+    ``segments`` are the digests of the prompt segments but the last, which other
+    requests may share.
     """
 
     id: str
@@ -57,6 +59,7 @@
     headers: Headers = ()
     service: str = ""
     resume_from: int = 0
+    segments: tuple[int, ...] = ()
 
     @property
     def target_name(self) -> str:
