Show with a failing test that one prompt segment crashes all engines

The soak's engines can crash on a prompt segment now, and check that after the fifth crash and 3 s at most three requests with it arrive from nodes in order.

--- a/papayarelay/tests/soak/backend.py
+++ b/papayarelay/tests/soak/backend.py
@@ -23,6 +23,9 @@
 DEADLINE_TOLERANCE_S = 1.5
 PAUSES_S = (0.8, 3.0, 6.0)
 HEARTBEAT_INTERVAL_S = 0.4
+# Time from the begin of an answer to the crash that it causes, and to the restart.
+CRASH_DELAY_S = 0.05
+RESTART_S = 1.0
 
 
 @dataclass
@@ -64,6 +67,7 @@
         self.zone = zone
         self.mode = ""
         self.leaving = False
+        self._crashing = False
         self.restrictions = Restrictions()
         self.limit = LimitCheck()
         self.draining_s: float | None = None
@@ -153,6 +157,8 @@
         if self.mode == "pause":
             return self._reject_with_pause(request)
         self._check_arrival(request)
+        if self._environment.poison.crashes_engine(request):
+            return self._crash_on(request)
         if self.mode == "endless":
             return self._send_endless(request)
         if self.mode == "hang":
@@ -160,6 +166,30 @@
             return False
         return self._answer(request)
 
+    def _crash_on(self, request: ReceivedRequest) -> bool:
+        """Crash as the answer to a request begins, and restart after a while."""
+        environment = self._environment
+        attempt = request.get(b"X-Attempt-Id").decode()
+        now_s = time.monotonic()
+        broken = environment.poison.check_arrival(
+            environment.sent_to[attempt], environment.sent_s[attempt], now_s
+        )
+        if broken:
+            environment.record.add_violation(f"BUDGET {broken}, reached {self.id}")
+        if not self._crashing:
+            self._crashing = True
+            gevent.spawn_later(CRASH_DELAY_S, self._crash_and_restart)
+        gevent.sleep(CRASH_DELAY_S + RESTART_S)
+        return False
+
+    def _crash_and_restart(self) -> None:
+        self._environment.poison.record_crash(time.monotonic())
+        self.crash()
+        gevent.sleep(RESTART_S)
+        self._crashing = False
+        with contextlib.suppress(OSError):
+            self.restart(self.id)
+
     def _check_restrictions(self, request: ReceivedRequest) -> None:
         """Check a request against restrictions sent by this server and its helpers."""
         attempt = request.get(b"X-Attempt-Id").decode()
--- a/papayarelay/tests/soak/client.py
+++ b/papayarelay/tests/soak/client.py
@@ -12,6 +12,7 @@
 from ..gateway_system import event
 from ..platform_documents import HOST
 from .environment import KEYS, Environment
+from .poison import SEGMENTS_HEADER
 from .process import SETTLE_S, STOP_S, NodeProcess
 
 KINDS = ("stream", "once", "job", "call")
@@ -21,6 +22,10 @@
 LONG_PROMPT_TOKENS = 400_000
 
 
+# Interval of the requests that crash engines.
+POISON_INTERVAL_S = 0.25
+
+
 class Client(BackgroundTask):
     """Sends requests of random kinds, one at a time, until it is stopped."""
 
@@ -36,7 +41,8 @@
             self._send(rng.choice(KINDS), rng.choice(self._environment.nodes))
             gevent.sleep(rng.uniform(0.0, 0.08))
 
-    def _send(self, kind: str, node: NodeProcess) -> None:
+    def _send(self, kind: str, node: NodeProcess, segment: str = "") -> None:
+        """Send a request; ``segment`` is a prompt segment beside those of others."""
         environment = self._environment
         self._count += 1
         attempt = (
@@ -47,6 +53,8 @@
         environment.sent_s[attempt] = now_s
         environment.sent_key[attempt] = key
         environment.sent_to[attempt] = node
+        if segment:
+            environment.poisoned.add(attempt)
         if kind in ("once", "job"):
             environment.at_most_once.add(attempt)
         tokens = LONG_PROMPT_TOKENS if environment.rng.random() < 0.05 else 1000
@@ -56,6 +64,7 @@
             "X-Key": key,
             "X-Deadline-Ms": str(int(DEADLINES_S[kind] * 1000)),
             "X-Token-Counts": f"{tokens},50",
+            SEGMENTS_HEADER: self._segments(attempt, segment),
         }
         connection = http.client.HTTPConnection(node.ip, 8227, timeout=10)
         try:
@@ -72,6 +81,11 @@
             connection.close()
         self._check(kind, attempt, node, now_s, answer, body, whole)
 
+    def _segments(self, attempt: str, segment: str) -> str:
+        """Return the prompt segments of a request, the last one its own."""
+        names = ["5a", f"c{self._number:x}", segment, attempt]
+        return ",".join(f"{name}:100" for name in names if name)
+
     def _check(self, kind, attempt, node, sent_s, answer, body, whole) -> None:
         environment = self._environment
         add_violation = environment.record.add_violation
@@ -100,6 +114,8 @@
             denied = environment.sent_key[attempt] not in version.keys
             if not denied and f"r-{kind}" in version.routes and self._is_settled():
                 add_violation(f"DENIED {attempt} {kind} {status} by {node.name}")
+        elif status == 400 and attempt in environment.poisoned:
+            return
         elif status not in (502, 504):
             add_violation(f"MIXED {attempt} {kind} got {status} by {node.name}")
 
@@ -135,3 +151,14 @@
     def _is_settled(self) -> bool:
         confirmed_s = self._environment.versions[-1].confirmed_s
         return time.monotonic() - confirmed_s > 2 * SETTLE_S
+
+
+class PoisonClient(Client):
+    """Sends requests with the segment that crashes engines to all nodes."""
+
+    def _run(self) -> None:
+        environment = self._environment
+        while segment := environment.poison.segment:
+            node = environment.rng.choice(environment.nodes)
+            gevent.spawn(self._send, "stream", node, segment)
+            gevent.sleep(POISON_INTERVAL_S)
--- a/papayarelay/tests/soak/environment.py
+++ b/papayarelay/tests/soak/environment.py
@@ -16,6 +16,7 @@
 from ..raw_server import ReceivedRequest
 from ..store_standin import StoreStandIn
 from .backend import BackendStandIn, Proxy, Record
+from .poison import PoisonCheck
 from .process import (
     CONFIG_S,
     DRAIN_S,
@@ -64,12 +65,14 @@
     backends: list[BackendStandIn] = field(default_factory=list)
     at_most_once: set[str] = field(default_factory=set)
     refused: set[str] = field(default_factory=set)
+    poisoned: set[str] = field(default_factory=set)
     sent_s: dict[str, float] = field(default_factory=dict)
     sent_key: dict[str, str] = field(default_factory=dict)
     sent_to: dict[str, NodeProcess] = field(default_factory=dict)
     versions: list[Version] = field(default_factory=list)
     evacuated_s: dict[str, float] = field(default_factory=dict)
     command_fault: str = ""
+    poison: PoisonCheck = field(default_factory=PoisonCheck)
     store_disturbed_s: float = 0.0
     _reserved_by: dict[str, NodeProcess] = field(default_factory=dict)
 
