Answer a request whose engine ended after the head of its answer

A refusal that is written once more on a kept connection, and a request that is sent again: no wrong answer, since a refused exchange closes its connection. An error, a refusal, a success without events or a head in the body after a stream that broke off: the caller gets its events and a cut stream. A head cut at each seventh byte: 502.

One case could happen: an engine that closes after a whole head without a length, or before the first event. The caller's connection was closed without an answer (RemoteDisconnected in the test), and so it was for a caller that resumes a stream of which it has all events. Cause: the end of a stream without events was taken for its success, and the gateway ended a response that it had not begun.

--- a/papayarelay/backends/stream.py
+++ b/papayarelay/backends/stream.py
@@ -128,7 +128,9 @@
             if len(buffer) > EVENT_LIMIT_BYTES:
                 raise self._error("event exceeds the size limit")
         if buffer or self._reader.requires_end_event:
-            raise self._error("stream ended before the response was complete")
+            raise self._lost("stream ended before the response was complete")
+        if not self.offset:
+            raise self._lost("stream ended before its first event")
         self.finished = True
 
     def _read(self) -> bytes:
@@ -165,6 +167,11 @@
         except BackendError:
             return
 
+    def _lost(self, message: str) -> BackendError:
+        error = self._error(message)
+        error.connection_lost = True
+        return error
+
     def _error(self, message: str) -> BackendError:
         return BackendError(
             message, step="stream", peer=self._peer, outcome=Outcome.UNKNOWN
--- a/papayarelay/callers/gateway.py
+++ b/papayarelay/callers/gateway.py
@@ -20,6 +20,7 @@
 from ..dispatch import Dispatcher
 from ..errors import (
     AuthenticationError,
+    BackendError,
     CallerGoneError,
     DeadlineError,
     Outcome,
@@ -362,6 +363,13 @@
                 headers = self._response_headers(chunk.head.headers)
                 connection.begin_stream(chunk.head.status, headers, chunk.event)
                 started = True
+        if not started:
+            raise BackendError(
+                "stream has no further event",
+                step="stream",
+                peer="backends",
+                outcome=Outcome.UNKNOWN,
+            )
         connection.end_stream()
 
     def _response_headers(self, headers: Headers) -> Headers:
