Tell in logs, explain and metrics what led to a verdict on requests

papayarelay explain names the segment, the engines that crashed and the nodes that saw it for each request that was rejected, held, isolated or let through as a trial. Gauges of crashes, reporters and age by segment; a counter of the requests.

The product's own interface has segments too: the messages of a chat but the last. Engines without start times in the list are told apart by their boot id. Nodes of that interface do not tell each other yet.

--- a/papayarelay/backends/backend_entry.py
+++ b/papayarelay/backends/backend_entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from dataclasses import dataclass, field
 
 from ..circuit import Circuit
@@ -42,6 +43,15 @@
         """Return the server incarnation."""
         return Incarnation(self.id, self.config.started)
 
+    @property
+    def process(self) -> Incarnation:
+        """Return the running process of the server.
+
+        A list without start times leaves its incarnation unchanged by a restart.
+        """
+        boot = zlib.crc32(self.load.boot_id.encode())
+        return Incarnation(self.id, self.config.started or boot)
+
     @property
     def totals(self) -> WorkTotals:
         """Return aggregates over the requests in flight.
--- a/papayarelay/callers/parse.py
+++ b/papayarelay/callers/parse.py
@@ -13,6 +13,7 @@
 from ..cost import DEFAULT_MAX_TOKENS, estimate_min_tokens, estimate_tokens
 from ..errors import AuthenticationError, RequestError, UnknownResourceError
 from ..request import Request, RequestKind
+from ..segments import digest_segments
 from .body import yield_to_event_loop
 
 MAX_DEADLINE_S = 3600.0
@@ -151,6 +152,7 @@
         received_s=now_s,
         deadline_s=now_s + _timeout_s(kind, headers),
         idempotency_key=key,
+        segments=_shared_segments(fields),
     )
 
 
@@ -187,6 +189,16 @@
     )
 
 
+def _shared_segments(fields: _ChatBody | _CompletionBody) -> tuple[int, ...]:
+    """Return the digests of the messages but the last; other chats may share them."""
+    if isinstance(fields, _CompletionBody):
+        return ()
+    return digest_segments(
+        b"%s\n%s" % (message.role.encode(), bytes(message.content))
+        for message in fields.messages[:-1]
+    )
+
+
 def _prompt_bytes(fields: _ChatBody | _CompletionBody) -> int:
     if isinstance(fields, _CompletionBody):
         return len(memoryview(fields.prompt))
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -375,7 +375,7 @@
         """Record a connection that was lost when the engine began to answer."""
         if error.connection_lost and not progress.proven:
             alone = self._scheduler.is_alone(entry)
-            self._guard.record_crash(request, entry.incarnation, alone, self._clock())
+            self._guard.record_crash(request, entry.process, alone, self._clock())
 
     def _check_deadline(self, request: Request, peer: str) -> None:
         if request.time_left_s(self._clock()) <= 0:
--- a/papayarelay/operators/explain.py
+++ b/papayarelay/operators/explain.py
@@ -6,7 +6,7 @@
 import datetime
 import json
 import sys
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -29,6 +29,13 @@
     "PR1310": "not admitted",
 }
 HELD_BACK = "PR1312"
+# What was done with a request that may crash engines.
+SUSPICIONS = {
+    "PR1313": "rejected",
+    "PR1314": "held",
+    "PR1315": "sent apart from others",
+    "PR1316": "let through as a trial",
+}
 NOT_IN_END = frozenset({"request", "member", "kind"})
 
 
@@ -93,6 +100,22 @@
             if line.event == HELD_BACK
         )
 
+    @property
+    def suspicions(self) -> tuple[str, ...]:
+        """Return the prompt segments for which the request may crash engines."""
+        return tuple(
+            f"{SUSPICIONS[line.event]} for segment {line.fields.get('segment')}, known "
+            f"for {line.fields.get('age_s')} s: {line.fields.get('crashes_count')} "
+            f"crashes, of {_join(line.fields.get('backends'))}, seen by "
+            f"{_join(line.fields.get('peers'))}"
+            for line in self.lines
+            if line.event in SUSPICIONS
+        )
+
+
+def _join(names: object) -> str:
+    return ", ".join(map(str, names)) if isinstance(names, list) else str(names)
+
 
 def parse_line(text: str) -> Line | None:
     """Parse a log line, also after a prefix; return None for other text."""
@@ -119,19 +142,24 @@
     start_s, end_s = request_lines[0].time_s - CONTEXT_S, request_lines[-1].time_s
     nodes = {line.node for line in request_lines}
     backends = {line.fields.get("backend") for line in request_lines} - {None}
+    segments = {s for line in request_lines for s in line.fields.get("segments", ())}
     context_lines = [
         line
         for line in lines
         if line.node in nodes
         and start_s <= line.time_s <= end_s
         and "request" not in line.fields
-        and _is_context(line, backends)
+        and _is_context(line, backends, segments)
     ]
     context_lines.sort(key=lambda line: line.time_s)
     return RequestTrace(request, tuple(request_lines), tuple(context_lines))
 
 
-def _is_context(line: Line, backends: set[object]) -> bool:
+def _is_context(
+    line: Line, backends: set[object], segments: Collection[object]
+) -> bool:
+    if line.fields.get("segment") in segments:
+        return True
     if line.event.startswith(BACKEND_EVENTS):
         return line.fields.get("backend") in backends
     return line.event.startswith(CONTEXT_EVENTS)
@@ -149,6 +177,7 @@
             yield line.describe(start_s)
     for text in trace.held_back:
         yield f"held back by the limit of {text}"
+    yield from trace.suspicions
     yield f"sent to: {', '.join(trace.attempts) or 'no server'}"
     yield f"end: {trace.end}"
 
@@ -184,6 +213,7 @@
         "end": trace.end,
         "attempts": trace.attempts,
         "held_back": trace.held_back,
+        "suspicions": trace.suspicions,
         "lines": [line.describe(trace.lines[0].time_s) for line in trace.lines],
         "beliefs": [
             line.describe(trace.lines[0].time_s) for line in trace.context_lines
--- a/papayarelay/serving.py
+++ b/papayarelay/serving.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from .admission import AdmissionQueue
 from .backends.monitor import StreamMonitor
@@ -43,6 +43,7 @@
         guard: PoisonGuard | None = None,
     ):
         self.budget = budget
+        self._clock = clock
         self.guard = guard or PoisonGuard("", rng)
         self.backends = BackendTable(
             rng,
@@ -85,6 +86,7 @@
                 "malformed": counters.malformed,
             },
         )
+        self._register_segment_metrics(metrics)
         metrics.register_counter(
             "suspect_requests",
             "Requests rejected, isolated or held since they may crash engines",
@@ -96,6 +98,32 @@
             lambda: {"failure": self.dispatcher.retries},
         )
 
+    def _register_segment_metrics(self, metrics: Metrics) -> None:
+        """Export what is known of prompt segments that may crash engines."""
+
+        def segments(value: str) -> Iterator[tuple[float, dict[str, str]]]:
+            for each in self.guard.describe(self._clock()):
+                verdict = "harmful" if each.harmful else "suspect"
+                labels = {"segment": each.segment, "verdict": verdict}
+                yield getattr(each, value), labels
+
+        observe = metrics.register_labelled_gauge
+        observe(
+            "segment_crashes",
+            "Crashes of engines that a prompt segment is blamed for",
+            lambda: segments("crashes"),
+        )
+        observe(
+            "segment_reporters",
+            "Nodes that have seen the crashes that a prompt segment is blamed for",
+            lambda: segments("reporters"),
+        )
+        observe(
+            "segment_age_seconds",
+            "Time since this node learnt of the first crash with a prompt segment",
+            lambda: segments("age_s"),
+        )
+
     def start(self) -> None:
         """Start the scheduling of requests and the monitoring of streams."""
         self.scheduler.start()
--- a/papayarelay/standins/engine.py
+++ b/papayarelay/standins/engine.py
@@ -229,6 +229,8 @@
         stream.faults = self._choose_faults()
         self._streams[stream.key] = stream
         self._wake.set()
+        if self.faults.crash_on and self.faults.crash_on in prompt:
+            self.model.crash(now_s)
         return stream
 
     def _choose_faults(self) -> StreamFaults:
--- a/papayarelay/standins/engine_faults.py
+++ b/papayarelay/standins/engine_faults.py
@@ -15,6 +15,8 @@
     that many tokens.  ``refuse_load`` counts the load report requests
     to fail with 503.
 
+    A prompt that contains the text ``crash_on`` crashes the engine.
+
     ``slow`` divides the engine's speed, ``memory_tokens`` occupies part of the KV
     cache, ``report_lag_s``, ``event_lag_s`` and ``event_gap`` delay load reports and
     delay or drop cache events.  One-shot faults: ``turn_cold``,
@@ -39,6 +41,7 @@
     turn_cold: bool = False
     turn_cold_unreported: bool = False
     kill: bool = False
+    crash_on: str = ""
 
     def __post_init__(self):
         if self.slow <= 0:
--- a/papayarelay/tests/test_explain.py
+++ b/papayarelay/tests/test_explain.py
@@ -46,6 +46,25 @@
             (Event.REQUEST_FAILED, {"request": "r1", "error": ERROR}),
         )
 
+    def test_suspicion(self):
+        """Guards against a rejected request whose crashes and nodes are not told."""
+        found = {"segment": "5a", "crashes_count": 3, "age_s": 1.5}
+        found |= {"backends": ("e4", "e7"), "peers": ("n2", "n3")}
+        other = {**found, "segment": "5b"}
+        lines = log_lines(
+            "n1",
+            (Event.REQUEST_ADMITTED, {"request": "r3", "segments": ("5a", "60")}),
+            (Event.SEGMENT_HARMFUL, found),
+            (Event.SEGMENT_HARMFUL, other),
+            (Event.REQUEST_HARMFUL, {"request": "r3", **found}),
+        )
+        trace = trace_request("r3", [*self.lines, *lines])
+        (text,) = trace.suspicions
+        for value in ("rejected", "5a", "1.5", "3 crashes", "e4, e7", "n2, n3"):
+            self.assertIn(value, text)
+        verdicts = [line for line in trace.context_lines if line.event == "PR1222"]
+        self.assertEqual([line.fields["segment"] for line in verdicts], ["5a"])
+
     def test_held_back(self):
         """Guards against a request that waits or is refused without a known reason."""
         fields = {"limit_per_s": 1.2, "limit_age_s": 3.5, "reason": "n4", "peer": "n5"}
--- a/papayarelay/tests/test_poison.py
+++ b/papayarelay/tests/test_poison.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from ..backends.restriction import Incarnation
+from ..metrics import Metrics
 from ..poison.evidence import MAX_CRASHES, Evidence
 from ..poison.guard import FIRST_TRIAL_S, TRIAL_FACTOR
 from ..poison.messages import CrashRecord, PoisonMessage, SegmentRecord, decode, encode
@@ -191,6 +192,16 @@
             if self._reached(BAD) and reply.status != 400:
                 self.assertEqual(reply.status, 502)
 
+    def test_metrics(self):
+        """Guards against a verdict that operators do not see."""
+        metrics = Metrics()
+        self.system.serving.register_metrics(metrics)
+        for number in range(6):
+            self._send(number, BAD)
+        text = metrics.render().decode()
+        self.assertIn('verdict="harmful"', text)
+        self.assertRegex(text, r'suspect_requests_total\{.*"rejected".*\} [1-9]')
+
     def test_repaired_segment(self):
         """Guards against a verdict that no request ever tests."""
         guard = self.system.serving.guard
