--- a/papayarelay/bench/limits.py
+++ b/papayarelay/bench/limits.py
@@ -13,6 +13,7 @@
 import math
 import random
 import sys
+import tracemalloc
 from bisect import bisect_left
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
@@ -381,7 +382,7 @@
     """Print what a limited server gets from fleets of several sizes."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--nodes", type=int, nargs="*", default=[6, 67, 195, 370])
-    parser.add_argument("--limits", type=float, nargs="*", default=[0.5, 1, 5, 50])
+    parser.add_argument("--limits", type=float, nargs="*", default=[0.5, 1.0, 5.0, 50.0])
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--loss", type=float, default=0.0)
     parser.add_argument("--seed", type=int, default=1)
@@ -389,9 +390,25 @@
     print("nodes limit/s offered/s used/s most-in-4s allowed messages bytes busiest")
     for nodes, limit in itertools.product(namespace.nodes, namespace.limits):
         print(_describe(nodes, limit, namespace))
+    print(f"memory of a node: {measure_state_bytes():.0f} bytes for a limited server")
     return 0
 
 
+def measure_state_bytes(servers: int = 200) -> float:
+    """Return the memory that a node needs for each limited server that it knows."""
+    simulation = LimitSimulation(1, seed=1)
+    (node,) = simulation.nodes.values()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        records = [LimitRecord(f"i-{n:010x}", n, 2.0, 1) for n in range(servers)]
+        node.learn(records, "n1")
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    return (after - before) / servers
+
+
 def _describe(nodes: int, limit: float, namespace: argparse.Namespace) -> str:
     """Return a line of figures; messages and bytes are per node and second."""
     simulation = LimitSimulation(nodes, namespace.seed, namespace.loss)
--- a/papayarelay/tests/test_poison_fleet.py
+++ b/papayarelay/tests/test_poison_fleet.py
@@ -11,6 +11,7 @@
 HARMFUL, OTHER_HARMFUL = 2, 3
 BEGIN_S = 4.0
 END_S = 16.0
+HOUR_S = 3600.0
 
 
 class PoisonFleetTestCase(unittest.TestCase):
@@ -169,6 +170,19 @@
         digests = {node.guard.evidence.digest for node in simulation.nodes.values()}
         self.assertEqual(len(digests), 1)
 
+    def test_segment_that_is_harmful_for_an_hour(self):
+        """Guards against trials that crash engines over and over."""
+        for nodes, per_s in ((6, 0.4), (67, 4.0)):
+            with self.subTest(nodes=nodes):
+                simulation = PoisonSimulation(nodes, 3 * nodes, seed=5)
+                simulation.harmful = {HARMFUL}
+                segments = (SHARED, FIRST_CALLER, HARMFUL)
+                simulation.offer_load(segments, per_s, 1.0, HOUR_S)
+                simulation.offer_load((SHARED, FIRST_CALLER), 0.5, 1.0, HOUR_S)
+                simulation.run(HOUR_S)
+                self._check(simulation)
+                self.assertGreater(simulation.results()["begun"], 0.45 * HOUR_S)
+
     def test_repaired_segment_is_served_again(self):
         """Guards against a verdict that outlasts its cause."""
         simulation = self._start(6)
