--- a/papayarelay/bench/limits.py
+++ b/papayarelay/bench/limits.py
@@ -382,7 +382,9 @@
     """Print what a limited server gets from fleets of several sizes."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--nodes", type=int, nargs="*", default=[6, 67, 195, 370])
-    parser.add_argument("--limits", type=float, nargs="*", default=[0.5, 1.0, 5.0, 50.0])
+    parser.add_argument(
+        "--limits", type=float, nargs="*", default=[0.5, 1.0, 5.0, 50.0]
+    )
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--loss", type=float, default=0.0)
     parser.add_argument("--seed", type=int, default=1)
