Log the era of the store and the versions of configuration rows

Nothing told whether an answer came from before or after a restore, nor which row version a document had, so the hypotheses could not be told apart. PR1405, PR1406 and fields of PR1101 and PR1404 do; no decision changes.

--- a/papayarelay/events.py
+++ b/papayarelay/events.py
@@ -379,6 +379,18 @@
         "old rows left aside",
         "The store answered with rows older than those known; they are not used.",
     )
+    STORE_RESTORED = (
+        1405,
+        "warning",
+        "store restored",
+        "The store came back from a backup; what is known to be newer is kept.",
+    )
+    STORE_ERA_UNKNOWN = (
+        1406,
+        "warning",
+        "era of the store unknown",
+        "An answer names no valid era; it counts as one of the era known before.",
+    )
 
     PEER_LOST = (
         1501,
--- a/papayarelay/logs.py
+++ b/papayarelay/logs.py
@@ -70,6 +70,7 @@
         "attempt",
         "config_version",
         "count",
+        "era",
         "number",
         "pid",
         "port",
--- a/papayarelay/platform/feed.py
+++ b/papayarelay/platform/feed.py
@@ -301,7 +301,12 @@
             log(Event.STORE_HISTORY_GONE, section=table, version=known)
         rows = self._store.read(table)
         if known is not None and rows.version < known:
-            log(Event.STORE_READ_OLD, section=table, version=rows.version)
+            log(
+                Event.STORE_READ_OLD,
+                section=table,
+                version=rows.version,
+                era=self._store.era,
+            )
             gevent.sleep(RETRY_S)
             return None, True
         return rows, True
@@ -339,7 +344,12 @@
         if self._document is not None and document.version <= self._document.version:
             return False
         self._document = document
-        log(Event.CONFIG_APPLIED, version=document.version)
+        log(
+            Event.CONFIG_APPLIED,
+            version=document.version,
+            number=row.version,
+            era=self._store.era,
+        )
         return True
 
     def _apply_server_rows(self, rows: Rows, is_full: bool) -> list[Row]:
--- a/papayarelay/platform/store.py
+++ b/papayarelay/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import re
 from collections.abc import Sequence
 from dataclasses import dataclass
 from urllib.parse import urlencode
@@ -13,6 +14,8 @@
 
 from ..backends.pool import BackendPool
 from ..errors import BackendError, Outcome, StoreError, StoreUnavailableError
+from ..events import Event
+from ..logs import log
 
 BASE_PATH = "/papayarelay"
 # Longer than a slow store takes, but shorter than the propagation limit of changes.
@@ -21,6 +24,9 @@
 PAGE_ROWS = 500
 IDLE_CONNECTIONS = 4
 HISTORY_GONE = 410
+# Number of times that the store has been restored from a backup.
+ERA_HEADER = "Store-Era"
+ERA_PATTERN = re.compile("[0-9]{1,15}")
 PEER = "store"
 
 
@@ -70,10 +76,14 @@
 
 
 class StoreClient:
-    """Client of the table store; ``calls`` counts the requests."""
+    """Client of the table store; ``calls`` counts the requests.
+
+    ``era`` is the highest one that the store has named, None before the first answer.
+    """
 
     def __init__(self, address: str):
         self.calls = 0
+        self.era: int | None = None
         self._pool = _make_pool(address)
 
     def start(self) -> None:
@@ -165,6 +175,7 @@
                 answer = self._pool.request(
                     method, target, body=body, headers=headers, read_timeout_s=timeout_s
                 )
+                self._record_era(answer.header(ERA_HEADER).strip())
                 data = answer.read_all()
         except (BackendError, OSError) as error:
             # The other pooled connections may be dead as well.
@@ -184,6 +195,17 @@
         except msgspec.MsgspecError as error:
             raise _error(f"malformed response: {error}", path) from error
 
+    def _record_era(self, text: str) -> None:
+        """Record the era that an answer names."""
+        if not ERA_PATTERN.fullmatch(text):
+            if text or self.era is not None:
+                log(Event.STORE_ERA_UNKNOWN, era=self.era)
+            return
+        era = int(text)
+        if self.era is not None and era > self.era:
+            log(Event.STORE_RESTORED, era=era, number=self.era)
+        self.era = era if self.era is None else max(era, self.era)
+
 
 def _make_pool(address: str) -> BackendPool:
     pool = BackendPool(PEER, f"http://{address}")
--- a/papayarelay/tests/test_platform.py
+++ b/papayarelay/tests/test_platform.py
@@ -253,6 +253,7 @@
     """Returns prepared responses by table; an exception among them is raised."""
 
     def __init__(self):
+        self.era = 0
         self.tables = {"op": [], "servers": []}
 
     def read(self, table):
