--- a/papayarelay/tests/store_standin.py
+++ b/papayarelay/tests/store_standin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import copy
 import errno
 import json
 import time
@@ -46,6 +47,8 @@
 
     version: int = 1
     history_from: int = 0
+    # Number of restores from a backup.
+    era: int = 0
     tables: dict[str, dict[str, StoredRow]] = field(default_factory=dict)
 
     def put(self, table: str, key: str, value: bytes) -> int:
@@ -68,6 +71,8 @@
     def __init__(self):
         # Offset of the store's clock from this machine's.
         self.clock_offset_s = 0.0
+        # Value of the era header; without a value, the header is missing.
+        self.era_header = "{era}"
         self.rows = Rows()
         self.faults = StoreFaults()
         self.calls: list[str] = []
@@ -96,6 +101,17 @@
         self.rows.remove(table, key)
         self._notify_watchers()
 
+    def back_up(self) -> Rows:
+        """Return a copy of all rows."""
+        return copy.deepcopy(self.rows)
+
+    def restore(self, backup: Rows) -> None:
+        """Replace all rows by those of a backup, and begin a new era."""
+        era = self.rows.era + 1
+        self.rows = copy.deepcopy(backup)
+        self.rows.era = era
+        self._notify_watchers()
+
     def drop_history(self) -> None:
         """Drop the change history up to the current version."""
         self.rows.history_from = self.rows.version + 1
@@ -129,7 +145,10 @@
     def _answer(self, start_response, status: str, fields: dict):
         now_ms = int((time.monotonic() + self.clock_offset_s) * 1000)
         fields |= {"ver": self.rows.version, "now_ms": now_ms}
-        start_response(status, [("Content-Type", "application/json")])
+        headers = [("Content-Type", "application/json")]
+        if self.era_header:
+            headers.append(("Store-Era", self.era_header.format(era=self.rows.era)))
+        start_response(status, headers)
         return [json.dumps(fields).encode()]
 
     def _rows_get(self, query: dict, body: bytes):
@@ -147,7 +166,7 @@
         after = int(query["after"])
         end_s = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
-            if after < self.rows.history_from - 1:
+            if not self.rows.history_from - 1 <= after <= self.rows.version:
                 return "410 Gone", {"error": "history"}
             rows = self.rows.tables.get(query["table"], {})
             names = [key for key, row in rows.items() if row.version > after]
