Order what is read from the store by its era and number

Cause: versions of the store were compared by number alone. A restored store gives numbers out again, so what it answered was left aside until its numbers had caught up, whole tables were read again and again meanwhile, and a change with a number up to the one known before was never read.

Change: a revision is the era of the store and the number in it. Reads, reports and notifications of peers compare revisions; an answer of an earlier era is an error, one of a later era makes the node read the whole table once. A node that starts meanwhile gets the configuration in force from its group. Nodes write their rows again, and rows are removed only in the era in which they were read. The digest that nodes compare now covers the rows in the store, so that what a node keeps does not make its peers read.

Tests that built rows from plain versions build them from revisions, with the same assertions.

--- a/papayarelay/events.py
+++ b/papayarelay/events.py
@@ -391,6 +391,12 @@
         "era of the store unknown",
         "An answer names no valid era; it counts as one of the era known before.",
     )
+    RESTORED_ROW_HELD = (
+        1407,
+        "info",
+        "restored row held back",
+        "A restored store has older content than is known; that stays in force.",
+    )
 
     PEER_LOST = (
         1501,
--- a/papayarelay/nodes/broadcast.py
+++ b/papayarelay/nodes/broadcast.py
@@ -24,6 +24,7 @@
 from ..logs import log
 from ..retry import RetryUsage
 from ..routing import EngineWork
+from ..store.revision import Revision
 from .freshness import TableReport
 from .groups import Group, divide_into_groups
 from .permit_messages import LimitRecord
@@ -93,6 +94,7 @@
     version: int
     digest: int
     age_ms: int
+    era: int = 0
 
 
 class _StatusMessage(msgspec.Struct, array_like=True):
@@ -381,8 +383,14 @@
             work,
             [_RetryRecord(n, u.requests, u.retries) for n, u in status.retries.items()],
             [
-                _TableRecord(n, w.version, w.digest, math.ceil(w.age_s * 1000))
-                for n, w in status.table_reports.items()
+                _TableRecord(
+                    name,
+                    report.revision.number,
+                    report.digest,
+                    math.ceil(report.age_s * 1000),
+                    report.revision.era,
+                )
+                for name, report in status.table_reports.items()
             ],
             notifications,
             list(status.leaving[:MAX_LEAVING_SERVERS]),
@@ -456,7 +464,9 @@
             work,
             {r.service: RetryUsage(r.requests, r.retries) for r in message.retries},
             {
-                w.table: TableReport(w.version, w.digest, w.age_ms / 1000)
+                w.table: TableReport(
+                    Revision(w.era, w.version), w.digest, w.age_ms / 1000
+                )
                 for w in message.table_reports
             },
             tuple(Incarnation(*each) for each in message.leaving_servers),
--- a/papayarelay/nodes/freshness.py
+++ b/papayarelay/nodes/freshness.py
@@ -1,8 +1,8 @@
 """Freshness of a node's copy of a store table, from its own and its peers' reads.
 
-A node that has read a table sends the others the version it has read, a digest of the
-resulting content and the time since the read was issued.  A peer whose content has
-the same digest is as up to date as the reader, without a read of its own.  The version
+A node that has read a table sends the others the revision it has read, a digest of the
+table's content and the time since the read was issued.  A peer that knows content with
+the same digest is as up to date as the reader, without a read of its own.  The revision
 of the last change would not do: a row that was changed back, or removed before
 a reader read the whole table, is no change to that reader.
 
@@ -17,14 +17,17 @@
 import math
 from dataclasses import dataclass
 
+from ..store.revision import Revision
+
 DIGEST_BYTES = 7
+NO_CONFLICT = Revision(-1, 0)
 
 
 @dataclass(frozen=True)
 class TableReport:
     """A node's report on a table; ``age_s`` is as of the time of sending."""
 
-    version: int
+    revision: Revision
     digest: int
     age_s: float
 
@@ -41,26 +44,26 @@
 
 
 class TableFreshness:
-    """Version and age of a node's copy of one table."""
+    """Revision and age of a node's copy of one table."""
 
     def __init__(self):
-        self.version: int | None = None
+        self.revision: Revision | None = None
         self._digest = 0
         self._confirmed_s = -math.inf
-        self._conflicting_version = 0
+        self._conflicting = NO_CONFLICT
 
     @property
     def is_stale(self) -> bool:
-        """Return whether a peer has reported other content at a later version."""
-        return self._conflicting_version > (self.version or 0)
+        """Return whether a peer has reported other content at a later revision."""
+        return self.revision is not None and self._conflicting > self.revision
 
     def age_s(self, now_s: float) -> float:
         """Return for how long the table may have changed without being noticed."""
         return now_s - self._confirmed_s
 
-    def read(self, version: int, digest: int, issued_s: float) -> None:
+    def read(self, revision: Revision, digest: int, issued_s: float) -> None:
         """Record a read by this node that was issued at ``issued_s``."""
-        self.version = max(self.version or 0, version)
+        self.revision = max(self.revision or revision, revision)
         self._digest = digest
         self._confirmed_s = max(self._confirmed_s, issued_s)
 
@@ -69,17 +72,17 @@
 
         A report older than the known state changes nothing.
         """
-        if self.version is None:
+        if self.revision is None:
             return True
-        if report.version >= self.version and report.digest == self._digest:
-            self.version = report.version
+        if report.revision >= self.revision and report.digest == self._digest:
+            self.revision = report.revision
             self._confirmed_s = max(self._confirmed_s, echoed_s - report.age_s)
-        elif report.version > self.version:
-            self._conflicting_version = max(self._conflicting_version, report.version)
+        elif report.revision > self.revision:
+            self._conflicting = max(self._conflicting, report.revision)
         return self.is_stale
 
     def report(self, now_s: float) -> TableReport | None:
         """Return the report for the peers, or None before the first read."""
-        if self.version is None:
+        if self.revision is None:
             return None
-        return TableReport(self.version, self._digest, self.age_s(now_s))
+        return TableReport(self.revision, self._digest, self.age_s(now_s))
--- a/papayarelay/platform/feed.py
+++ b/papayarelay/platform/feed.py
@@ -19,15 +19,16 @@
 from ..errors import StoreError
 from ..events import Event
 from ..logs import log
-from ..nodes.freshness import TableFreshness, TableReport, content_digest
-from .config import DOCUMENT_DECODER, Document, ServerEntry, decode_entry, to_config
+from ..nodes.freshness import TableFreshness, TableReport
+from ..store.revision import Revision
+from .config import to_config
+from .config_rows import ConfigRows, KeptConfig
+from .server_list import ServerList
 from .settings import Bounds
 from .store import HistoryGoneError, Row, Rows, StoreClient
 
 CONFIG_TABLE = "op"
 SERVER_TABLE = "servers"
-CONFIG_KEY = "config"
-EVACUATE_PREFIX = "evacuate/"
 # Long-poll duration of a configuration read.
 CONFIG_LONG_POLL_S = 0.5
 # A table is read again at these fractions of its propagation limit: by the first
@@ -46,9 +47,10 @@
 # The others wait this much longer, unless a peer announces an unknown change.
 FAST_RETRY_RANKS = 3
 SLOW_RETRY_S = 3.0
-# Grace period for servers to renew entries that expired during a store outage.
-OUTAGE_GRACE_S = 2.0
-REMOVAL_CHECK_S = 0.2
+# Interval of the checks for rows that are due for a change.
+DUE_CHECK_S = 0.2
+# Interval at which a group is told of a configuration that the store has lost.
+KEPT_CONFIG_INTERVAL_S = 1.0
 
 
 class _ChangedRow(msgspec.Struct, array_like=True):
@@ -61,13 +63,16 @@
 class _ChangeNotification(msgspec.Struct, array_like=True):
     """Server rows that changed after version ``after`` and up to ``version``.
 
-    ``digest`` covers the sender's whole server list after these changes.
+    ``digest`` covers the whole server list after these changes.  ``kept_config`` is the
+    configuration in force if the store has lost it.
     """
 
     after: int
     version: int
     digest: int
     rows: list[_ChangedRow]
+    era: int = 0
+    kept_config: KeptConfig | None = None
 
 
 NOTIFICATION_DECODER = msgspec.msgpack.Decoder(_ChangeNotification)
@@ -102,29 +107,30 @@
         self._store = store
         self._bounds = bounds
         self._apply = apply
-        self._on_cold_start = on_cold_start
         self._data_centres = tuple(data_centres)
         self._clock = clock
         self._age_clock = age_clock
-        self._document: Document | None = None
-        self._evacuated: frozenset[str] = frozenset()
-        self._entries: dict[str, ServerEntry] = {}
-        self._removal_due_s: dict[str, float] = {}
+        self._config_rows = ConfigRows()
+        self._servers = ServerList(on_cold_start)
+        self._contents = {CONFIG_TABLE: self._config_rows, SERVER_TABLE: self._servers}
+        self._kept_config_due_s = 0.0
         self._tables = {CONFIG_TABLE: TableFreshness(), SERVER_TABLE: TableFreshness()}
         self._read_due = {name: gevent.event.Event() for name in self._tables}
         self._rank = rank
         self._send_notification = publish
-        self._store_up_since_s = 0.0
-        # Whether the store answers this node, and whether it answers any node.
         self._store_answers_here = True
-        self._store_up = True
         self._tasks: list[gevent.Greenlet] = []
 
     @property
     def is_loaded(self) -> bool:
         """Return whether the configuration and the server list have been read."""
-        listed = self._tables[SERVER_TABLE].version is not None
-        return self._document is not None and listed
+        listed = self._tables[SERVER_TABLE].revision is not None
+        return self._config_rows.document is not None and listed
+
+    @property
+    def held_rows_count(self) -> int:
+        """Return the number of rows that are kept as known before a restore."""
+        return sum(each.held_count for each in self._contents.values())
 
     def config_age_s(self) -> float:
         """Return the age of the newest confirmed read of the configuration.
@@ -154,26 +160,37 @@
             if known.apply_report(report, echoed_s):
                 self._read_due[name].set()
             elif known.age_s(self._age_clock()) < STORE_UP_AGE_S:
-                self._record_store_up()
+                self._servers.record_store_up(True, self._clock())
 
     def apply_notification(self, notification: bytes) -> None:
         """Apply server rows from a peer's change notification, which may be empty."""
         if not notification:
             return
         decoded = NOTIFICATION_DECODER.decode(notification)
+        if decoded.kept_config is not None:
+            self._apply_kept_config(decoded.kept_config)
+            return
         known = self._tables[SERVER_TABLE]
-        if known.version is not None and decoded.version <= known.version:
+        revision = Revision(decoded.era, decoded.version)
+        if known.revision is not None and revision <= known.revision:
             return
-        if known.version is not None and decoded.after <= known.version:
+        after = Revision(decoded.era, decoded.after)
+        is_known = known.revision is not None and known.revision.era == decoded.era
+        if is_known and after <= known.revision:
             rows = [Row(r.key, r.value, r.version, r.removed) for r in decoded.rows]
-            self._apply_server_rows(Rows(tuple(rows), decoded.version), False)
-            known.read(known.version, self._digest(SERVER_TABLE), -math.inf)
+            self._apply_rows(SERVER_TABLE, Rows(tuple(rows), revision), False)
+            known.read(known.revision, self._servers.digest, -math.inf)
         # If earlier changes are missing here, the digests differ: read the table.
-        if known.apply_report(
-            TableReport(decoded.version, decoded.digest, math.inf), 0.0
-        ):
+        if known.apply_report(TableReport(revision, decoded.digest, math.inf), 0.0):
             self._read_due[SERVER_TABLE].set()
 
+    def announce_kept_config(self) -> None:
+        """Tell a new node soon which configuration is in force.
+
+        It can read only what a restored store has.
+        """
+        self._kept_config_due_s = 0.0
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Replace the propagation limits of changes."""
         self._bounds = bounds
@@ -193,9 +210,9 @@
         failures = 0
         while True:
             wait_s = self._time_until_read_s(table)
-            if table == SERVER_TABLE and self._removal_due_s:
-                run_step(self._check_removals)
-                wait_s = min(wait_s, REMOVAL_CHECK_S)
+            if self._contents[table].awaits_check:
+                run_step(self._check_due, table)
+                wait_s = min(wait_s, DUE_CHECK_S)
             if wait_s > 0:
                 self._read_due[table].wait(wait_s)
                 self._read_due[table].clear()
@@ -217,7 +234,7 @@
         """Back off after a failed read of a table."""
         gevent.sleep(min(MAX_RETRY_S, RETRY_S * failures))
         known = self._tables[table]
-        urgent = known.version is None or known.is_stale
+        urgent = known.revision is None or known.is_stale
         if not urgent and self._rank() >= FAST_RETRY_RANKS:
             self._read_due[table].clear()
             self._read_due[table].wait(SLOW_RETRY_S)
@@ -225,7 +242,7 @@
     def _time_until_read_s(self, table: str) -> float:
         """Return the time until the next read of a table is due."""
         known = self._tables[table]
-        if known.version is None or known.is_stale:
+        if known.revision is None or known.is_stale:
             return 0.0
         rank = min(MAX_DELAY_RANK, self._rank())
         if table == CONFIG_TABLE:
@@ -239,197 +256,122 @@
         return due_s - known.age_s(self._age_clock())
 
     def _read_config(self) -> None:
-        wait_s = CONFIG_LONG_POLL_S if self._rank() == 0 else 0.0
-        self._read(CONFIG_TABLE, wait_s, self._apply_config_rows)
+        self._read(CONFIG_TABLE, CONFIG_LONG_POLL_S if self._rank() == 0 else 0.0)
 
     def _read_servers(self) -> None:
-        self._read(SERVER_TABLE, 0.0, self._apply_server_rows)
+        self._read(SERVER_TABLE, 0.0)
 
-    def _read(
-        self, table: str, wait_s: float, apply_rows: Callable[[Rows, bool], int]
-    ) -> None:
+    def _read(self, table: str, wait_s: float) -> None:
         """Read the changes of a table and notify peers of them."""
         known = self._tables[table]
-        before = known.version
+        before = known.revision
         asked_s = self._age_clock()
         rows, is_full = self._read_table(table, wait_s)
         if rows is None:
             return
         self._record_success()
-        changed = apply_rows(rows, is_full)
-        known.read(rows.version, self._digest(table), asked_s)
+        changed = self._apply_rows(table, rows, is_full)
+        known.read(rows.revision, self._contents[table].digest, asked_s)
         if changed:
-            self._notify_peers(table, before, rows.version, changed)
+            self._notify_peers(table, before, rows.revision, changed)
 
     def _notify_peers(
-        self, table: str, after: int | None, version: int, changed: list[Row]
+        self,
+        table: str,
+        after: Revision | None,
+        revision: Revision,
+        changed: list[Row],
     ) -> None:
         """Notify peers of a change; a notification without rows makes them read it."""
         notification = b""
-        if table == SERVER_TABLE and after and len(changed) <= MAX_NOTIFICATION_ROWS:
+        same_era = after is not None and after.era == revision.era
+        if table == SERVER_TABLE and same_era and len(changed) <= MAX_NOTIFICATION_ROWS:
             rows = [_ChangedRow(r.key, r.value, r.version, r.removed) for r in changed]
-            digest = self._digest(SERVER_TABLE)
             notification = msgspec.msgpack.encode(
-                _ChangeNotification(after, version, digest, rows)
+                _ChangeNotification(
+                    after.number,
+                    revision.number,
+                    self._servers.digest,
+                    rows,
+                    revision.era,
+                )
             )
         self._send_notification(notification)
 
-    def _digest(self, table: str) -> int:
-        """Return the digest of this node's view of a table."""
-        if table == CONFIG_TABLE:
-            version = self._document.version if self._document else None
-            return content_digest((version, sorted(self._evacuated)))
-        listed = self._entries.items()
-        return content_digest(
-            sorted(
-                (k, _routing_fields(e))
-                for k, e in listed
-                if k not in self._removal_due_s
-            )
-        )
-
     def _read_table(self, table: str, wait_s: float) -> tuple[Rows | None, bool]:
         """Return the changed rows of a table, or all rows and True.
 
         Returns None in place of rows if the response is older than a previous one.
         """
-        known = self._tables[table].version
+        known = self._tables[table].revision
         try:
             if known is not None:
                 return self._store.read_changes(table, known, wait_s), False
         except HistoryGoneError:
-            log(Event.STORE_HISTORY_GONE, section=table, version=known)
+            log(
+                Event.STORE_HISTORY_GONE,
+                section=table,
+                version=known.number,
+                era=known.era,
+            )
         rows = self._store.read(table)
-        if known is not None and rows.version < known:
+        if known is not None and rows.revision < known:
             log(
                 Event.STORE_READ_OLD,
                 section=table,
-                version=rows.version,
-                era=self._store.era,
+                version=rows.revision.number,
+                era=rows.revision.era,
             )
             gevent.sleep(RETRY_S)
             return None, True
         return rows, True
 
-    def _apply_config_rows(self, rows: Rows, is_full: bool) -> list[Row]:
-        """Apply configuration rows; return those that changed the local state."""
-        changed = []
-        evacuated = set() if is_full else set(self._evacuated)
-        for row in rows.rows:
-            if row.key == CONFIG_KEY:
-                changed += [row] if self._apply_document(row) else []
-            elif row.key.startswith(EVACUATE_PREFIX):
-                name = row.key.removeprefix(EVACUATE_PREFIX)
-                (evacuated.discard if row.removed else evacuated.add)(name)
-                changed += [row] if row.removed is (name in self._evacuated) else []
-        for name in sorted(evacuated ^ self._evacuated):
-            is_evacuated = name in evacuated
-            event = Event.DRAIN_APPLIED if is_evacuated else Event.RETURN_APPLIED
-            log(event, target=f"data_centre/{name}", version=rows.version)
-        evacuation_changed = evacuated != self._evacuated
-        self._evacuated = frozenset(evacuated)
-        if changed or evacuation_changed:
+    def _apply_rows(self, table: str, rows: Rows, is_full: bool) -> list[Row]:
+        """Apply rows of a table; return those that changed the local state."""
+        known = self._tables[table].revision
+        is_restored = is_full and known is not None and rows.revision.era > known.era
+        changed, must_publish = self._contents[table].apply(
+            rows, is_full, is_restored, self._clock()
+        )
+        if must_publish:
             self._publish()
         return changed
 
-    def _apply_document(self, row: Row) -> bool:
-        """Adopt a configuration document if it is newer than the current one."""
-        if row.value is None:
-            return False
-        try:
-            document = DOCUMENT_DECODER.decode(row.value)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            log(Event.CONFIG_REJECTED, error=error, version=row.version)
-            return False
-        if self._document is not None and document.version <= self._document.version:
-            return False
-        self._document = document
-        log(
-            Event.CONFIG_APPLIED,
-            version=document.version,
-            number=row.version,
-            era=self._store.era,
-        )
-        return True
-
-    def _apply_server_rows(self, rows: Rows, is_full: bool) -> list[Row]:
-        """Apply server rows; return those that changed the local state."""
+    def _check_due(self, table: str) -> None:
+        """Apply changes that are due without a read."""
         now_s = self._clock()
-        changed = [row for row in rows.rows if self._apply_server_row(row, now_s)]
-        if is_full:
-            for server_id in set(self._entries) - {row.key for row in rows.rows}:
-                self._schedule_removal(server_id, now_s)
-        if self._remove_due(now_s) or changed:
+        if self._contents[table].check(now_s):
             self._publish()
-        for row in rows.rows:
-            entry = self._entries.get(row.key)
-            if entry is not None:
-                self._on_cold_start(row.key, entry.cold_remaining_ms / 1000)
-        return changed
-
-    def _apply_server_row(self, row: Row, now_s: float) -> bool:
-        """Apply the row of a server; return whether it changed the local state."""
-        before = self._entries.get(row.key)
-        if row.removed:
-            self._schedule_removal(row.key, now_s)
-            return before is not None
-        entry = decode_entry(row.value) if row.value is not None else None
-        if entry is None:
-            # The row is not a valid server entry; keep the last valid one.
-            log(Event.BACKEND_ENTRY_UNREADABLE, version=row.version)
-            return False
-        was_due = self._removal_due_s.pop(row.key, None) is not None
-        self._entries[row.key] = entry
-        if before is not None and _routing_fields(before) == _routing_fields(entry):
-            return was_due
-        log(
-            Event.BACKEND_STATE,
-            backend=row.key,
-            state=entry.state,
-            version=row.version,
-            address=entry.address,
-            left_s=entry.cold_remaining_ms / 1000,
-        )
-        return True
-
-    def _schedule_removal(self, server_id: str, now_s: float) -> None:
-        """Schedule the removal of an entry.
+        if table == CONFIG_TABLE:
+            self._send_kept_config(now_s)
 
-        A ready server gets a grace period after a store outage, during which it
-        could not renew its entry.
-        """
-        entry = self._entries.get(server_id)
-        if entry is None or server_id in self._removal_due_s:
+    def _send_kept_config(self, now_s: float) -> None:
+        """Tell the group the configuration in force if the store has lost it."""
+        if now_s < self._kept_config_due_s:
             return
-        removal_s = now_s
-        if entry.state == "ready":
-            up_since_s = self._store_up_since_s if self._store_up else now_s
-            removal_s = max(now_s, up_since_s + OUTAGE_GRACE_S)
-        self._removal_due_s[server_id] = removal_s
-
-    def _remove_due(self, now_s: float) -> bool:
-        """Remove entries whose removal is due; return whether there were any."""
-        due = [
-            name
-            for name, removal_s in self._removal_due_s.items()
-            if now_s >= removal_s
-        ]
-        for server_id in due:
-            del self._removal_due_s[server_id]
-            self._entries.pop(server_id, None)
-            log(Event.BACKEND_REMOVED, backend=server_id)
-        return bool(due)
-
-    def _check_removals(self) -> None:
-        """Remove entries whose grace period is over."""
-        if self._remove_due(self._clock()):
+        kept = self._config_rows.kept_config(now_s)
+        if kept is None:
+            return
+        self._kept_config_due_s = now_s + KEPT_CONFIG_INTERVAL_S
+        notification = _ChangeNotification(0, 0, 0, [], 0, kept)
+        self._send_notification(msgspec.msgpack.encode(notification))
+
+    def _apply_kept_config(self, kept: KeptConfig) -> None:
+        now_s = self._clock()
+        # One sender in the group is enough.
+        self._kept_config_due_s = now_s + KEPT_CONFIG_INTERVAL_S
+        if self._config_rows.apply_kept(kept, now_s):
             self._publish()
 
     def _publish(self) -> None:
-        if self._document is None:
+        document = self._config_rows.document
+        if document is None:
             return
         self.config = to_config(
-            self._document, self._entries, self._data_centres, self._evacuated
+            document,
+            self._servers.entries,
+            self._data_centres,
+            self._config_rows.evacuated,
         )
         self._apply(self.config)
 
@@ -437,28 +379,10 @@
         if self._store_answers_here:
             self._store_answers_here = False
             log(Event.STORE_DOWN, error=error, age_s=round(self.config_age_s(), 3))
-        self._store_up = False
+        self._servers.record_store_up(False, self._clock())
 
     def _record_success(self) -> None:
         if not self._store_answers_here:
             self._store_answers_here = True
             log(Event.STORE_BACK)
-        self._record_store_up()
-
-    def _record_store_up(self) -> None:
-        """Record that the store answers this node or a peer."""
-        if not self._store_up:
-            self._store_up = True
-            self._store_up_since_s = self._clock()
-
-
-def _routing_fields(entry: ServerEntry) -> tuple:
-    """Return the fields of an entry that affect routing."""
-    return (
-        entry.address,
-        entry.state,
-        entry.service,
-        entry.zone,
-        entry.born,
-        entry.cold_remaining_ms > 0,
-    )
+        self._servers.record_store_up(True, self._clock())
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -155,6 +155,7 @@
             self._rng,
             lambda: self._broadcaster.rank == 0,
         )
+        self.store.on_restored = self._node_registry.renew_soon
         self._gateway = Gateway(
             settings.caller_address,
             PlatformDialect(),
@@ -247,6 +248,12 @@
             "Backend servers in the configuration",
             lambda: len(self.feed.config.backends),
         )
+        observe("store_era", "Restores of the store", lambda: self.store.era)
+        observe(
+            "restored_rows_held",
+            "Rows that a restored store has in an older state than is in force",
+            lambda: self.feed.held_rows_count,
+        )
         observe("node_rank", "Place for the duties of the group", self._rank)
         self.metrics.register_counter(
             "store_calls", "Calls to the store", lambda: {"all": self.store.calls}
@@ -337,7 +344,8 @@
         self.feed.apply_notification(notification)
 
     def on_peer_started(self, peer: str) -> None:
-        """Tell a new process of limits of servers and of harmful requests."""
+        """Tell a new process what it cannot read from the store."""
+        self.feed.announce_kept_config()
         self._spread.greet(peer, self._clock())
         if self._permits.any_limited:
             self.on_limit_changed()
--- a/papayarelay/platform/node_registry.py
+++ b/papayarelay/platform/node_registry.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Mapping
 
 import gevent
+import gevent.event
 import msgspec
 
 from ..background import BackgroundTask, run_step
@@ -29,6 +30,8 @@
 LEASE_S = 300.0
 RETRY_S = 0.5
 MAX_RETRY_S = 8.0
+# Time over which the nodes write their rows again after the store was restored.
+RESTORE_SPREAD_S = 2.0
 
 
 class _NodeEntry(msgspec.Struct):
@@ -62,6 +65,13 @@
         self._rng = rng
         self._is_first = is_first
         self._expired: list[Row] = []
+        # Era of the store in which the expired rows were read.
+        self._expired_era = 0
+        self._renew_due = gevent.event.Event()
+
+    def renew_soon(self) -> None:
+        """Renew the row, and read the others, since a restore may have lost some."""
+        self._renew_due.set()
 
     def leave(self) -> None:
         """Deregister this node; if that fails, its row expires with the lease."""
@@ -75,8 +85,17 @@
         gevent.sleep(STARTUP_READ_DELAY_S * self._rng.uniform(0.8, 1.2))
         self._retry(self.read)
         while True:
-            gevent.sleep(RENEW_INTERVAL_S * self._rng.uniform(0.8, 1.2))
+            restored = self._renew_due.wait(
+                RENEW_INTERVAL_S * self._rng.uniform(0.8, 1.2)
+            )
+            if restored:
+                self._renew_due.clear()
+                gevent.sleep(self._rng.uniform(0.0, RESTORE_SPREAD_S))
             self._retry(self.renew)
+            if restored:
+                # The other nodes have written their rows by then.
+                gevent.sleep(RESTORE_SPREAD_S)
+                self._retry(self.read)
             run_step(self.remove_expired)
 
     def _retry(self, step: Callable[[], object]) -> None:
@@ -109,11 +128,13 @@
         rows = self._store.read(TABLE)
         listed = {}
         self._expired = []
+        self._expired_era = rows.revision.era
         for row in rows.rows:
             entry = _decode(row)
             if entry is None or row.key == self._name:
                 continue
-            if rows.now_ms - entry.renewed_ms > LEASE_S * 1000:
+            # The clock of a restored store may be behind the time of a renewal.
+            if abs(rows.now_ms - entry.renewed_ms) > LEASE_S * 1000:
                 self._expired.append(row)
             else:
                 address = parse_address(entry.address)
@@ -124,10 +145,13 @@
     def remove_expired(self) -> None:
         """Remove the rows that were expired at the last read.
 
-        Nothing is removed if one of them has been renewed since.
+        Nothing is removed if one of them has been renewed since, or if the store was
+        restored since: the versions of their rows may stand for other rows.
         """
         if not self._expired or not self._is_first():
             return
+        if self._expired_era != self._store.era:
+            return
         try:
             self._store.remove_unchanged(TABLE, self._expired)
         except StoreError:
--- a/papayarelay/platform/store.py
+++ b/papayarelay/platform/store.py
@@ -5,7 +5,7 @@
 import base64
 import json
 import re
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
@@ -16,6 +16,7 @@
 from ..errors import BackendError, Outcome, StoreError, StoreUnavailableError
 from ..events import Event
 from ..logs import log
+from ..store.revision import Revision
 
 BASE_PATH = "/papayarelay"
 # Longer than a slow store takes, but shorter than the propagation limit of changes.
@@ -40,7 +41,8 @@
 class Row:
     """A row; ``value`` is None if it cannot be decoded or the row was removed.
 
-    ``version`` is the store-wide transaction number of its last change.
+    ``version`` is the store-wide transaction number of its last change, in the era of
+    the read.
     """
 
     key: str
@@ -51,10 +53,10 @@
 
 @dataclass(frozen=True)
 class Rows:
-    """Rows as of a store version; ``now_ms`` is the store's time of the read."""
+    """Rows as of a store revision; ``now_ms`` is the store's time of the read."""
 
     rows: tuple[Row, ...]
-    version: int
+    revision: Revision
     now_ms: int = 0
 
 
@@ -78,14 +80,20 @@
 class StoreClient:
     """Client of the table store; ``calls`` counts the requests.
 
-    ``era`` is the highest one that the store has named, None before the first answer.
+    ``on_restored`` is called when the store names a higher era than before.
     """
 
     def __init__(self, address: str):
         self.calls = 0
-        self.era: int | None = None
+        self.on_restored: Callable[[], None] = lambda: None
+        self._era: int | None = None
         self._pool = _make_pool(address)
 
+    @property
+    def era(self) -> int:
+        """Return the highest era that the store has named, 0 if none."""
+        return self._era or 0
+
     def start(self) -> None:
         """Start the connection pool; connections are opened on demand."""
         self._pool.start()
@@ -103,37 +111,44 @@
     def read(self, table: str, timeout_s: float = TIMEOUT_S) -> Rows:
         """Return all rows of a table; raises ``StoreError``.
 
-        With several pages, the version is that of the first page.
+        With several pages, the revision is that of the first page.
         """
         rows: list[Row] = []
-        version = None
+        revision = None
         start = ""
         while True:
             query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
             if start:
                 query["from"] = start
-            answer = self._call("GET", "/rows-get", query, timeout_s)
+            answer, era = self._call("GET", "/rows-get", query, timeout_s)
             rows += [_read_row(each) for each in answer.rows]
-            version = answer.ver if version is None else version
+            if revision is None:
+                revision = Revision(era, answer.ver)
+            if era != revision.era:
+                raise _error("restored between two pages", "rows-get")
             if not answer.truncated or not answer.rows:
-                return Rows(tuple(rows), version, answer.now_ms)
+                return Rows(tuple(rows), revision, answer.now_ms)
             start = answer.rows[-1].key + "\x00"
 
     def read_changes(
-        self, table: str, after: int, wait_s: float, timeout_s: float = TIMEOUT_S
+        self, table: str, after: Revision, wait_s: float, timeout_s: float = TIMEOUT_S
     ) -> Rows:
-        """Return the rows that changed after a version, by long polling.
+        """Return the rows that changed after a revision, by long polling.
 
-        Raises ``HistoryGoneError`` and ``StoreError``.
+        Raises ``HistoryGoneError``, also if the store was restored since the revision,
+        and ``StoreError``.
         """
         query = {
             "table": table,
-            "after": str(after),
+            "after": str(after.number),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        answer = self._call("GET", "/rows-feed", query, timeout_s + wait_s)
+        answer, era = self._call("GET", "/rows-feed", query, timeout_s + wait_s)
+        if era != after.era:
+            # The number stands for another transaction now.
+            raise _history_gone("/rows-feed")
         rows = tuple(_read_row(each) for each in answer.rows)
-        return Rows(rows, max(after, answer.ver))
+        return Rows(rows, max(after, Revision(era, answer.ver)))
 
     def write(self, table: str, key: str, value: bytes) -> None:
         """Write a row; raises ``StoreError``."""
@@ -166,7 +181,8 @@
         query: dict[str, str] | None,
         timeout_s: float,
         body: bytes = b"",
-    ) -> _Response:
+    ) -> tuple[_Response, int]:
+        """Return the response to a call and its era; raises ``StoreError``."""
         self.calls += 1
         headers = {"Content-Type": "application/json"} if body else {}
         target = f"{BASE_PATH}{path}?{urlencode(query)}" if query else BASE_PATH + path
@@ -175,36 +191,40 @@
                 answer = self._pool.request(
                     method, target, body=body, headers=headers, read_timeout_s=timeout_s
                 )
-                self._record_era(answer.header(ERA_HEADER).strip())
                 data = answer.read_all()
         except (BackendError, OSError) as error:
             # The other pooled connections may be dead as well.
             self._pool.drop_idle()
             raise _error(f"no response: {error}", path) from error
+        era = self._read_era(answer.header(ERA_HEADER).strip(), path)
         if answer.status == HISTORY_GONE:
-            raise HistoryGoneError(
-                "change history no longer available",
-                step=path,
-                peer=PEER,
-                outcome=Outcome.UNKNOWN,
-            )
+            raise _history_gone(path)
         if answer.status != 200:
             raise _error(f"status {answer.status}", path)
         try:
-            return _DECODER.decode(data)
+            return _DECODER.decode(data), era
         except msgspec.MsgspecError as error:
             raise _error(f"malformed response: {error}", path) from error
 
-    def _record_era(self, text: str) -> None:
-        """Record the era that an answer names."""
+    def _read_era(self, text: str, path: str) -> int:
+        """Return the era of an answer; one without a valid era is of the known one.
+
+        Raises ``StoreUnavailableError`` for a late answer of an earlier era, as what it
+        says no longer holds.
+        """
         if not ERA_PATTERN.fullmatch(text):
-            if text or self.era is not None:
+            if text or self._era is not None:
                 log(Event.STORE_ERA_UNKNOWN, era=self.era)
-            return
+            return self.era
         era = int(text)
-        if self.era is not None and era > self.era:
-            log(Event.STORE_RESTORED, era=era, number=self.era)
-        self.era = era if self.era is None else max(era, self.era)
+        if era < self.era:
+            raise _error(f"answer of era {era}, before {self.era}", path)
+        if self._era is not None and era > self._era:
+            log(Event.STORE_RESTORED, era=era, number=self._era)
+            self._era = era
+            self.on_restored()
+        self._era = era
+        return era
 
 
 def _make_pool(address: str) -> BackendPool:
@@ -223,6 +243,15 @@
     return Row(row.key, value, row.ver, row.tombstone)
 
 
+def _history_gone(step: str) -> HistoryGoneError:
+    return HistoryGoneError(
+        "change history no longer available",
+        step=step,
+        peer=PEER,
+        outcome=Outcome.UNKNOWN,
+    )
+
+
 def _error(message: str, step: str) -> StoreUnavailableError:
     return StoreUnavailableError(
         message, step=step.strip("/"), peer=PEER, outcome=Outcome.UNKNOWN
--- a/papayarelay/tests/test_broadcast.py
+++ b/papayarelay/tests/test_broadcast.py
@@ -15,6 +15,7 @@
 from ..nodes.freshness import TableReport
 from ..retry import RetryUsage
 from ..routing import EngineWork
+from ..store.revision import Revision
 
 TIMEOUT_S = 5.0
 WORK = {"engine-1": EngineWork(2, 1, 0.25, 5000)}
@@ -126,7 +127,8 @@
 
     def test_table_reports_echo_a_timestamp(self):
         """A peer's read would appear fresher than it is, if its delay did not count."""
-        self.first.own = NodeStatus(table_reports={"op": TableReport(9, 7, 0.5)})
+        report = TableReport(Revision(2, 9), 7, 0.5)
+        self.first.own = NodeStatus(table_reports={"op": report})
         wait_for(
             lambda: 2000.0 in self.second.echoed_times, TIMEOUT_S, "echoed timestamp"
         )
--- a/papayarelay/tests/test_freshness.py
+++ b/papayarelay/tests/test_freshness.py
@@ -4,6 +4,12 @@
 import unittest
 
 from ..nodes.freshness import TableFreshness, TableReport, content_digest
+from ..store.revision import Revision
+
+
+def make_report(version: int, digest: int, age_s: float) -> TableReport:
+    """Return a report on a store that was never restored."""
+    return TableReport(Revision(0, version), digest, age_s)
 
 
 class TableFreshnessTest(unittest.TestCase):
@@ -11,32 +17,32 @@
 
     def setUp(self):
         self.known = TableFreshness()
-        self.known.read(10, 8, 100.0)
+        self.known.read(Revision(0, 10), 8, 100.0)
 
     def test_never_read(self):
         """A node that has not read a table would count as up to date."""
         known = TableFreshness()
-        self.assertTrue(known.apply_report(TableReport(10, 8, 0.0), 100.0))
+        self.assertTrue(known.apply_report(make_report(10, 8, 0.0), 100.0))
         self.assertGreater(known.age_s(100.0), 1e9)
 
     def test_report(self):
         """A report's age would count from its arrival, not from the echoed time."""
-        self.assertFalse(self.known.apply_report(TableReport(12, 8, 0.5), 103.0))
+        self.assertFalse(self.known.apply_report(make_report(12, 8, 0.5), 103.0))
         self.assertEqual(self.known.age_s(104.0), 1.5)
 
     def test_old_report(self):
         """A delayed report would change the age or version of a table."""
-        self.known.apply_report(TableReport(12, 8, 0.0), 103.0)
-        self.known.apply_report(TableReport(11, 8, 0.0), 104.0)
+        self.known.apply_report(make_report(12, 8, 0.0), 103.0)
+        self.known.apply_report(make_report(11, 8, 0.0), 104.0)
         self.assertEqual(self.known.age_s(104.0), 1.0)
-        self.assertEqual(self.known.version, 12)
+        self.assertEqual(self.known.revision, Revision(0, 12))
 
     def test_change(self):
         """A table would count as up to date though a reported change was not read."""
-        self.assertTrue(self.known.apply_report(TableReport(12, 11, 0.0), 103.0))
+        self.assertTrue(self.known.apply_report(make_report(12, 11, 0.0), 103.0))
         self.assertTrue(self.known.is_stale)
         self.assertEqual(self.known.age_s(103.0), 3.0)
-        self.known.read(13, 11, 103.5)
+        self.known.read(Revision(0, 13), 11, 103.5)
         self.assertFalse(self.known.is_stale)
 
     def test_digest(self):
@@ -68,7 +74,8 @@
             index = rng.randrange(4)
             if rng.random() < 0.3:
                 known[index] = contents[-1]
-                nodes[index].read(len(contents), content_digest(contents[-1]), now_s)
+                revision = Revision(0, len(contents))
+                nodes[index].read(revision, content_digest(contents[-1]), now_s)
             else:
                 report = nodes[index].report(now_s)
                 for other in range(4):
@@ -88,5 +95,5 @@
                     if version + 1 == len(contents)
                     or written_s[version + 1] >= confirmed_s - 1e-9
                 ]
-                if each.version:
+                if each.revision:
                     self.assertIn(known[number], later)
--- a/papayarelay/tests/test_platform.py
+++ b/papayarelay/tests/test_platform.py
@@ -21,10 +21,12 @@
 from ..logs import JsonLinesHandler
 from ..platform import config as platform_config
 from ..platform import settings as platform_settings
-from ..platform.feed import OUTAGE_GRACE_S, PlatformFeed
+from ..platform.feed import PlatformFeed
 from ..platform.node_registry import LEASE_S, RENEW_INTERVAL_S, NodeRegistry
 from ..platform.reload import SettingsReloader
+from ..platform.server_list import OUTAGE_GRACE_S
 from ..platform.store import HistoryGoneError, Row, Rows, StoreClient
+from ..store.revision import Revision
 from .platform_documents import SETTINGS, make_document, make_entry
 from .store_standin import StoreFaults, StoreStandIn
 
@@ -253,7 +255,6 @@
     """Returns prepared responses by table; an exception among them is raised."""
 
     def __init__(self):
-        self.era = 0
         self.tables = {"op": [], "servers": []}
 
     def read(self, table):
@@ -271,6 +272,11 @@
         return answer
 
 
+def make_rows(rows: tuple[Row, ...], version: int) -> Rows:
+    """Return rows as of a version of a store that was never restored."""
+    return Rows(rows, Revision(0, version))
+
+
 def make_row(key: str, fields: dict | None, version: int) -> Row:
     """Return a row, a tombstone if there are no fields."""
     if fields is None:
@@ -310,19 +316,19 @@
         )
 
     def _config(self, version: int, *rows: Row) -> None:
-        self.store.tables["op"].append(Rows(rows, version))
+        self.store.tables["op"].append(make_rows(rows, version))
         self.feed._read_config()
 
     def _servers(self, version: int, *rows: Row) -> None:
-        self.store.tables["servers"].append(Rows(rows, version))
+        self.store.tables["servers"].append(make_rows(rows, version))
         self.feed._read_servers()
 
     def _peer_config(self, version: int, *rows: Row) -> None:
-        self.peer_store.tables["op"].append(Rows(rows, version))
+        self.peer_store.tables["op"].append(make_rows(rows, version))
         self.peer._read_config()
 
     def _peer_servers(self, version: int, *rows: Row) -> None:
-        self.peer_store.tables["servers"].append(Rows(rows, version))
+        self.peer_store.tables["servers"].append(make_rows(rows, version))
         self.peer._read_servers()
 
     def _start(self) -> None:
@@ -353,7 +359,7 @@
         self._start()
         for answer in (
             history_gone(),
-            Rows((make_row("config", make_document(1), 5),), 6),
+            make_rows((make_row("config", make_document(1), 5),), 6),
         ):
             self.store.tables["op"].append(answer)
         self.now_s += 4.0
@@ -430,7 +436,8 @@
         self._peer_servers(11, make_row("e1", make_entry(state="draining"), 11))
         self.feed.apply_notification(self.notifications[0])
         self.assertEqual(self._states(), {"e1": "leaving", "e2": "active"})
-        self.assertEqual(self.feed._tables["servers"].version, 11)
+        revision = self.feed._tables["servers"].revision
+        self.assertEqual(revision, Revision(0, 11))
         self.assertFalse(self.feed._read_due["servers"].is_set())
 
     def test_notification_after_gap(self):
@@ -482,7 +489,7 @@
 
         def slow(table, after, wait_s):
             self.now_s += 2.0
-            return Rows((), 11)
+            return make_rows((), 11)
 
         self.store.read_changes = slow
         self.feed._read_config()
@@ -520,7 +527,7 @@
         self.assertEqual(sorted(self._states()), ["e1", "e2"])
         self._servers(12, make_row("e1", make_entry(), 13))
         self.now_s += OUTAGE_GRACE_S
-        self.feed._check_removals()
+        self.feed._check_due("servers")
         self.assertEqual(sorted(self._states()), ["e1"])
 
     def test_partitioned_from_store(self):
@@ -571,18 +578,18 @@
         self._start()
         bad = make_row("e3", make_entry(), 11)
         more = make_row("e4", make_entry(address="10.0.0.4:80"), 12)
-        waits = [Rows((bad,), 11), Rows((more,), 12)]
+        waits = [make_rows((bad,), 11), make_rows((more,), 12)]
         self.store.tables["servers"] = waits
-        self.store.tables["op"] = [Rows((), 12)] * 1000
-        apply_row = self.feed._apply_server_row
+        self.store.tables["op"] = [make_rows((), 12)] * 1000
+        apply_row = self.feed._servers._apply_row
 
-        def fail(row, now_s):
+        def fail(row, *arguments):
             if row.key == "e3":
                 raise ValueError("unexpected")
-            return apply_row(row, now_s)
+            return apply_row(row, *arguments)
 
         self.now_s += 100.0
-        with mock.patch.object(self.feed, "_apply_server_row", fail):
+        with mock.patch.object(self.feed._servers, "_apply_row", fail):
             self.feed.start()
             self.addCleanup(self.feed.close)
             wait_for(lambda: "e4" in self.feed.config.backends, LIMIT_S, "later rows")
@@ -626,25 +633,26 @@
 
     def test_changes(self):
         """A change would be missed, or a long poll would never return."""
-        version = self.client.read("t").version
-        task = gevent.spawn(self.client.read_changes, "t", version, 2.0)
+        revision = self.client.read("t").revision
+        task = gevent.spawn(self.client.read_changes, "t", revision, 2.0)
         wait_for(lambda: "rows-feed" in self.standin.calls, LIMIT_S, "call")
         self.standin.put("t", "k", {"a": 1})
         rows = task.get(timeout=LIMIT_S)
         self.assertEqual([row.key for row in rows.rows], ["k"])
         self.standin.remove("t", "k")
         self.assertTrue(
-            self.client.read_changes("t", rows.version, 0.0).rows[0].removed
+            self.client.read_changes("t", rows.revision, 0.0).rows[0].removed
         )
-        self.assertEqual(self.client.read_changes("t", rows.version + 1, 0.1).rows, ())
+        last = Revision(0, rows.revision.number + 1)
+        self.assertEqual(self.client.read_changes("t", last, 0.1).rows, ())
 
     def test_history_gone(self):
         """A gap in the change history would go unnoticed."""
-        version = self.client.read("t").version
+        revision = self.client.read("t").revision
         self.standin.put("t", "k", {})
         self.standin.drop_history()
         with self.assertRaises(HistoryGoneError):
-            self.client.read_changes("t", version, 0.0)
+            self.client.read_changes("t", revision, 0.0)
 
     def test_value_that_is_not_ascii(self):
         """A value that is not valid base64 would end the task that reads it."""
