Let fencing tokens rise with time, and play restores in the model

Tokens now rise with the wall clock too, so that a later one is higher if more time than the clock skew has passed.

--- a/papayarelay/lease.py
+++ b/papayarelay/lease.py
@@ -32,6 +32,9 @@
 CLOCK_SKEW_MARGIN_S = 10.0
 # Time from the announcement of a command to its deadline.
 COMMAND_TIMEOUT_S = 30.0
+# Fencing tokens rise with time as well, so that a store that was restored from a backup
+# does not lead to the same ones again.
+TOKENS_PER_S = 1000
 MAX_WRITE_TRIES = 3
 RETRY_AFTER_S = 1.0
 
@@ -102,6 +105,11 @@
     return max(ends_s) - now_s
 
 
+def next_token(last: int, now_s: float) -> int:
+    """Return the fencing token that follows the last one in the store."""
+    return max(last + 1, int(now_s * TOKENS_PER_S))
+
+
 def may_write(lease: Lease, now_s: float) -> bool:
     """Return whether the owner may renew the lease or announce a command."""
     return now_s < lease.row.end_s
@@ -141,7 +149,7 @@
             )
         new_row = LeaseRow(
             self._owner,
-            1 if row is None else row.number + 1,
+            next_token(0 if row is None else row.number, now_s),
             now_s + self._lease_s,
             # The deadline of a pending command has passed, or the engine rejects the
             # command once it has seen a higher fencing token.
@@ -173,7 +181,9 @@
             message = "a command without a response may still take effect"
             raise _conflict_error(lease.engine, message, end_s - now_s)
         return self._update(
-            lease, number=lease.row.number + 1, order_end_s=now_s + COMMAND_TIMEOUT_S
+            lease,
+            number=next_token(lease.row.number, now_s),
+            order_end_s=now_s + COMMAND_TIMEOUT_S,
         )
 
     def confirm(self, lease: Lease) -> Lease:
--- a/papayarelay/model/claims.py
+++ b/papayarelay/model/claims.py
@@ -51,6 +51,7 @@
     NOT_RUN_UNCONFIRMED = "not_run without a confirmed row"
     TAKEOVER = "takeover of a claim"
     RESEND = "retry after an unknown outcome"
+    RESTORED = "claims lost in a restore of the store"
 
 
 class Row(NamedTuple):
@@ -114,6 +115,8 @@
                 )
                 yield Step("execute", index), _with_attempt(state, index, executed)
             yield from self._attempt_steps(state, index, attempt)
+        if self._fault is ClaimFault.RESTORED and state.row.version:
+            yield Step("restore", "store"), state._replace(row=Row())
 
     def violation(self, state: State) -> str | None:
         """Describe the property that a state violates, or return None."""
--- a/papayarelay/standins/tables.py
+++ b/papayarelay/standins/tables.py
@@ -10,6 +10,7 @@
 import base64
 import binascii
 import contextlib
+import copy
 from collections.abc import Callable, Iterable, Sequence
 from typing import Literal
 from urllib.parse import parse_qs
@@ -101,6 +102,15 @@
         self._rows: dict[str, TableRow] = {}
         self._version = 0
 
+    def back_up(self) -> Tables:
+        """Return a copy of all rows and of the version."""
+        return copy.deepcopy(self)
+
+    def restore(self, backup: Tables) -> None:
+        """Replace all rows and the version by those of a backup."""
+        self._rows = copy.deepcopy(backup._rows)
+        self._version = backup._version
+
     def get(self, key: str) -> TableRow | None:
         """Return a row or None."""
         return self._rows.get(key)
