Do not take a restored store's configuration for current at once

Cause: a read of a later era says what the copy has, not what was lost. The age of the configuration counts on from the last read of the earlier era, until the document is written again, or for 1 s. Reads are paced by their own time, not by that age. The digest that nodes compare covers what is in force as well, so that a node does not take over the age of one that knows a newer document; a configuration that the store has lost is sent to the group each 0.25 s instead of 1 s.

test_revocation_that_this_node_has_not_seen and test_peer_that_knows_a_lost_document fail before.

--- a/papayarelay/nodes/freshness.py
+++ b/papayarelay/nodes/freshness.py
@@ -50,6 +50,7 @@
         self.revision: Revision | None = None
         self._digest = 0
         self._confirmed_s = -math.inf
+        self._read_s = -math.inf
         self._conflicting = NO_CONFLICT
 
     @property
@@ -61,11 +62,22 @@
         """Return for how long the table may have changed without being noticed."""
         return now_s - self._confirmed_s
 
-    def read(self, revision: Revision, digest: int, issued_s: float) -> None:
-        """Record a read by this node that was issued at ``issued_s``."""
+    def read_age_s(self, now_s: float) -> float:
+        """Return the time since the last read, or the last peer's read of the same."""
+        return now_s - max(self._read_s, self._confirmed_s)
+
+    def read(
+        self, revision: Revision, digest: int, issued_s: float, is_current: bool = True
+    ) -> None:
+        """Record a read by this node that was issued at ``issued_s``.
+
+        A read that is not current leaves the age as it is.
+        """
         self.revision = max(self.revision or revision, revision)
         self._digest = digest
-        self._confirmed_s = max(self._confirmed_s, issued_s)
+        self._read_s = max(self._read_s, issued_s)
+        if is_current:
+            self._confirmed_s = max(self._confirmed_s, issued_s)
 
     def apply_report(self, report: TableReport, echoed_s: float) -> bool:
         """Apply a peer's report that echoes ``echoed_s``; return whether to read.
--- a/papayarelay/platform/config_rows.py
+++ b/papayarelay/platform/config_rows.py
@@ -20,6 +20,9 @@
 MAX_DOCUMENT_BYTES = 1 << 20
 # Time in which operators write again what a restore has lost.
 REWRITE_S = 10.0
+# The rows of a restored store may lack changes that this node has not seen.  They count
+# as current once the document is written again, or after this time.
+CONFIRM_S = 1.0
 DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
@@ -60,6 +63,7 @@
         self._era: int | None = None
         # Era of the last rows.
         self._stored_era = 0
+        self._current_from_s = 0.0
         # Digests of the rows in the store.
         self._stored: dict[str, int] = {}
         self._documents = RestoreGuard[_Stored](_digest, _precedes, REWRITE_S)
@@ -76,7 +80,13 @@
 
     @property
     def digest(self) -> int:
-        """Return the digest of the configuration rows in the store."""
+        """Return the digest of the rows in the store and of what is in force."""
+        document = self._current and self._current.digest
+        in_force = (document, sorted(self.evacuated))
+        return content_digest((self._stored_digest, in_force))
+
+    @property
+    def _stored_digest(self) -> int:
         return content_digest(sorted(self._stored.items()))
 
     @property
@@ -89,6 +99,10 @@
         """Return whether ``check`` has something to do soon."""
         return self.held_count > 0
 
+    def is_current(self, now_s: float) -> bool:
+        """Return whether the rows in the store have all changes up to now."""
+        return now_s >= self._current_from_s
+
     def apply(
         self, rows: Rows, is_full: bool, is_restored: bool, now_s: float
     ) -> tuple[list[Row], bool]:
@@ -100,6 +114,10 @@
         self._stored_era = rows.revision.era
         if is_full:
             self._stored = {}
+        if is_restored:
+            self._current_from_s = now_s + CONFIRM_S
+        elif not is_full and any(row.key == CONFIG_KEY for row in rows.rows):
+            self._current_from_s = now_s
         for row in rows.rows:
             if row.removed:
                 self._stored.pop(row.key, None)
@@ -141,7 +159,7 @@
             return None
         left_s = max(each.due_s for each in held) - now_s
         return KeptConfig(
-            self.digest,
+            self._stored_digest,
             zlib.compress(self._current.text),
             sorted(self.evacuated),
             max(0, round(1000 * left_s)),
@@ -152,7 +170,7 @@
 
         It is used only while the store's content is the same for both nodes.
         """
-        if self._current is None or kept.digest != self.digest:
+        if self._current is None or kept.digest != self._stored_digest:
             return False
         due_s = now_s + kept.left_ms / 1000
         missing = set(kept.evacuated) - self.evacuated
--- a/papayarelay/platform/feed.py
+++ b/papayarelay/platform/feed.py
@@ -50,7 +50,7 @@
 # Interval of the checks for rows that are due for a change.
 DUE_CHECK_S = 0.2
 # Interval at which a group is told of a configuration that the store has lost.
-KEPT_CONFIG_INTERVAL_S = 1.0
+KEPT_CONFIG_INTERVAL_S = 0.25
 
 
 class _ChangedRow(msgspec.Struct, array_like=True):
@@ -253,7 +253,7 @@
             limit_s = self._bounds.drain_s
             fraction = FIRST_READ_FRACTION if rank == 0 else OTHERS_READ_FRACTION
         due_s = (fraction + RANK_DELAY_FRACTION * rank) * limit_s
-        return due_s - known.age_s(self._age_clock())
+        return due_s - known.read_age_s(self._age_clock())
 
     def _read_config(self) -> None:
         self._read(CONFIG_TABLE, CONFIG_LONG_POLL_S if self._rank() == 0 else 0.0)
@@ -271,7 +271,9 @@
             return
         self._record_success()
         changed = self._apply_rows(table, rows, is_full)
-        known.read(rows.revision, self._contents[table].digest, asked_s)
+        content = self._contents[table]
+        is_current = content.is_current(self._clock())
+        known.read(rows.revision, content.digest, asked_s, is_current)
         if changed:
             self._notify_peers(table, before, rows.revision, changed)
 
--- a/papayarelay/platform/server_list.py
+++ b/papayarelay/platform/server_list.py
@@ -61,6 +61,10 @@
         """Return whether ``check`` has something to do soon."""
         return bool(self._removal_due_s or self._guard.held)
 
+    def is_current(self, now_s: float) -> bool:
+        """Return True: each server tells by itself what it has lost in a restore."""
+        return True
+
     def record_store_up(self, up: bool, now_s: float) -> None:
         """Record whether the store answers any node."""
         if up and not self._store_up:
--- a/papayarelay/tests/soak/backend.py
+++ b/papayarelay/tests/soak/backend.py
@@ -103,6 +103,11 @@
         self._server = RawServer(self._serve, self._port)
         self._heartbeat = gevent.spawn(self._send_heartbeats)
 
+    def register_again(self) -> None:
+        """Write the entry again after a restore of the store, if it is running."""
+        if self._heartbeat:
+            self._register()
+
     def drain(self) -> None:
         """Register this server as draining."""
         self.draining_s = time.monotonic()
--- a/papayarelay/tests/soak/environment.py
+++ b/papayarelay/tests/soak/environment.py
@@ -147,6 +147,20 @@
             self.store.remove("op", f"evacuate/{zone}")
             self.evacuated_s.pop(zone, None)
 
+    def write_again(self) -> None:
+        """Write what a restore has lost, as the operator and the servers do."""
+        self.store.put("op", "config", self.versions[-1].document)
+        for zone in DATA_CENTRES:
+            if zone in self.evacuated_s:
+                self.store.put("op", f"evacuate/{zone}", {})
+            else:
+                self.store.remove("op", f"evacuate/{zone}")
+        present = {backend.id for backend in self.backends}
+        for name in self.store.rows.tables["servers"].keys() - present:
+            self.store.remove("servers", name)
+        for backend in self.backends:
+            backend.register_again()
+
     def event_count(self, attempt: str) -> int:
         """Return the number of events in the stream of a request."""
         return 3 + int(attempt[:4], 16) % 25
--- a/papayarelay/tests/soak/injector.py
+++ b/papayarelay/tests/soak/injector.py
@@ -28,6 +28,9 @@
 # Longer than the time after which nodes must send no such requests.
 POISON_DURATION_S = (5.0, 10.0)
 POISON_CLIENT_NUMBER = 99
+# Age of a backup of the store, and how long after it what was lost is written again.
+BACKUP_AGE_S = (1.0, 10.0)
+MAX_REWRITE_S = 0.5
 # Fraction of the limits that all servers of a service name.
 ALL_LIMITED_RATIO = 0.2
 
@@ -42,6 +45,7 @@
         # Separate, so that the series of the other faults stays the same.
         self._limit_rng = random.Random(environment.seed)
         self._poison_rng = random.Random(environment.seed)
+        self._restore_rng = random.Random(environment.seed)
         self._faults = (
             self._kill,
             self._pause,
@@ -71,6 +75,7 @@
         tasks = [
             gevent.spawn(self._name_limits_until, end_s),
             gevent.spawn(self._poison_until, end_s),
+            gevent.spawn(self._restore_until, end_s),
         ]
         while time.monotonic() < end_s:
             tasks.append(gevent.spawn(rng.choice(self._faults)))
@@ -267,6 +272,23 @@
             gevent.sleep(rng.uniform(*POISON_DURATION_S))
             poison.end()
 
+    def _restore_until(self, end_s: float) -> None:
+        """Restore the store from backups of some seconds ago."""
+        rng = self._restore_rng
+        environment = self._environment
+        while time.monotonic() < end_s:
+            backup = environment.store.back_up()
+            gevent.sleep(rng.uniform(*BACKUP_AGE_S))
+            self._note("store restored from a backup")
+            environment.store.faults = StoreFaults("silent")
+            self._hold_store(rng.uniform(0.1, 2.0))
+            environment.store.restore(backup)
+            environment.store.faults = StoreFaults()
+            self._hold_store(rng.uniform(0.0, MAX_REWRITE_S))
+            environment.write_again()
+            environment.store_disturbed_s = time.monotonic()
+            gevent.sleep(rng.uniform(0.0, 6.0))
+
     def _set_limits(self, backends: list[BackendStandIn], per_s: float) -> None:
         for backend in backends:
             self._note(f"{backend.id} names a limit of {per_s:g} a second")
--- a/papayarelay/tests/test_restored_store.py
+++ b/papayarelay/tests/test_restored_store.py
@@ -8,7 +8,7 @@
 from ..errors import StoreError
 from ..local import wait_for
 from ..platform.config import MEMBER
-from ..platform.config_rows import REWRITE_S
+from ..platform.config_rows import CONFIRM_S, REWRITE_S
 from ..platform.feed import KEPT_CONFIG_INTERVAL_S, PlatformFeed
 from ..platform.node_registry import LEASE_S, NodeRegistry
 from ..platform.server_list import OUTAGE_GRACE_S, RENEW_S
@@ -231,6 +231,45 @@
         self.node.read()
         self.assertEqual(self.node.keys, 1)
 
+    def test_revocation_that_this_node_has_not_seen(self):
+        """A key would be accepted after a restore that has lost its revocation.
+
+        Found by the soak (seed 804): the node was cut off from the store when the key
+        was revoked, and took its configuration for current after the restore.
+        """
+        self.now_s += 6.0
+        self._put_config(4, "k1")
+        self.standin.restore(self.backup)
+        self.node.read()
+        self.assertEqual(self.node.keys, 2)
+        self.assertEqual(self.node.feed.config_age_s(), 6.0)
+        self._put_config(4, "k1")
+        self.node.read()
+        self.assertEqual(self.node.keys, 1)
+        self.assertEqual(self.node.feed.config_age_s(), 0.0)
+
+    def test_nothing_lost(self):
+        """A node would wait for good for changes to be written again."""
+        self._lose()
+        self.node.read()
+        self.now_s += CONFIRM_S
+        self.node.read()
+        self.assertEqual(self.node.feed.config_age_s(), 0.0)
+
+    def test_peer_that_knows_a_lost_document(self):
+        """A node would take over the age of a peer with a newer document in force."""
+        peer = NodeUnderTest(self)
+        self._put_config(4, "k1")
+        peer.read()
+        self.standin.restore(self.backup)
+        self.now_s += 6.0
+        peer.read()
+        self.node.read()
+        self.now_s += CONFIRM_S
+        peer.read()
+        self.node.feed.apply_table_reports(peer.feed.table_reports(), self.now_s)
+        self.assertEqual(self.node.feed.config_age_s(), 6.0 + CONFIRM_S)
+
     def test_draining_server(self):
         """A draining server would get requests, as the backup has it as ready."""
         self._put_server("e1", state="draining")
