--- a/papayarelay/callers/connection.py
+++ b/papayarelay/callers/connection.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import gevent
@@ -98,8 +98,8 @@
         self._check_head(event)
         return event
 
-    def read_body(self) -> bytes:
-        """Return the body of the request.
+    def read_body(self, on_part: Callable[[bytes], None] = lambda part: None) -> bytes:
+        """Return the body of the request; ``on_part`` is called with each part.
 
         Raises ``BodyTooLargeError``, ``RequestError`` and ``CallerGoneError``.
         """
@@ -116,6 +116,7 @@
             if not isinstance(event, h11.Data):
                 raise caller_gone_error("read_body")
             parts.append(bytes(event.data))
+            on_part(parts[-1])
             size += len(event.data)
             if size > self._limits.body_bytes:
                 raise BodyTooLargeError(
--- a/papayarelay/callers/gateway.py
+++ b/papayarelay/callers/gateway.py
@@ -30,7 +30,7 @@
 from ..events import Event
 from ..logs import log
 from ..request import Headers, Request, RequestKind
-from ..segments import segment_name
+from ..segments import RequestDigest, segment_name
 from . import response
 from .body import BodyMemory
 from .connection import CallerConnection
@@ -247,7 +247,9 @@
         target = head.target.decode("ascii")
         route = self._find_route(_header(headers, b"host"), target)
         caller = self._authenticate(route, fields.key)
-        body = self._read_body(stack, connection)
+        method = head.method.decode("ascii")
+        digest = RequestDigest(method, target, caller.organisation)
+        body = self._read_body(stack, connection, digest)
         service = pick_service(route, self._rng)
         kind = self._kind(route, caller, service)
         allowed_s = min(kind.deadline_s, fields.allowed_s or kind.deadline_s)
@@ -264,11 +266,12 @@
             stream=route.stream,
             received_s=received_s,
             deadline_s=received_s + allowed_s,
-            method=head.method.decode("ascii"),
+            method=method,
             headers=fields.headers,
             service=service,
             resume_from=fields.resume_from,
             segments=fields.segments,
+            digest=digest.value,
         )
         self._recorder.record_admitted(request)
         log(
@@ -280,6 +283,7 @@
             prompt_tokens=request.prompt_tokens,
             received=request.resume_from,
             segments=tuple(map(segment_name, request.segments)),
+            digest=segment_name(request.digest),
             allowed_s=round(allowed_s, 3),
             config_version=self._config.version,
             config_age_s=round(self._config_age_s(), 3),
@@ -325,10 +329,12 @@
             priority = organisation.priority
         return replace(route.kind, target=target, priority=priority)
 
-    def _read_body(self, stack: ExitStack, connection: CallerConnection) -> bytes:
+    def _read_body(
+        self, stack: ExitStack, connection: CallerConnection, digest: RequestDigest
+    ) -> bytes:
         try:
             with gevent.Timeout(BODY_TIMEOUT_S):
-                body = connection.read_body()
+                body = connection.read_body(digest.update)
         except gevent.Timeout:
             raise DeadlineError(
                 "timed out reading the request body", step="read_body", peer="caller"
--- a/papayarelay/callers/parse.py
+++ b/papayarelay/callers/parse.py
@@ -13,7 +13,7 @@
 from ..cost import DEFAULT_MAX_TOKENS, estimate_min_tokens, estimate_tokens
 from ..errors import AuthenticationError, RequestError, UnknownResourceError
 from ..request import Request, RequestKind
-from ..segments import digest_segments
+from ..segments import digest_request, digest_segments
 from .body import yield_to_event_loop
 
 MAX_DEADLINE_S = 3600.0
@@ -153,6 +153,7 @@
         deadline_s=now_s + _timeout_s(kind, headers),
         idempotency_key=key,
         segments=_shared_segments(fields),
+        digest=digest_request("POST", path, _caller_name(caller), body),
     )
 
 
@@ -186,9 +187,14 @@
         received_s=now_s,
         deadline_s=now_s + _timeout_s(kind, headers),
         idempotency_key=_idempotency_key(kind, headers),
+        digest=digest_request("POST", f"/{kind.name}", _caller_name(caller), body),
     )
 
 
+def _caller_name(caller: Caller) -> str:
+    return f"{caller.member}/{caller.organisation}"
+
+
 def _shared_segments(fields: _ChatBody | _CompletionBody) -> tuple[int, ...]:
     """Return the digests of the messages but the last; other chats may share them."""
     if isinstance(fields, _CompletionBody):
--- a/papayarelay/logs.py
+++ b/papayarelay/logs.py
@@ -34,6 +34,7 @@
         "backends",
         "channel",
         "data_centre",
+        "digest",
         "editor",
         "from_next_start",
         "from_state",
--- a/papayarelay/request.py
+++ b/papayarelay/request.py
@@ -39,7 +39,8 @@
     target with the query.  ``service`` is the group of backend servers selected
     by the route, ``resume_from`` the last event that the caller has received.
     ``segments`` are the digests of the prompt segments but the last, which other
-    requests may share.
+    requests may share.  ``digest`` is that of the whole request: it is the same when
+    its caller sends it again.
     """
 
     id: str
@@ -60,6 +61,7 @@
     service: str = ""
     resume_from: int = 0
     segments: tuple[int, ...] = ()
+    digest: int = 0
 
     @property
     def target_name(self) -> str:
