--- a/papayarelay/tests/test_poison_api.py
+++ b/papayarelay/tests/test_poison_api.py
@@ -48,3 +48,14 @@
         self.assertEqual(statuses[-1], 400)
         self.assertLessEqual(crashes, 6)
         self.assertEqual(self._send(shared, "another"), 200)
+
+    def test_request_that_crashes_engines(self):
+        """Guards against a request that crashes engines each time it is sent again.
+
+        None of its segments is shared with other requests.
+        """
+        statuses = [self._send(BAD) for _ in range(8)]
+        crashes = sum(engine.model.crashes for engine in self.system.engines)
+        self.assertEqual(statuses[-1], 400)
+        self.assertLessEqual(crashes, 6)
+        self.assertEqual(self._send("another"), 200)
