Blame requests as a whole for crashes of engines

Cause: the guard could blame only prompt segments that requests share. A request that crashes engines by its last segment, its body or its path had nothing that could be blamed, and segments that it shares were blamed in its place.

Change: the digest of method, path, organisation and body is blamed by the same evidence as segments, on engines and plain services. Crashes with a segment that one request explains convict the two together only. Only a complete answer clears a request as a whole. Evidence is assessed when it is asked for, not at each message: 195 nodes with half of the requests harmful spent most of their time on it.

--- a/papayarelay/bench/poison.py
+++ b/papayarelay/bench/poison.py
@@ -11,7 +11,6 @@
 import functools
 import random
 import sys
-import zlib
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field, replace
@@ -22,6 +21,7 @@
 from ..poison.exchange import EvidenceSpread
 from ..poison.guard import PROVEN_S, Admission, PoisonGuard
 from ..poison.messages import PoisonMessage, SegmentRecord, encode
+from ..poison.placement import engine_rank
 from ..request import Request, RequestKind
 from .limits import DATAGRAM_HEADER_BYTES, NETWORK_DELAY_S, NODES_PER_DATA_CENTRE
 from .virtual_time import VirtualTime
@@ -41,6 +41,7 @@
 SHARED = 1
 FIRST_CALLER = 100
 CALLERS = 12
+FIRST_DIGEST = 1 << 32
 
 
 @dataclass
@@ -104,7 +105,9 @@
         admission = guard.admission(request, now_s)
         engine = None
         if admission is not Admission.HELD:
-            engine = self._simulation.choose_engine(admission is Admission.ISOLATED)
+            isolated = admission is Admission.ISOLATED
+            key = guard.isolation_key(request) if isolated else None
+            engine = self._simulation.choose_engine(key)
         if engine is not None:
             if admission is Admission.ISOLATED:
                 guard.record_sent(request, now_s)
@@ -134,9 +137,9 @@
             return
         now_s = self._simulation.now_s
         request = attempt.request
-        if attempt.begun_s is None or now_s - attempt.begun_s < PROVEN_S:
-            incarnation = engine.incarnation
-            self.guard.record_crash(request, incarnation, is_alone, now_s)
+        begun_s = now_s if attempt.begun_s is None else attempt.begun_s
+        proven = now_s - begun_s >= PROVEN_S
+        self.guard.record_crash(request, engine.incarnation, is_alone, now_s, proven)
         self.guard.record_ended(request)
         if attempt.number < MAX_ATTEMPTS:
             self.offer(request, attempt.number + 1)
@@ -157,6 +160,8 @@
     def _on_end(self, engine: SimulatedEngine, attempt: _Attempt) -> None:
         if self._is_running(engine, attempt):
             del engine.requests[attempt.request.id]
+            now_s = self._simulation.now_s
+            self.guard.record_answer(attempt.request, attempt.begun_s, now_s, True)
             self.guard.record_ended(attempt.request)
             self.guard.record_finished(attempt.request)
 
@@ -197,9 +202,9 @@
 class PoisonSimulation(VirtualTime):
     """Nodes and engines; ``loss_ratio`` of the datagrams are lost.
 
-    ``harmful`` are the segments that crash engines now, ``arrivals`` the times and
-    nodes of the requests with one of them, ``crashes`` the times of the crashes that
-    they caused.
+    ``harmful`` are the segments and digests that crash engines now, ``arrivals`` the
+    times and nodes of the requests with one of them, ``crashes`` the times of the
+    crashes that they caused.
     """
 
     def __init__(self, nodes: int, engines: int, seed: int, loss_ratio: float = 0.0):
@@ -246,13 +251,18 @@
         start_s: float,
         end_s: float,
         nodes: Sequence[str] = (),
+        digest: int = 0,
     ) -> None:
-        """Offer requests with some segments to random nodes, or to some nodes."""
+        """Offer requests with some segments to random nodes, or to some nodes.
+
+        With a ``digest``, they are the same request, sent again and again.
+        """
         at_s = start_s
         while (at_s := at_s + self._rng.expovariate(per_s)) < end_s:
             chosen = tuple(segments)
             self.schedule(
-                at_s - self.now_s, lambda s=chosen: self.offer(s, self._pick(nodes))
+                at_s - self.now_s,
+                lambda s=chosen: self.offer(s, self._pick(nodes), digest),
             )
 
     def offer_ordinary_load(self, per_s: float, start_s: float, end_s: float) -> None:
@@ -261,11 +271,11 @@
             segments = (SHARED, FIRST_CALLER + number)
             self.offer_load(segments, per_s / CALLERS, start_s, end_s)
 
-    def offer(self, segments: tuple[int, ...], node: SimulatedNode) -> None:
+    def offer(
+        self, segments: tuple[int, ...], node: SimulatedNode, digest: int = 0
+    ) -> None:
         """Offer a request to a node."""
         self._request_number += 1
-        if not self.harmful.isdisjoint(segments):
-            self._harmful_offers.append(self.now_s)
         request = Request(
             id=f"r{self._request_number}",
             member="",
@@ -280,25 +290,28 @@
             received_s=self.now_s,
             deadline_s=self.now_s + 10.0,
             segments=segments,
+            digest=digest or FIRST_DIGEST + self._request_number,
         )
+        if not self.harmful.isdisjoint(request.traits):
+            self._harmful_offers.append(self.now_s)
         node.offer(request)
 
-    def choose_engine(self, isolated: bool) -> SimulatedEngine | None:
-        """Return a random engine, or the first one without requests."""
+    def choose_engine(self, isolation_key: int | None) -> SimulatedEngine | None:
+        """Return a random engine, or for a key the first one without requests."""
         up = [engine for engine in self.engines if engine.is_up]
         if not up:
             return None
-        if not isolated:
+        if isolation_key is None:
             return self._rng.choice(up)
         idle = [engine for engine in up if not engine.requests] or up
-        return min(idle, key=lambda engine: zlib.crc32(engine.id.encode()))
+        return min(idle, key=lambda engine: engine_rank(engine.id, isolation_key))
 
     def send_request(
         self, node: SimulatedNode, engine: SimulatedEngine, attempt: _Attempt
     ) -> None:
         """Send a request to an engine."""
         engine.requests[attempt.request.id] = (node, attempt)
-        harmful = not self.harmful.isdisjoint(attempt.request.segments)
+        harmful = not self.harmful.isdisjoint(attempt.request.traits)
         if harmful:
             self.arrivals.append((self.now_s, node.name))
         started = engine.started
@@ -346,11 +359,13 @@
         """Return how many harmful requests callers have sent since a time."""
         return sum(at_s >= from_s for at_s in self._harmful_offers)
 
-    def late_arrivals(self, contact_s: float, excused: Collection[str] = ()) -> int:
+    def late_arrivals(
+        self, contact_s: float, excused: Collection[str] = (), free_crashes: int = 5
+    ) -> int:
         """Return the harmful requests later than a time after the fifth crash."""
-        if len(self.crashes) < 5:
+        if len(self.crashes) < free_crashes:
             return 0
-        from_s = self.crashes[4] + contact_s
+        from_s = self.crashes[free_crashes - 1] + contact_s
         return sum(at_s > from_s and n not in excused for at_s, n in self.arrivals)
 
     def _pick(self, nodes: Sequence[str]) -> SimulatedNode:
--- a/papayarelay/dispatch.py
+++ b/papayarelay/dispatch.py
@@ -179,6 +179,7 @@
         try:
             while True:
                 queued = self._enqueue(request, progress)
+                progress.begin_attempt()
                 try:
                     while (assignment := queued.wait(QUEUE_KEEP_ALIVE_S)) is None:
                         pass
@@ -192,6 +193,8 @@
         except RelayError as error:
             progress.set_final_outcome(error)
             raise
+        finally:
+            self._guard.record_finished(request)
 
     def _enqueue(self, request: Request, progress: _Progress) -> QueuedAttempt:
         """Queue the next attempt; a ``RelayError`` from here is not retried."""
@@ -236,7 +239,7 @@
         now_s = self._clock()
         entry.circuit.record_success(now_s)
         self._scheduler.record_success(entry)
-        self._record_proof(request, progress, now_s)
+        self._record_proof(request, progress, now_s, complete=True)
         tokens = _cost_of(request).kv_tokens
         entry.warm_up.record_success(tokens, True, now_s)
 
@@ -289,10 +292,14 @@
         except RelayError as error:
             if error.outcome is Outcome.NOT_RUN:
                 guard.undo()
+            if isinstance(error, BackendError):
+                self._record_crash(entry, request, error, progress)
             self._record_failure(entry, error)
             raise
-        entry.circuit.record_success(self._clock())
+        now_s = self._clock()
+        entry.circuit.record_success(now_s)
         self._scheduler.record_success(entry)
+        self._record_proof(request, progress, now_s, complete=True)
         return answer
 
     def _attempt_metadata(
@@ -358,12 +365,16 @@
         self._on_failure(culprit.id)
 
     def _record_proof(
-        self, request: Request, progress: _Progress, now_s: float
+        self,
+        request: Request,
+        progress: _Progress,
+        now_s: float,
+        complete: bool = False,
     ) -> None:
         """Record that an engine answers a request without a crash."""
         progress.proven = True
         begun_s = now_s if progress.first_event_s is None else progress.first_event_s
-        self._guard.record_answer(request, begun_s, now_s)
+        self._guard.record_answer(request, begun_s, now_s, complete)
 
     def _record_crash(
         self,
@@ -372,10 +383,12 @@
         error: BackendError,
         progress: _Progress,
     ) -> None:
-        """Record a connection that was lost when the engine began to answer."""
-        if error.connection_lost and not progress.proven:
+        """Record a connection that was lost when the server began to answer."""
+        if error.connection_lost:
             alone = self._scheduler.is_alone(entry)
-            self._guard.record_crash(request, entry.process, alone, self._clock())
+            self._guard.record_crash(
+                request, entry.process, alone, self._clock(), progress.proven
+            )
 
     def _check_deadline(self, request: Request, peer: str) -> None:
         if request.time_left_s(self._clock()) <= 0:
--- a/papayarelay/events.py
+++ b/papayarelay/events.py
@@ -246,7 +246,7 @@
         1222,
         "error",
         "prompt segment is harmful",
-        "Engines crashed on requests with it, and with each of segments, if any.",
+        "Engines crashed on it (reason: segment or request), with all of segments.",
     )
     SEGMENT_CLEARED = (
         1223,
--- a/papayarelay/operators/explain.py
+++ b/papayarelay/operators/explain.py
@@ -102,9 +102,10 @@
 
     @property
     def suspicions(self) -> tuple[str, ...]:
-        """Return the prompt segments for which the request may crash engines."""
+        """Return what of the request may crash engines: prompt segments, or all."""
         return tuple(
-            f"{SUSPICIONS[line.event]} for segment {line.fields.get('segment')}, known "
+            f"{SUSPICIONS[line.event]} for {line.fields.get('reason', 'segment')} "
+            f"{line.fields.get('segment')}, known "
             f"for {line.fields.get('age_s')} s: {line.fields.get('crashes_count')} "
             f"crashes, of {_join(line.fields.get('backends'))}, seen by "
             f"{_join(line.fields.get('peers'))}"
@@ -143,6 +144,7 @@
     nodes = {line.node for line in request_lines}
     backends = {line.fields.get("backend") for line in request_lines} - {None}
     segments = {s for line in request_lines for s in line.fields.get("segments", ())}
+    segments |= {line.fields.get("digest") for line in request_lines} - {None}
     context_lines = [
         line
         for line in lines
--- a/papayarelay/poison/evidence.py
+++ b/papayarelay/poison/evidence.py
@@ -1,4 +1,8 @@
-"""What all nodes together know of the prompt segments in crashes of engines.
+"""What all nodes together know of the requests in crashes of engines.
+
+A request is blamed by its traits: the segments of its prompt that others may share, and
+the request as a whole, which its caller may send again.  Where this package speaks of
+segments, it means both.
 
 A crash is identified by the incarnation of the engine, which ends with it, so that
 reports of several nodes about one crash count once.  A segment is blamed for the
@@ -92,12 +96,14 @@
 class SegmentEvidence:
     """The crashes that a segment is blamed for.
 
-    ``vouched`` is set if some node has seen whole answers to requests with the
-    segment before.  ``trial`` is the last request with a harmful segment that was let
-    through, ``other_answers`` counts the answers without it since its last crash.
+    ``whole`` is set for a request as a whole, ``vouched`` if some node has seen whole
+    answers to requests with the segment before.  ``trial`` is the last request with a
+    harmful segment that was let through, ``other_answers`` counts the answers without
+    it since its last crash.
     """
 
     first_learned_s: float
+    whole: bool = False
     vouched: bool = False
     crashes: dict[Incarnation, Crash] = field(default_factory=dict)
     trial: Trial | None = None
@@ -183,6 +189,13 @@
     return {key: crash for key, crash in crashes.items() if key not in excluded}
 
 
+def _is_one_request(request: Crashes, crashes: Crashes) -> bool:
+    """Return whether the crashes with a segment may be due to one request with it."""
+    if crashes.keys().isdisjoint(request):
+        return False
+    return _weight(_without(crashes, request).values()) < ISOLATED_WEIGHT
+
+
 def _explains(others: Crashes, crashes: Crashes) -> bool:
     """Return whether the crashes with one segment may be due to another one."""
     unexplained = _without(crashes, others)
@@ -222,13 +235,9 @@
                 (known if found.vouched else new)[segment] = crashes
         candidates = {s: each for s, each in new.items() if _is_verdict(each)}
         harmful = {
-            segment: frozenset(
-                other
-                for other in candidates
-                if other != segment
-                and _explains(candidates[other], candidates[segment])
-            )
+            segment: self._alternatives(segment, candidates)
             for segment in candidates
+            if not self._is_due_to_one_request(segment, new, candidates)
         }
         decided = {i for s, others in harmful.items() if not others for i in new[s]}
         harmful = {
@@ -243,6 +252,40 @@
         suspects = (s for s, each in new.items() if _without(each, decided))
         return Assessment(harmful, frozenset(suspects) - harmful.keys())
 
+    def _is_whole(self, segment: int) -> bool:
+        return self._segments[segment].whole
+
+    def _alternatives(
+        self, segment: int, candidates: Mapping[int, Crashes]
+    ) -> frozenset[int]:
+        """Return the other candidates that may explain the crashes with a segment."""
+        crashes = candidates[segment]
+        return frozenset(
+            other
+            for other, found in candidates.items()
+            if other != segment
+            and (
+                # No request is another one as a whole.
+                not self._is_whole(segment) and _is_one_request(found, crashes)
+                if self._is_whole(other)
+                else _explains(found, crashes)
+            )
+        )
+
+    def _is_due_to_one_request(
+        self,
+        segment: int,
+        new: Mapping[int, Crashes],
+        candidates: Mapping[int, Crashes],
+    ) -> bool:
+        """Return whether one request that is no candidate explains the crashes."""
+        return not self._is_whole(segment) and any(
+            self._is_whole(other)
+            and other not in candidates
+            and _is_one_request(crashes, candidates[segment])
+            for other, crashes in new.items()
+        )
+
     def add_crash(
         self,
         incarnation: Incarnation,
@@ -250,10 +293,17 @@
         reporter: str,
         isolated: bool,
         now_s: float,
+        whole: int = 0,
     ) -> list[int]:
-        """Blame the segments of a request for a crash that this node has seen."""
+        """Blame the segments of a request for a crash that this node has seen.
+
+        ``whole`` is the one of them that stands for the request as a whole.
+        """
         crash = CrashRecord(*incarnation, 0, isolated, False, reporter)
-        records = [SegmentRecord(segment, False, [crash]) for segment in segments]
+        records = [
+            SegmentRecord(segment, False, [crash], whole=segment == whole)
+            for segment in segments
+        ]
         return self.merge(records, now_s)
 
     def vouch(self, segments: Iterable[int], now_s: float) -> list[int]:
@@ -262,17 +312,23 @@
         return self.merge((SegmentRecord(each, True, []) for each in known), now_s)
 
     def record_answer(
-        self, segments: Iterable[int], begun_s: float, now_s: float
+        self,
+        segments: Iterable[int],
+        begun_s: float,
+        now_s: float,
+        unproven: Collection[int] = (),
     ) -> list[int]:
         """Record an answer, which proves the segments of its request harmless.
 
-        It refutes the crashes that were known when it began.
+        It refutes the crashes that were known when it began.  ``unproven`` are those of
+        its request that only a complete answer proves harmless.
         """
         proven = frozenset(segments)
         changed = []
         for segment, found in self._segments.items():
             if segment not in proven:
-                found.other_answers += begun_s >= found.last_crash_s
+                if segment not in unproven:
+                    found.other_answers += begun_s >= found.last_crash_s
                 continue
             known = [each for each in found.blamed if each.learned_s <= begun_s]
             for crash in known:
@@ -334,7 +390,7 @@
         found = self._segments.get(record.segment)
         is_new = found is None
         if is_new:
-            found = SegmentEvidence(now_s)
+            found = SegmentEvidence(now_s, record.whole)
         changed = record.vouched and not found.vouched
         found.vouched |= record.vouched
         for crash in record.crashes:
@@ -402,4 +458,4 @@
     if trial is not None:
         age_ms = round(1000 * (now_s - trial.at_s))
         trial = TrialRecord(trial.number, trial.holder, age_ms)
-    return SegmentRecord(segment, found.vouched, crashes, trial)
+    return SegmentRecord(segment, found.vouched, crashes, trial, found.whole)
--- a/papayarelay/poison/guard.py
+++ b/papayarelay/poison/guard.py
@@ -52,9 +52,10 @@
 
 @dataclass(frozen=True)
 class SegmentDescription:
-    """What a node knows of a suspected segment, for metrics."""
+    """What a node knows of a suspected segment, or request as a whole, for metrics."""
 
     segment: str
+    whole: bool
     harmful: bool
     crashes: int
     reporters: int
@@ -88,6 +89,8 @@
         self._vouches_due_s: dict[int, float] = {}
         self._held: set[str] = set()
         self._assessment = Assessment()
+        # Whether the evidence has changed since the assessment.
+        self._is_outdated = False
         # Harmful segments, and since when this node takes them for it.
         self._harmful: dict[int, float] = {}
 
@@ -112,10 +115,12 @@
 
     def describe(self, now_s: float) -> Iterator[SegmentDescription]:
         """Yield the segments that are suspected or harmful."""
+        self._refresh(now_s)
         for segment, found in self.evidence:
             if self._assessment.is_suspect(segment):
                 yield SegmentDescription(
                     segment_name(segment),
+                    found.whole,
                     segment in self._harmful,
                     len(found.blamed),
                     len(found.reporters),
@@ -128,7 +133,8 @@
         From time to time one such request is let through, to find out whether the
         segment still crashes engines.
         """
-        harmful = self._assessment.find_harmful(request.segments)
+        self._refresh(now_s)
+        harmful = self._assessment.find_harmful(request.traits)
         if not harmful or all(
             self._is_on_trial(segment, request.id) for segment in harmful
         ):
@@ -141,8 +147,9 @@
 
     def admission(self, request: Request, now_s: float) -> Admission:
         """Return how a request that passed ``check`` may be sent now."""
+        self._refresh(now_s)
         admission = Admission.NORMAL
-        for segment in request.segments:
+        for segment in request.traits:
             if not self._assessment.is_suspect(segment):
                 continue
             found = self.evidence.get(segment)
@@ -152,10 +159,19 @@
             admission = Admission.ISOLATED
         return admission
 
+    def isolation_key(self, request: Request) -> int:
+        """Return a key that is the same for suspects that may share a cause.
+
+        Requests that are suspect for a segment of theirs have 0, those that are suspect
+        as a whole have their digest.
+        """
+        shared = any(map(self._assessment.is_suspect, request.segments))
+        return 0 if shared else request.digest
+
     def record_sent(self, request: Request, now_s: float) -> None:
         """Record that an isolated request is sent to an engine."""
         self.counts["isolated"] += 1
-        for segment in request.segments:
+        for segment in request.traits:
             if self._assessment.is_suspect(segment):
                 found = self.evidence.get(segment)
                 self._in_flight[segment] = request.id
@@ -168,14 +184,14 @@
     def record_ended(self, request: Request) -> None:
         """Record that an attempt of a request has ended or left the queue."""
         self._held.discard(request.id)
-        for segment in request.segments:
+        for segment in request.traits:
             if self._in_flight.get(segment) == request.id:
                 del self._in_flight[segment]
                 self._on_change()
 
     def record_finished(self, request: Request) -> None:
         """End the trial of a request, if it is one."""
-        for segment in request.segments:
+        for segment in request.traits:
             if self._trials.get(segment) == request.id:
                 del self._trials[segment]
 
@@ -185,27 +201,42 @@
         incarnation: Incarnation,
         isolated: bool,
         now_s: float,
+        proven: bool = False,
     ) -> None:
-        """Record that an engine crashed when it was about to answer a request."""
+        """Record that an engine crashed when it was about to answer a request.
+
+        Once its answer has ``proven`` its segments harmless, the request is blamed as a
+        whole only.
+        """
         self.record_finished(request)
         blamed = []
         known = []
-        for segment in request.segments:
+        for segment in (request.digest,) if proven else request.traits:
             age_s = self._history.age_s(segment, now_s)
             if age_s is None or age_s > RECENT_ANSWER_S:
                 blamed.append(segment)
                 known += [segment] if age_s is not None else []
         evidence = self.evidence
-        changed = evidence.add_crash(incarnation, blamed, self._own, isolated, now_s)
+        changed = evidence.add_crash(
+            incarnation, blamed, self._own, isolated, now_s, request.digest
+        )
         changed += evidence.vouch(known, now_s)
         self._apply(changed, now_s)
         self._publish_segments(changed, now_s)
 
-    def record_answer(self, request: Request, begun_s: float, now_s: float) -> None:
-        """Record a proven answer to a request; its first event came at ``begun_s``."""
-        self._history.record(request.segments, begun_s)
+    def record_answer(
+        self, request: Request, begun_s: float, now_s: float, complete: bool = False
+    ) -> None:
+        """Record a proven answer to a request; its first event came at ``begun_s``.
+
+        The request as a whole is proven harmless once its answer is ``complete``.
+        """
+        proven = request.traits if complete else request.segments
+        self._history.record(proven, begun_s)
         if self.evidence:
-            changed = self.evidence.record_answer(request.segments, begun_s, now_s)
+            changed = self.evidence.record_answer(
+                proven, begun_s, now_s, unproven=request.traits
+            )
             self._apply(changed, now_s)
             self._publish_segments(changed, now_s)
 
@@ -242,7 +273,9 @@
     def _is_trial_due(self, segment: int, now_s: float) -> bool:
         found = self.evidence.get(segment)
         trials = found.trial.number if found.trial else 0
-        exponent = trials + (len(found.crashes) - trials >= MANY_CRASHES)
+        # The same request again is worth less than all requests with a segment.
+        later = found.whole or len(found.crashes) - trials >= MANY_CRASHES
+        exponent = trials + later
         interval_s = min(MAX_TRIAL_INTERVAL_S, FIRST_TRIAL_S * TRIAL_FACTOR**exponent)
         last_s = max(found.last_crash_s, found.trial.at_s if found.trial else 0.0)
         return now_s - last_s >= interval_s
@@ -269,7 +302,9 @@
             **_log_fields(segment, found, now_s),
         )
         raise HarmfulRequestError(
-            "a part of the prompt crashes engines", step="admission", peer="caller"
+            "the request, or a part of its prompt, crashes engines",
+            step="admission",
+            peer="caller",
         )
 
     def _may_start(
@@ -295,11 +330,20 @@
                 delay_s = self._rng.uniform(0.0, MAX_VOUCH_DELAY_S)
                 self._vouches_due_s.setdefault(segment, now_s + delay_s)
         if changed:
-            self._update_verdicts(now_s)
+            self._is_outdated = True
             self._on_change()
 
+    def _refresh(self, now_s: float) -> None:
+        """Assess the evidence if it has changed.
+
+        Crashes come in bursts of messages, of which only the sum matters.
+        """
+        if self._is_outdated:
+            self._update_verdicts(now_s)
+
     def _update_verdicts(self, now_s: float) -> None:
         """Assess the segments; log those that are harmful from now on, or no more."""
+        self._is_outdated = False
         self._assessment = self.evidence.assess(now_s)
         harmful = self._assessment.harmful.keys()
         for segment in harmful - self._harmful.keys():
@@ -331,6 +375,7 @@
     """Return what led to a decision about a segment."""
     return {
         "segment": segment_name(segment),
+        "reason": "request" if found.whole else "segment",
         "crashes_count": len(found.blamed),
         "backends": tuple(each.id for each in found.crashes)[:MAX_LOGGED],
         "peers": found.reporters[:MAX_LOGGED],
--- a/papayarelay/poison/messages.py
+++ b/papayarelay/poison/messages.py
@@ -31,6 +31,7 @@
     vouched: bool
     crashes: list[CrashRecord]
     trial: TrialRecord | None = None
+    whole: bool = False
 
 
 class PoisonMessage(msgspec.Struct, array_like=True, frozen=True):
--- a/papayarelay/request.py
+++ b/papayarelay/request.py
@@ -63,6 +63,11 @@
     segments: tuple[int, ...] = ()
     digest: int = 0
 
+    @property
+    def traits(self) -> tuple[int, ...]:
+        """Return the digests of all that may make it crash engines."""
+        return (*self.segments, self.digest) if self.digest else self.segments
+
     @property
     def target_name(self) -> str:
         """Return what a server must offer for it: the service, model or kind."""
--- a/papayarelay/scheduler.py
+++ b/papayarelay/scheduler.py
@@ -363,7 +363,8 @@
         untried = [view for view in views if view.id not in queued.tried] or views
         if not isolated:
             return place(self._policy, cost, untried, now_s, self._rng)
-        for choice in isolated_choices(self._policy, cost, untried):
+        key = self._guard.isolation_key(request)
+        for choice in isolated_choices(self._policy, cost, untried, key):
             placement = place(self._policy, cost, choice, now_s, self._rng)
             if placement is not None:
                 return placement
--- a/papayarelay/serving.py
+++ b/papayarelay/serving.py
@@ -104,7 +104,8 @@
         def segments(value: str) -> Iterator[tuple[float, dict[str, str]]]:
             for each in self.guard.describe(self._clock()):
                 verdict = "harmful" if each.harmful else "suspect"
-                labels = {"segment": each.segment, "verdict": verdict}
+                kind = "request" if each.whole else "segment"
+                labels = {"segment": each.segment, "kind": kind, "verdict": verdict}
                 yield getattr(each, value), labels
 
         observe = metrics.register_labelled_gauge
--- a/papayarelay/tests/test_poison.py
+++ b/papayarelay/tests/test_poison.py
@@ -60,6 +60,46 @@
         self._crash(2, [7], 2.0, isolated=True)
         self.assertEqual(self._harmful(2.0), {7})
 
+    def test_request_that_is_sent_again(self):
+        """Guards against a segment that is blamed for one request with it."""
+        for number, isolated in ((1, False), (2, True)):
+            self.evidence.add_crash(
+                at(number), [7, 99], "n1", isolated, float(number), whole=99
+            )
+        assessment = self.evidence.assess(3.0)
+        self.assertEqual(assessment.find_harmful([7, 99]), [7, 99])
+        self.assertEqual(assessment.find_harmful([7, 98]), [])
+
+    def test_segment_of_several_requests(self):
+        """Guards against a request that is blamed for a segment of it."""
+        self.evidence.add_crash(at(1), [7, 99], "n1", False, 1.0, whole=99)
+        self.evidence.add_crash(at(2), [7, 99], "n1", True, 2.0, whole=99)
+        self.evidence.add_crash(at(3), [7, 98], "n2", True, 3.0, whole=98)
+        assessment = self.evidence.assess(3.0)
+        self.assertEqual(assessment.find_harmful([7, 97]), [7])
+
+    def test_requests_that_were_on_the_same_engines(self):
+        """Guards against two requests that hide each other."""
+        for number in range(3):
+            for whole in (98, 99):
+                self.evidence.add_crash(
+                    at(number), [whole], "n1", False, float(number), whole=whole
+                )
+        assessment = self.evidence.assess(3.0)
+        self.assertEqual(assessment.find_harmful([99]), [99])
+        self.evidence.record_answer([98], 2.5, 3.0)
+        assessment = self.evidence.assess(3.0)
+        self.assertEqual(assessment.find_harmful([98]), [])
+        self.assertEqual(assessment.find_harmful([99]), [99])
+
+    def test_answer_that_is_not_complete(self):
+        """Guards against a request that crashes engines late in its answer."""
+        for number in range(3):
+            now_s = float(number)
+            self.evidence.record_answer([7], now_s, now_s, unproven=[7, 99])
+            self.evidence.add_crash(at(number), [99], "n1", False, now_s, whole=99)
+        self.assertEqual(self._harmful(3.0), {99})
+
     def test_engines_that_crash_together(self):
         """Guards against a verdict after a power failure."""
         for number in range(10):
--- a/papayarelay/tests/test_poison_fleet.py
+++ b/papayarelay/tests/test_poison_fleet.py
@@ -9,6 +9,8 @@
 CONTACT_S = 3.0
 ALLOWED_LATE = 3
 HARMFUL, OTHER_HARMFUL = 2, 3
+# Digest of a request as a whole.
+DEADLY = 900
 BEGIN_S = 4.0
 END_S = 16.0
 HOUR_S = 3600.0
@@ -122,6 +124,70 @@
         self.assertEqual(simulation.results()["rejected"], 0)
 
 
+class RequestTest(PoisonFleetTestCase):
+    """Requests that crash engines as a whole, sent again and again."""
+
+    def _offer_request(self, simulation, per_s, digest=DEADLY, end_s=END_S):
+        segments = (SHARED, FIRST_CALLER)
+        simulation.harmful.add(digest)
+        simulation.offer_load(segments, per_s, BEGIN_S, end_s, digest=digest)
+
+    def _check_request(self, simulation):
+        late = simulation.late_arrivals(CONTACT_S, free_crashes=3)
+        self.assertLessEqual(late, ALLOWED_LATE)
+
+    def test_sizes_and_shares(self):
+        """Guards against a request that each node learns of by itself."""
+        for nodes, ratio in ((6, 0.01), (6, 0.2), (67, 0.05), (195, 0.05), (370, 0.05)):
+            with self.subTest(nodes=nodes, ratio=ratio):
+                simulation = self._start(nodes)
+                self._offer_request(simulation, ratio * 2.0 * nodes)
+                self._check_served(simulation)
+                self._check_request(simulation)
+
+    def test_beside_a_harmful_segment(self):
+        """Guards against evidence of a segment that hides a request."""
+        simulation = self._start()
+        self._offer_harmful(simulation, 1.0)
+        self._offer_request(simulation, 1.0)
+        self._check_served(simulation)
+        self.assertLess(len(simulation.crashes), 14)
+
+    def test_two_requests(self):
+        """Guards against evidence of one request that hides another."""
+        simulation = self._start()
+        self._offer_request(simulation, 1.0)
+        self._offer_request(simulation, 1.0, DEADLY + 1)
+        self._check_served(simulation)
+        self.assertLess(len(simulation.crashes), 10)
+
+    def test_hour(self):
+        """Guards against trials of one request that crash engines over and over."""
+        simulation = PoisonSimulation(6, 18, seed=5)
+        self._offer_request(simulation, 0.4, end_s=HOUR_S)
+        simulation.offer_load((SHARED, FIRST_CALLER), 0.5, 1.0, HOUR_S)
+        simulation.run(HOUR_S)
+        self._check_request(simulation)
+        self.assertGreater(simulation.results()["begun"], 0.45 * HOUR_S)
+
+    def test_same_sound_request_beside_crashes(self):
+        """Guards against requests without a body that are blamed for other crashes."""
+        simulation = self._start(6)
+        simulation.harmful = set()
+        segments = (SHARED, FIRST_CALLER)
+        simulation.offer_load(segments, 4.0, 0.0, END_S, digest=DEADLY)
+        for number in range(8):
+            engines = simulation.engines[number::8]
+            simulation.schedule(
+                5.0 + number,
+                lambda engines=engines: [
+                    simulation.crash(each) for each in engines if each.is_up
+                ],
+            )
+        simulation.run(END_S)
+        self.assertEqual(simulation.results()["rejected"], 0)
+
+
 class NodeTest(PoisonFleetTestCase):
     def test_node_that_was_paused(self):
         """Guards against a node that comes back with what it knew before."""
