Pass over deeply nested and oversized data of other writers

One such row among the backend servers or the nodes kept a node from following the table, and one datagram ended the task that receives all others for good. Numbers too large for a datagram (born, slots) were taken, and then broke the messages that carry them.

Each reader of rows and datagrams now takes a RecursionError for malformed data, and numbers of entries are bounded; ports out of range were rejected already. test_deeply_nested_rows, test_deeply_nested_entry, test_deeply_nested_datagram and five more entries in test_entries_of_other_writers failed before.

--- a/papayarelay/nodes/broadcast.py
+++ b/papayarelay/nodes/broadcast.py
@@ -20,6 +20,7 @@
 
 from ..backends.restriction import Incarnation
 from ..background import run_step
+from ..decoding import DECODE_ERRORS
 from ..events import Event
 from ..logs import log
 from ..retry import RetryUsage
@@ -415,7 +416,7 @@
             try:
                 envelope = _ENVELOPE_DECODER.decode(data)
                 message = _MESSAGE_DECODER.decode(envelope.message)
-            except msgspec.MsgspecError:
+            except DECODE_ERRORS:
                 self.malformed += 1
                 continue
             echoed_s = None
--- a/papayarelay/nodes/permit_exchange.py
+++ b/papayarelay/nodes/permit_exchange.py
@@ -7,9 +7,9 @@
 
 import gevent
 import gevent.event
-import msgspec
 
 from ..background import run_step
+from ..decoding import DECODE_ERRORS
 from ..events import Event
 from ..logs import log
 from .permit_messages import Message, decode, encode
@@ -109,7 +109,7 @@
                 continue
             try:
                 message = decode(data)
-            except msgspec.MsgspecError:
+            except DECODE_ERRORS:
                 self.malformed += 1
                 continue
             self._source, self._sender = address, message.sender
--- a/papayarelay/platform/config.py
+++ b/papayarelay/platform/config.py
@@ -4,6 +4,7 @@
 
 import hashlib
 from collections.abc import Iterable, Mapping
+from typing import Annotated
 
 import msgspec
 
@@ -18,6 +19,7 @@
     Service,
     WeightedService,
 )
+from ..decoding import DECODE_ERRORS
 from ..request import RequestKind
 from ..timing import EngineTiming
 from .address import parse_address
@@ -107,6 +109,12 @@
     tenants: list[_Tenant] | None = None
 
 
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 86_400_000.0
+# Times of day in milliseconds are exact integers for all decoders up to here.
+MAX_TIME_MS = 1 << 53
+
+
 class ServerEntry(msgspec.Struct):
     """A backend server's own entry in the server list."""
 
@@ -114,11 +122,11 @@
     address: str
     zone: str
     state: str
-    slots: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)] = 0
     # Remaining cold start time as of the last report.
-    cold_remaining_ms: float = 0.0
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)] = 0.0
     # Start time in Unix milliseconds; tells restarts under the same id apart.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)] = 0
 
 
 DOCUMENT_DECODER = msgspec.json.Decoder(Document)
@@ -130,7 +138,7 @@
     """Decode a server's entry; return None if it is invalid."""
     try:
         entry = ENTRY_DECODER.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
     if entry.state not in BACKEND_STATES or not _is_address(entry.address):
         return None
--- a/papayarelay/platform/config_rows.py
+++ b/papayarelay/platform/config_rows.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from ..events import Event
 from ..logs import log
 from ..nodes.freshness import content_digest
@@ -23,7 +24,6 @@
 # The rows of a restored store may lack changes that this node has not seen.  They count
 # as current once the document is written again, or after this time.
 CONFIRM_S = 1.0
-DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
 class KeptConfig(msgspec.Struct, array_like=True):
--- a/papayarelay/platform/node_registry.py
+++ b/papayarelay/platform/node_registry.py
@@ -9,17 +9,20 @@
 
 import random
 from collections.abc import Callable, Mapping
+from typing import Annotated
 
 import gevent
 import gevent.event
 import msgspec
 
 from ..background import BackgroundTask, run_step
+from ..decoding import DECODE_ERRORS
 from ..errors import StoreError
 from ..events import Event
 from ..logs import log
 from ..nodes.broadcast import NodeAddress
 from .address import parse_address
+from .config import MAX_TIME_MS
 from .store import Row, StoreClient
 
 TABLE = "nodes"
@@ -38,7 +41,7 @@
     address: str
     data_centre: str = ""
     # Time of the last renewal on the store's clock.
-    renewed_ms: int = 0
+    renewed_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)] = 0
 
 
 class NodeRegistry(BackgroundTask):
@@ -163,6 +166,6 @@
     try:
         entry = msgspec.json.decode(row.value or b"", type=_NodeEntry)
         parse_address(entry.address)
-    except (msgspec.MsgspecError, ValueError):
+    except (*DECODE_ERRORS, ValueError):
         return None
     return entry
--- a/papayarelay/platform/store.py
+++ b/papayarelay/platform/store.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..backends.pool import BackendPool
+from ..decoding import DECODE_ERRORS
 from ..errors import BackendError, Outcome, StoreError, StoreUnavailableError
 from ..events import Event
 from ..logs import log
@@ -203,7 +204,7 @@
             raise _error(f"status {answer.status}", path)
         try:
             return _DECODER.decode(data), era
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise _error(f"malformed response: {error}", path) from error
 
     def _read_era(self, text: str, path: str) -> int:
--- a/papayarelay/poison/exchange.py
+++ b/papayarelay/poison/exchange.py
@@ -15,9 +15,9 @@
 
 import gevent
 import gevent.event
-import msgspec
 
 from ..background import run_step
+from ..decoding import DECODE_ERRORS
 from ..events import Event
 from ..logs import log
 from ..nodes.groups import Group
@@ -182,7 +182,7 @@
                 continue
             try:
                 message = decode(data)
-            except msgspec.MsgspecError:
+            except DECODE_ERRORS:
                 self.malformed += 1
                 continue
             self._source, self._sender = address, message.sender
--- a/papayarelay/tests/test_broadcast.py
+++ b/papayarelay/tests/test_broadcast.py
@@ -136,6 +136,23 @@
             self.second.statuses["n1"].table_reports, self.first.own.table_reports
         )
 
+    def test_deeply_nested_datagram(self):
+        """One datagram would end the task that receives all others."""
+        data = b"\x93\x00\x00" + b"\x91" * 50_000 + b"\xc0"
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.sendto(data, self.second.address)
+        receiver = self.second.broadcaster
+        wait_for(lambda: receiver.malformed == 1, TIMEOUT_S, "count")
+        self.first.own = NodeStatus(retries={"s": RetryUsage(7, 3)})
+        wait_for(
+            lambda: (
+                "n1" in self.second.statuses
+                and self.second.statuses["n1"].retries == self.first.own.retries
+            ),
+            TIMEOUT_S,
+            "status",
+        )
+
     def test_timestamp_of_an_earlier_instance(self):
         """A timestamp from before a restart would make old reads appear fresh."""
         wait_for(
--- a/papayarelay/tests/test_platform.py
+++ b/papayarelay/tests/test_platform.py
@@ -31,6 +31,7 @@
 from .store_standin import StoreFaults, StoreStandIn
 
 LIMIT_S = 5.0
+NESTED = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
 DATA_CENTRES = ("a", "b")
 # The ports are fixed, so each concurrent run needs its own loopback address.
 PROCESS_IP = f"127.9.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
@@ -247,6 +248,11 @@
             json.dumps(make_entry(address="10.0.0.1:²")).encode(),
             json.dumps(make_entry(address="x@10.0.0.1:80")).encode(),
             json.dumps(make_entry(address="10.0.0.1/p:80")).encode(),
+            json.dumps(make_entry(born=10**400)).encode(),
+            json.dumps(make_entry(born=-(2**70))).encode(),
+            json.dumps(make_entry(slots=10**30)).encode(),
+            json.dumps(make_entry(cold_remaining_ms=1e300)).encode(),
+            NESTED,
         ):
             self.assertIsNone(platform_config.decode_entry(value))
 
@@ -600,6 +606,18 @@
         self._servers(11, Row("e1", b"\xff", 11), make_row("x", {"a": 1}, 12))
         self.assertEqual(sorted(self._states()), ["e1", "e2"])
 
+    def test_deeply_nested_rows(self):
+        """One row of another writer would end the reading of all others."""
+        self._start()
+        self._servers(
+            11,
+            Row("x", NESTED, 10),
+            make_row("e3", make_entry(address="10.0.0.3:80"), 11),
+        )
+        self._config(12, Row("config", NESTED, 12))
+        self.assertIn("e3", self.feed.config.backends)
+        self.assertEqual(self.feed.config.version, 3)
+
     def test_cold(self):
         """A server in its cold start would count as warm."""
         self._start()
@@ -785,6 +803,13 @@
         registry.remove_expired()
         self.assertLessEqual(len(self.standin.calls) / RENEW_INTERVAL_S, 1 / 60)
 
+    def test_deeply_nested_entry(self):
+        """One row of another writer would hide all nodes."""
+        self._make("n1", "10.0.0.1").renew()
+        self.standin.rows.put("nodes", "x", NESTED)
+        self._make("n2", "10.0.0.2").read()
+        self.assertEqual(list(self.listed["n2"]), ["n1"])
+
     def test_addresses_of_other_writers(self):
         """One invalid address in the list would stop the datagrams to all nodes."""
         for number, address in enumerate(
