Refuse requests whose bodies arrive late in a planned stop

One way was open: a request whose head came before and whose body came late was admitted once its body was read, up to 10 s after that, sent to a server, and cut at the end of the stop.

After the body, a request whose deadline is later than the end of the stop now gets 503, which is true: nothing was sent. test_body_that_arrives_late failed before (200).

--- a/papayarelay/callers/gateway.py
+++ b/papayarelay/callers/gateway.py
@@ -253,6 +253,7 @@
         service = pick_service(route, self._rng)
         kind = self._kind(route, caller, service)
         allowed_s = min(kind.deadline_s, fields.allowed_s or kind.deadline_s)
+        self._gate.check_time_left(received_s + allowed_s)
         request = Request(
             id=fields.request_id,
             member=caller.member,
--- a/papayarelay/platform/node.py
+++ b/papayarelay/platform/node.py
@@ -200,6 +200,7 @@
         end_s = self._clock() + self.settings.bounds.stop_s - KILL_MARGIN_S
         self.gate.ready = False
         self.gate.shutting_down = True
+        self.gate.end_s = end_s
         self._node_registry.leave()
         gevent.sleep(BALANCER_REMOVAL_S)
         self.gate.close()
--- a/papayarelay/tests/test_gateway.py
+++ b/papayarelay/tests/test_gateway.py
@@ -689,6 +689,24 @@
                     self.assertIn(b" %d " % status, line)
                 self.assertTrue(stopping.get(timeout=LIMIT_S))
 
+    def test_body_that_arrives_late(self):
+        """A request must not be sent that the end of the shutdown would cut."""
+        head = (
+            b"POST /job/ HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\n"
+            b"X-Attempt-Id: a1\r\nContent-Length: 1\r\n\r\n"
+        )
+        with socket.create_connection(self.system.address) as sock:
+            sock.sendall(head)
+            gevent.sleep(0.05)
+            self.system.gate.end_s = time.monotonic() + 1.0
+            stopping = self._shut_down()
+            gevent.sleep(0.05)
+            sock.sendall(b"x")
+            sock.settimeout(LIMIT_S)
+            self.assertIn(b" 503 ", sock.recv(1000).partition(b"\r\n")[0])
+        self.assertTrue(stopping.get(timeout=LIMIT_S))
+        self.assertEqual(self.system.received_requests, [])
+
     def test_idle_connection(self):
         """Idle connections must be closed, as they would delay the shutdown."""
         with socket.create_connection(self.system.address) as sock:
