Send a different request for each truncated answer in a test

TruncatedResponseTest.test_streams sent the same request hundreds of times, each broken by its server. Each case is a request of its own; the checks are the same.

--- a/papayarelay/tests/test_broken_answers.py
+++ b/papayarelay/tests/test_broken_answers.py
@@ -75,6 +75,9 @@
     The servers end the connection, with FIN or RST, at many positions of a response.
     """
 
+    def setUp(self):
+        self.requests = 0
+
     def _send_truncated(
         self, path: str, data: bytes, end, method: str = "GET", deadline_ms=400
     ):
@@ -85,9 +88,12 @@
             entry.circuit = Circuit()
         before = len(self.system.received_requests)
         body = b"x" if method == "POST" else None
+        # The same request again would be rejected, as one that crashes servers.
+        self.requests += 1
+        target = f"{path}{self.requests}"
         try:
             reply = self.system.request(
-                path, method, body, X_Deadline_Ms=str(deadline_ms)
+                target, method, body, X_Deadline_Ms=str(deadline_ms)
             )
         except OSError:
             reply = None
