--- a/review/3/case.py
+++ b/review/3/case.py
@@ -126,6 +126,8 @@
         for node in self.fleet.nodes:
             node.start()
         begun_s = time.monotonic()
+        for node in self.fleet.nodes:
+            self.in_touch_from[node.name] = begun_s + CONTACT_S
         self.fleet.log("all node processes start again")
         self.fleet.wait_ready(self.fleet.nodes)
         gevent.sleep(max(0.0, begun_s + CONTACT_S + 2.0 - time.monotonic()))
